Serve a request from caller to backend server as separate processes

Cause: the design needs one path built end to end before anything else rests on it.

Ruled out: writing an OK packet by mysql2's own method, whose buffer has no room for session state; a second round trip to read the position of each commit.

Change: core types, pools, observers, reads, writes with request records, transactions, sessions and directives; MySQL front end and backend client on mysql2; platform and database group stand-ins; entry host, command line and demo.

Throughput is not measured yet.

--- /dev/null
+++ b/src/cli/exit.ts
@@ -0,0 +1,24 @@
+/**
+Exit codes and the last line of a command that failed.
+*/
+import process from 'node:process';
+import * as errors from '../core/errors.js';
+
+/** Exit codes for scripts. */
+export const codes = {
+	success: 0, failure: 1, usage: 2, conflict: 3,
+} as const;
+
+/** Prints a failure to standard error and sets the exit code that belongs to its kind. */
+export function report(failure: errors.Failure): void {
+	console.error(errors.describe(failure));
+	process.exitCode = codeOf(failure.kind);
+}
+
+function codeOf(kind: errors.Kind): number {
+	if (kind === 'settings') {
+		return codes.usage;
+	}
+
+	return kind === 'conflict' ? codes.conflict : codes.failure;
+}
--- /dev/null
+++ b/src/core/address.ts
@@ -0,0 +1,19 @@
+/**
+Addresses as settings write them.
+*/
+
+/** An IP address and a port. */
+export type Address = {readonly host: string; readonly port: number};
+
+/**
+Reads `IP:port`, whose form the schemas check.
+
+@example
+```
+address.parse('127.0.0.1:3306'); //=> {host: '127.0.0.1', port: 3306}
+```
+*/
+export function parse(text: string): Address {
+	const colon = text.lastIndexOf(':');
+	return {host: text.slice(0, colon).replaceAll(/[\[\]]/gv, ''), port: Number(text.slice(colon + 1))};
+}
--- /dev/null
+++ b/src/core/backend.ts
@@ -0,0 +1,57 @@
+/**
+Backend servers, as interfaces. `src/mysql` implements them by the MySQL protocol; tests use fakes.
+*/
+import type * as types from '../generated/types.js';
+import type * as errors from './errors.js';
+import type * as position from './position.js';
+
+export type Status = types.Status;
+export type Grant = types.Grant;
+export type Answer = types.Answer;
+
+/**
+One connection to a backend server. It carries one statement at a time.
+
+Failures of every call: `database` with the server's error, `not-run` if no byte was sent, and `outcome-unknown` if
+the connection was lost or the timeout passed after that. After `outcome-unknown` the connection is closed, so that a
+late answer can't reach anybody.
+*/
+export abstract class Connection {
+	/** Name of the server. */
+	abstract readonly server: string;
+
+	abstract get isOpen(): boolean;
+
+	/** Executes one statement. */
+	abstract execute(sql: string, timeoutMs: number): Promise<errors.Outcome<Answer>>;
+
+	/** Calls `group_status`. */
+	abstract status(timeoutMs: number): Promise<errors.Outcome<Status>>;
+
+	/** Calls `group_adopt_term`. */
+	abstract adoptTerm(term: number, claimant: string, timeoutMs: number): Promise<errors.Outcome<Grant>>;
+
+	/** Calls `group_promote`. */
+	abstract promote(term: number, claimant: string, timeoutMs: number): Promise<errors.Outcome<Grant>>;
+
+	/** Calls `group_follow`. */
+	abstract follow(primary: string, term: number, timeoutMs: number): Promise<errors.Outcome<Grant>>;
+
+	/** Calls `group_wait`: the status once the log contains the position, or when `waitMs` have passed. */
+	abstract wait(wanted: position.Position, waitMs: number, timeoutMs: number): Promise<errors.Outcome<Status>>;
+
+	/** Ends the session's transaction and state, so that another session may use the connection. */
+	abstract reset(timeoutMs: number): Promise<errors.Outcome<void>>;
+
+	/** Closes the connection at once; what it still owes is dropped. */
+	abstract close(): void;
+}
+
+/** A backend server to which connections can be opened. */
+export abstract class Server {
+	abstract readonly name: string;
+	abstract readonly place: string;
+
+	/** Opens a connection. Failures: `not-run`, since no statement was sent. */
+	abstract connect(timeoutMs: number): Promise<errors.Outcome<Connection>>;
+}
--- /dev/null
+++ b/src/core/clock.ts
@@ -0,0 +1,124 @@
+/**
+Time, as an interface, so that the same tasks run on the system clock and on a manual clock in tests.
+*/
+import * as timers from 'node:timers/promises';
+
+/** A monotonic clock. Times are in ms and mean nothing outside this process. */
+export abstract class Clock {
+	/**
+	Waits for `promise` for at most `ms`; gives `undefined` at the timeout.
+
+	@example
+	```
+	const status = await clock.limit(observer.observe(), 500);
+	```
+	*/
+	async limit<T>(promise: Promise<T>, ms: number): Promise<T | undefined> {
+		const settled = new AbortController();
+		try {
+			return await Promise.race([promise, this.#expire(ms, settled.signal)]);
+		} finally {
+			settled.abort();
+		}
+	}
+
+	/** Monotonic time in ms. */
+	abstract now(): number;
+
+	/**
+	Waits for `ms`, or until `signal` aborts. It never rejects.
+
+	@example
+	```
+	await clock.sleep(500, signal);
+	```
+	*/
+	abstract sleep(ms: number, signal?: AbortSignal): Promise<void>;
+
+	async #expire(ms: number, signal: AbortSignal): Promise<undefined> {
+		await this.sleep(ms, signal);
+		return undefined;
+	}
+}
+
+/** The clock of the machine. */
+export class System extends Clock {
+	override now(): number {
+		return performance.now();
+	}
+
+	override async sleep(ms: number, signal?: AbortSignal): Promise<void> {
+		try {
+			await timers.setTimeout(Math.max(0, ms), undefined, {signal});
+		} catch (error) {
+			if (!(error instanceof Error && error.name === 'AbortError')) {
+				throw error;
+			}
+		}
+	}
+}
+
+type Sleeper = {readonly wakeAt: number; readonly wake: () => void};
+
+/** A clock that moves only when a test advances it. */
+export class Manual extends Clock {
+	#now = 0;
+	readonly #sleepers = new Set<Sleeper>();
+
+	override now(): number {
+		return this.#now;
+	}
+
+	override async sleep(ms: number, signal?: AbortSignal): Promise<void> {
+		if (signal?.aborted) {
+			return;
+		}
+
+		await new Promise<void>(resolve => {
+			const sleeper: Sleeper = {
+				wakeAt: this.#now + Math.max(0, ms),
+				wake: () => {
+					this.#sleepers.delete(sleeper);
+					signal?.removeEventListener('abort', sleeper.wake);
+					resolve();
+				},
+			};
+			this.#sleepers.add(sleeper);
+			signal?.addEventListener('abort', sleeper.wake);
+		});
+	}
+
+	/**
+	Moves the time forward by `ms` and wakes sleepers in the order of their times.
+	Between two sleepers it lets pending promises run.
+
+	@example
+	```
+	const time = new clock.Manual();
+	await time.advance(1000);
+	```
+	*/
+	async advance(ms: number): Promise<void> {
+		const end = this.#now + ms;
+		await timers.setImmediate();
+		for (let next = this.#nextSleeper(end); next; next = this.#nextSleeper(end)) {
+			this.#now = Math.max(this.#now, next.wakeAt);
+			next.wake();
+			await timers.setImmediate();
+		}
+
+		this.#now = end;
+		await timers.setImmediate();
+	}
+
+	#nextSleeper(end: number): Sleeper | undefined {
+		let earliest: Sleeper | undefined;
+		for (const sleeper of this.#sleepers) {
+			if (sleeper.wakeAt <= end && (!earliest || sleeper.wakeAt < earliest.wakeAt)) {
+				earliest = sleeper;
+			}
+		}
+
+		return earliest;
+	}
+}
--- /dev/null
+++ b/src/core/directive.ts
@@ -0,0 +1,118 @@
+/**
+What a caller says about its requests, in a leading comment or in session variables.
+*/
+import * as Either from 'fp-ts/lib/Either.js';
+import type * as types from '../generated/types.js';
+import * as errors from './errors.js';
+import * as position from './position.js';
+
+/** Directives of one request, or of a session until they are changed. */
+export type Directives = {
+	readonly class?: string;
+	/** Accepted age of a read in ms. */
+	readonly ageMs?: number;
+	readonly position?: types.Position;
+	/** Idempotency key. */
+	readonly request?: string;
+	/** Name that the caller gives its session, for logs. */
+	readonly session?: string;
+};
+
+const names = ['class', 'age', 'position', 'request', 'session'];
+const commentPattern = /^\s*\/\*\s*sycamorering\b(?<list>[^*]*)\*\/\s*/v;
+const variablePattern = /^\s*set\s+@sycamorering_(?<name>\w+)\s*:?=\s*(?:'(?<quoted>[^']*)'|(?<plain>[^\s;']+))\s*;?\s*$/iv;
+const anyVariablePattern = /^\s*set\s+@sycamorering_/iv;
+const unitsMs = new Map([['ms', 1], ['s', 1000], ['m', 60_000]]);
+
+/**
+Reads the leading comment of a statement.
+
+Errors: `directive`, naming what is unknown or malformed.
+
+@example
+```
+directive.parseComment('/* sycamorering class=balance age=2s *\/ SELECT 1');
+//=> right({directives: {class: 'balance', ageMs: 2000}, sql: 'SELECT 1'})
+```
+*/
+export function parseComment(sql: string): errors.Outcome<{directives: Directives; sql: string}> {
+	const match = commentPattern.exec(sql);
+	if (!match) {
+		return Either.right({directives: {}, sql});
+	}
+
+	let directives: Directives = {};
+	for (const item of (match.groups?.list ?? '').trim().split(/\s+/v).filter(part => part !== '')) {
+		const [name = '', value = ''] = item.split('=', 2);
+		const outcome = parse(name, value);
+		if (Either.isLeft(outcome)) {
+			return outcome;
+		}
+
+		directives = {...directives, ...outcome.right};
+	}
+
+	return Either.right({directives, sql: sql.slice(match[0].length)});
+}
+
+/**
+Reads `SET @sycamorering_<name> = <value>`; gives `undefined` for any other statement.
+
+Errors: `directive`, naming what is unknown or malformed.
+
+@example
+```
+directive.parseVariable('SET @sycamorering_age = \'2s\''); //=> right({ageMs: 2000})
+```
+*/
+export function parseVariable(sql: string): errors.Outcome<Directives> | undefined {
+	const match = variablePattern.exec(sql);
+	if (match?.groups) {
+		return parse(match.groups.name ?? '', match.groups.quoted ?? match.groups.plain ?? '');
+	}
+
+	return anyVariablePattern.test(sql)
+		? errors.fail('directive', 'parse', '', `"${sql.trim()}" is not of the form SET @sycamorering_name = 'value'`)
+		: undefined;
+}
+
+function parse(name: string, value: string): errors.Outcome<Directives> {
+	switch (name) {
+		case 'class': {
+			return word(name, value, text => ({class: text}));
+		}
+
+		case 'request': {
+			return word(name, value, text => ({request: text}));
+		}
+
+		case 'session': {
+			return word(name, value, text => ({session: text}));
+		}
+
+		case 'age': {
+			return Either.map((ageMs: number) => ({ageMs}))(parseAge(value));
+		}
+
+		case 'position': {
+			return Either.map((parsed: types.Position) => ({position: parsed}))(position.parse(value));
+		}
+
+		default: {
+			return errors.fail('directive', 'parse', '', `unknown directive "${name}"; known are ${names.join(', ')}`);
+		}
+	}
+}
+
+function word(name: string, value: string, make: (text: string) => Directives): errors.Outcome<Directives> {
+	return /^[\w.:\-]{1,64}$/v.test(value)
+		? Either.right(make(value))
+		: errors.fail('directive', 'parse', '', `directive ${name}: "${value}" is not 1 to 64 letters, digits or _ . : -`);
+}
+
+function parseAge(value: string): errors.Outcome<number> {
+	const match = /^(?<number>\d{1,9}(?:\.\d{1,3})?)(?<unit>ms|s|m)$/v.exec(value);
+	return match?.groups
+		? Either.right(Number(match.groups.number) * (unitsMs.get(match.groups.unit ?? '') ?? 1))
+		: errors.fail('directive', 'parse', '', `directive age: "${value}" is not a number with unit ms, s or m`);
+}
--- /dev/null
+++ b/src/core/position.ts
@@ -0,0 +1,101 @@
+/**
+Positions in the log of a database group. An entry is identified by the term that wrote it and its index.
+*/
+import * as Either from 'fp-ts/lib/Either.js';
+import type * as types from '../generated/types.js';
+import * as errors from './errors.js';
+
+export type Position = types.Position;
+
+/** Where each term's entries begin, in ascending order. */
+export type History = readonly types.TermStart[];
+
+/** The part of a server's status that describes its log. */
+export type Log = {readonly last: Position; readonly history: History};
+
+/** How a log stands to a position. */
+export type Relation = 'contains' | 'behind' | 'lost';
+
+/**
+Orders positions by term, then index.
+
+@example
+```
+position.compare({term: 2, index: 7}, {term: 3, index: 1}); //=> negative
+```
+*/
+export function compare(left: Position, right: Position): number {
+	return left.term - right.term || left.index - right.index;
+}
+
+/**
+The later of two positions; null stands for none.
+
+@example
+```
+session.position = position.latest(session.position, answer.position);
+```
+*/
+export function latest(left: Position | null, right: Position | null): Position | null {
+	if (!left || !right) {
+		return left ?? right;
+	}
+
+	return compare(left, right) >= 0 ? left : right;
+}
+
+/**
+How a log stands to a position: it contains the entry, it may still receive it, or the entry is lost because a later
+term began at or before its index.
+
+@example
+```
+position.relate({last: {term: 3, index: 9}, history: [{term: 3, start: 5}]}, {term: 2, index: 6}); //=> 'lost'
+```
+*/
+export function relate(log: Log, wanted: Position): Relation {
+	if (log.history.some(({term, start}) => term > wanted.term && start <= wanted.index)) {
+		return 'lost';
+	}
+
+	if (log.last.index < wanted.index) {
+		return 'behind';
+	}
+
+	return termAt(log.history, wanted.index) === wanted.term ? 'contains' : 'behind';
+}
+
+function termAt(history: History, index: number): number {
+	return history.findLast(({start}) => start <= index)?.term ?? 0;
+}
+
+/**
+Writes a position as `term:index`, the form of directives and of the session state in OK packets.
+
+@example
+```
+position.format({term: 3, index: 120}); //=> '3:120'
+```
+*/
+export function format({term, index}: Position): string {
+	return `${term}:${index}`;
+}
+
+/**
+Reads a position from `term:index`.
+
+Errors: `directive` when the text has another form.
+
+@example
+```
+position.parse('3:120'); //=> right({term: 3, index: 120})
+```
+*/
+export function parse(text: string): errors.Outcome<Position> {
+	const match = /^(?<term>\d{1,15}):(?<index>\d{1,15})$/v.exec(text);
+	if (!match?.groups) {
+		return errors.fail('directive', 'parse', '', `position "${text}" is not of the form term:index`);
+	}
+
+	return Either.right({term: Number(match.groups.term), index: Number(match.groups.index)});
+}
--- /dev/null
+++ b/src/core/record.ts
@@ -0,0 +1,65 @@
+/**
+Records of requests, kept in the database itself and written in the same transaction as the request. A record tells
+whether a request ran, at any entry host and after a failover, without a store of our own.
+*/
+import * as Either from 'fp-ts/lib/Either.js';
+import type * as types from '../generated/types.js';
+import type * as backend from './backend.js';
+import type * as errors from './errors.js';
+
+/** Statement that creates the table of records; operators run it once for each database. */
+export const schema = 'CREATE TABLE IF NOT EXISTS sycamorering_request (id VARCHAR(191) PRIMARY KEY, state VARCHAR(16) NOT NULL, affected_rows BIGINT NOT NULL, insert_id BIGINT NOT NULL)';
+
+/** MySQL's code for a duplicate key. */
+const codeDuplicate = 1062;
+
+/** What a record says: the request ran, or it was cancelled and can never run. */
+export type State = 'done' | 'cancelled';
+
+/** A record as found. */
+export type Found = {readonly state: State; readonly affectedRows: number; readonly insertId: number};
+
+/**
+The id of a request's record. Tenants can't meet each other's records. Both parts are limited to characters that need
+no escaping in SQL, by the configuration's schema and by the directive's pattern.
+*/
+export function id(request: types.Request): string {
+	return `${request.tenant}/${request.requestId}`;
+}
+
+/**
+Adds a record to the open transaction, or on its own.
+
+@example
+```
+const outcome = await record.insert(connection, id, {state: 'done', affectedRows: 1, insertId: 7}, 1000);
+```
+*/
+export async function insert(connection: backend.Connection, key: string, content: Found, timeoutMs: number): Promise<errors.Outcome<types.Answer>> {
+	const {state, affectedRows, insertId} = content;
+	return connection.execute(
+		`INSERT INTO sycamorering_request (id, state, affected_rows, insert_id) VALUES ('${key}', '${state}', ${affectedRows}, ${insertId})`,
+		timeoutMs,
+	);
+}
+
+/** Whether a failure says that a record of this id exists. */
+export function isDuplicate(failure: errors.Failure): boolean {
+	return failure.kind === 'database' && failure.code === codeDuplicate;
+}
+
+/**
+Looks a record up; null if there is none.
+
+@example
+```
+const found = await record.find(connection, id, 1000);
+```
+*/
+export async function find(connection: backend.Connection, key: string, timeoutMs: number): Promise<errors.Outcome<Found | null>> {
+	const outcome = await connection.execute(`SELECT state, affected_rows, insert_id FROM sycamorering_request WHERE id = '${key}'`, timeoutMs);
+	return Either.map((answer: types.Answer): Found | null => {
+		const row = answer.kind === 'rows' ? answer.rows[0] : undefined;
+		return row ? {state: row[0] === 'done' ? 'done' : 'cancelled', affectedRows: Number(row[1]), insertId: Number(row[2])} : null;
+	})(outcome);
+}
--- /dev/null
+++ b/src/core/session.ts
@@ -0,0 +1,229 @@
+/**
+A caller's session: turns what the caller says into requests and keeps what lasts from one to the next. It knows
+nothing of the protocol that carries the text.
+*/
+import * as Either from 'fp-ts/lib/Either.js';
+import type * as types from '../generated/types.js';
+import * as directive from './directive.js';
+import type * as dispatch from './dispatch.js';
+import * as errors from './errors.js';
+import * as position from './position.js';
+import type * as random from './random.js';
+import * as service from './service.js';
+import * as statement from './statement.js';
+
+/** Who a caller is, by its account. */
+export type Account = {readonly name: string; readonly service: string; readonly tenant: string};
+
+/** The parts of a configuration that a session needs. */
+export type Services = {find(name: string): types.Service | undefined};
+
+const varString = 253;
+const characterSetUtf8mb4 = 45;
+const columnLength = 1024;
+
+const positionPattern = /^\s*select\s+@@(?:session\.)?sycamorering_position\s*;?\s*$/iv;
+/** Settings that drivers make when they connect and that change nothing here. */
+const harmlessPattern = /^\s*set\s+(?:names\b|character\s+set\b|(?:@@)?(?:session\s+|session\.)?(?:autocommit\s*=\s*(?:1|on|true)|character_set_results|net_write_timeout|sql_mode|time_zone)\b)/iv;
+const setPattern = /^\s*set\b/iv;
+
+/**
+State of the session's transaction. After a failure the caller must end it, so that statements meant for the
+transaction never run outside one.
+*/
+type TransactionState = 'none' | 'open' | 'failed';
+
+/** How a statement ended, and the class that it was executed in; empty if none. */
+export type Execution = {readonly outcome: errors.Outcome<types.Answer>; readonly name: string};
+
+/** One session of a caller. */
+export class Session {
+	readonly #name: string;
+	readonly #account: Account;
+	readonly #services: Services;
+	readonly #dispatcher: dispatch.Dispatcher;
+	readonly #random: random.Source;
+	#defaults: directive.Directives = {};
+	#position: types.Position | null = null;
+	#transaction: TransactionState = 'none';
+	#class = '';
+
+	constructor(account: Account, services: Services, dispatcher: dispatch.Dispatcher, source: random.Source) {
+		this.#name = `${account.name}-${source.name()}`;
+		this.#account = account;
+		this.#services = services;
+		this.#dispatcher = dispatcher;
+		this.#random = source;
+	}
+
+	/** The position that the session's reads must see; null until it wrote or stated one. */
+	get position(): types.Position | null {
+		return this.#position;
+	}
+
+	get isInTransaction(): boolean {
+		return this.#transaction === 'open';
+	}
+
+	/**
+	Executes one statement. Errors: `directive` for what the caller said wrongly, else as the dispatcher's.
+
+	@example
+	```
+	const {outcome} = await session.execute('/* sycamorering class=balance age=2s *\/ SELECT 1');
+	```
+	*/
+	async execute(text: string): Promise<Execution> {
+		this.#class = '';
+		const outcome = await this.#execute(text);
+		return {outcome, name: this.#class};
+	}
+
+	/** Ends what the session has open. */
+	async end(): Promise<void> {
+		const isOpen = this.isInTransaction;
+		this.#transaction = 'none';
+		if (isOpen) {
+			await this.#dispatcher.endSession(this.#account.service, this.#name);
+		}
+	}
+
+	/** Forgets the session's state, for a connection that its caller reuses. */
+	async reset(): Promise<void> {
+		await this.end();
+		this.#defaults = {};
+		this.#position = null;
+	}
+
+	async #execute(text: string): Promise<errors.Outcome<types.Answer>> {
+		const variable = directive.parseVariable(text);
+		if (variable) {
+			return Either.map((directives: directive.Directives) => {
+				this.#defaults = {...this.#defaults, ...directives};
+				this.#position = position.latest(this.#position, directives.position ?? null);
+				return completion;
+			})(variable);
+		}
+
+		if (positionPattern.test(text)) {
+			return Either.right(this.#describePosition());
+		}
+
+		if (harmlessPattern.test(text)) {
+			return Either.right(completion);
+		}
+
+		if (setPattern.test(text)) {
+			return errors.fail('directive', 'parse', this.#account.name, `"${text.trim().slice(0, 80)}" is not supported: variables do not last across pooled connections`);
+		}
+
+		return this.#request(text);
+	}
+
+	async #request(text: string): Promise<errors.Outcome<types.Answer>> {
+		const request = this.#compose(text);
+		if (Either.isLeft(request)) {
+			return request;
+		}
+
+		const known = this.#answerHere(request.right);
+		if (known) {
+			return known;
+		}
+
+		const outcome = await this.#dispatcher.execute(request.right);
+		this.#note(request.right, outcome);
+		return outcome;
+	}
+
+	/** The answer to statements that need no server: the end of no transaction or of a failed one. */
+	#answerHere({transaction}: types.Request): errors.Outcome<types.Answer> | undefined {
+		if (this.#transaction === 'failed' && transaction !== 'begin') {
+			this.#transaction = transaction === 'none' || transaction === 'within' ? 'failed' : 'none';
+			return transaction === 'rollback'
+				? Either.right(completion)
+				: errors.fail('not-run', 'route', this.#account.name, 'the transaction failed and was rolled back; begin a new one');
+		}
+
+		const isEnd = transaction === 'commit' || transaction === 'rollback';
+		return isEnd && this.#transaction === 'none' ? Either.right(completion) : undefined;
+	}
+
+	#compose(text: string): errors.Outcome<types.Request> {
+		const parsed = directive.parseComment(text);
+		if (Either.isLeft(parsed)) {
+			return parsed;
+		}
+
+		const classified = statement.classify(parsed.right.sql);
+		if (Either.isLeft(classified)) {
+			return classified;
+		}
+
+		const settings = this.#services.find(this.#account.service);
+		if (!settings) {
+			return errors.fail('not-run', 'route', this.#account.service, 'the service is not configured');
+		}
+
+		const directives = {...this.#defaults, ...parsed.right.directives};
+		const wanted = directives.class ?? '';
+		if (wanted !== '' && !(wanted in settings.class)) {
+			return errors.fail('directive', 'parse', this.#account.service, `unknown class "${wanted}"`);
+		}
+
+		this.#class = wanted;
+		const {kind} = classified.right;
+		const found = service.findClass(settings, {class: wanted, kind});
+		if (found.kind === 'read' && kind === 'write' && classified.right.transaction === 'none') {
+			return errors.fail('directive', 'parse', this.#account.service, `class "${wanted}" takes reads only`);
+		}
+
+		return Either.right({
+			sql: parsed.right.sql,
+			session: this.#name,
+			service: this.#account.service,
+			tenant: this.#account.tenant,
+			class: wanted,
+			kind: wanted === '' ? kind : found.kind,
+			transaction: this.#step(classified.right.transaction),
+			position: position.latest(this.#position, parsed.right.directives.position ?? null),
+			maximumAgeMs: directives.ageMs ?? found.maximumAgeMs,
+			requestId: parsed.right.directives.request ?? this.#random.name(),
+			deadlineMs: found.deadlineMs,
+		});
+	}
+
+	#step(step: statement.Statement['transaction']): types.TransactionStep {
+		return step === 'none' && this.#transaction === 'open' ? 'within' : step;
+	}
+
+	#note(request: types.Request, outcome: errors.Outcome<types.Answer>): void {
+		const isLost = Either.isLeft(outcome) && outcome.left.kind !== 'database';
+		if (request.transaction === 'begin') {
+			this.#transaction = Either.isRight(outcome) ? 'open' : 'failed';
+		} else if (request.transaction === 'within' && isLost) {
+			this.#transaction = 'failed';
+		} else if (request.transaction === 'commit' || request.transaction === 'rollback') {
+			this.#transaction = 'none';
+		}
+
+		if (Either.isRight(outcome) && outcome.right.kind === 'ok') {
+			this.#position = position.latest(this.#position, outcome.right.position);
+		}
+	}
+
+	#describePosition(): types.Answer {
+		return {
+			kind: 'rows',
+			columns: [{
+				name: '@@sycamorering_position', columnType: varString, characterSet: characterSetUtf8mb4, columnLength, flags: 0, decimals: 0,
+			}],
+			rows: [[this.#position ? position.format(this.#position) : null]],
+			server: '',
+		};
+	}
+}
+
+const completion: types.Answer = {
+	kind: 'ok', affectedRows: 0, insertId: 0, position: null, server: '',
+};
--- /dev/null
+++ b/src/core/write.ts
@@ -0,0 +1,224 @@
+/**
+Writes outside transactions. They run on the primary and are acknowledged once the class's policy agrees.
+*/
+import * as Either from 'fp-ts/lib/Either.js';
+import type * as types from '../generated/types.js';
+import type * as acknowledgement from './acknowledgement.js';
+import type * as backend from './backend.js';
+import * as errors from './errors.js';
+import type * as group from './group.js';
+import * as record from './record.js';
+
+/** MySQL's code with which a server that is not primary refuses a write. */
+const codeReadOnly = 1290;
+const retryPauseMs = 20;
+
+/** How a write may be treated. */
+export type Mode = {
+	/** Whether it may run twice. */
+	readonly isIdempotent: boolean;
+	/** Whether a record in the same transaction can tell whether it ran. */
+	readonly isRecordable: boolean;
+	readonly policy: acknowledgement.Policy;
+};
+
+/** The outcome of one attempt: final, or worth another attempt. */
+type Attempt = {readonly kind: 'final' | 'retry'; readonly outcome: errors.Outcome<types.Answer>};
+
+/** Executes writes of one group. */
+export class Writer {
+	readonly #group: group.Group;
+
+	constructor(servers: group.Group) {
+		this.#group = servers;
+	}
+
+	/**
+	Executes a write.
+
+	Errors: `database`; `not-run` if it surely did not and will not run; `outcome-unknown`.
+	*/
+	async execute(request: types.Request, mode: Mode): Promise<errors.Outcome<types.Answer>> {
+		const deadline = this.#group.clock.now() + request.deadlineMs;
+		let attempt: Attempt;
+		do {
+			attempt = mode.isRecordable && !mode.isIdempotent
+				? await this.#attemptRecorded(request, mode, deadline)
+				: await this.#attemptPlain(request, mode, deadline);
+			if (attempt.kind === 'final') {
+				return attempt.outcome;
+			}
+
+			await this.#group.clock.sleep(retryPauseMs);
+		} while (this.#group.clock.now() < deadline);
+
+		return attempt.outcome;
+	}
+
+	async #attemptPlain(request: types.Request, mode: Mode, deadline: number): Promise<Attempt> {
+		const acquired = await this.#group.acquirePrimary(deadline);
+		if (Either.isLeft(acquired)) {
+			return {kind: 'final', outcome: acquired};
+		}
+
+		const connection = acquired.right;
+		const outcome = await connection.execute(request.sql, this.#left(deadline));
+		await this.#group.release(connection, 'clean');
+		if (Either.isRight(outcome)) {
+			return this.#acknowledge(outcome.right, connection.server, mode, deadline);
+		}
+
+		if (isRefused(outcome.left)) {
+			return {kind: 'retry', outcome: refuse(outcome.left)};
+		}
+
+		const mayRepeat = outcome.left.kind === 'not-run' || (outcome.left.kind === 'outcome-unknown' && mode.isIdempotent);
+		return {kind: mayRepeat ? 'retry' : 'final', outcome};
+	}
+
+	/** The statement and its record in one transaction. */
+	async #attemptRecorded(request: types.Request, mode: Mode, deadline: number): Promise<Attempt> {
+		const acquired = await this.#group.acquirePrimary(deadline);
+		if (Either.isLeft(acquired)) {
+			return {kind: 'final', outcome: acquired};
+		}
+
+		const connection = acquired.right;
+		const begun = await connection.execute('BEGIN', this.#left(deadline));
+		if (Either.isLeft(begun)) {
+			// No byte of the request itself has been sent.
+			await this.#group.release(connection, 'dirty');
+			return {kind: 'retry', outcome: refuse(begun.left)};
+		}
+
+		const outcome = await this.#executeRecorded(connection, request, deadline);
+		await this.#group.release(connection, Either.isRight(outcome) ? 'clean' : 'dirty');
+		if (Either.isRight(outcome)) {
+			const acknowledged = await this.#acknowledge(outcome.right, connection.server, mode, deadline);
+			return Either.isRight(acknowledged.outcome) ? acknowledged : this.#settle(request, mode, deadline);
+		}
+
+		if (isRefused(outcome.left)) {
+			return {kind: 'retry', outcome: refuse(outcome.left)};
+		}
+
+		if (outcome.left.kind === 'outcome-unknown') {
+			return this.#settle(request, mode, deadline);
+		}
+
+		return outcome.left.kind === 'database'
+			? this.#explain(outcome.left, request, mode, deadline)
+			: {kind: 'final', outcome};
+	}
+
+	async #executeRecorded(connection: backend.Connection, request: types.Request, deadline: number): Promise<errors.Outcome<types.Answer>> {
+		const executed = await connection.execute(request.sql, this.#left(deadline));
+		if (Either.isLeft(executed)) {
+			return executed;
+		}
+
+		const {affectedRows, insertId} = executed.right.kind === 'ok' ? executed.right : {affectedRows: 0, insertId: 0};
+		const recorded = await record.insert(connection, record.id(request), {state: 'done', affectedRows, insertId}, this.#left(deadline));
+		if (Either.isLeft(recorded)) {
+			return recorded;
+		}
+
+		const committed = await connection.execute('COMMIT', this.#left(deadline));
+		return Either.map((answer: types.Answer): types.Answer => executed.right.kind === 'ok' && answer.kind === 'ok'
+			? {...executed.right, position: answer.position}
+			: executed.right)(committed);
+	}
+
+	async #acknowledge(answer: types.Answer, server: string, mode: Mode, deadline: number): Promise<Attempt> {
+		const committed = answer.kind === 'ok' ? answer.position : null;
+		if (!committed) {
+			return {kind: 'final', outcome: Either.right(answer)};
+		}
+
+		const confirmed = await mode.policy.confirm(this.#group.observed, server, committed, this.#left(deadline));
+		return {kind: 'final', outcome: Either.map(() => answer)(confirmed)};
+	}
+
+	/** An error of the statement may come from an earlier run of the same request, which its record then shows. */
+	async #explain(failure: errors.Failure, request: types.Request, mode: Mode, deadline: number): Promise<Attempt> {
+		const acquired = await this.#group.acquirePrimary(deadline);
+		if (Either.isLeft(acquired)) {
+			return {kind: 'final', outcome: Either.left(failure)};
+		}
+
+		const found = await record.find(acquired.right, record.id(request), this.#left(deadline));
+		await this.#group.release(acquired.right, 'clean');
+		return Either.isRight(found) && found.right
+			? this.#recall(found.right, request, mode, deadline)
+			: {kind: 'final', outcome: Either.left(failure)};
+	}
+
+	/**
+	Finds out whether a request ran whose answer was lost. A cancelled record of the same id makes sure that it never
+	will, unless its own record is there already.
+	*/
+	async #settle(request: types.Request, mode: Mode, deadline: number): Promise<Attempt> {
+		const key = record.id(request);
+		while (this.#left(deadline) > 1) {
+			const acquired = await this.#group.acquirePrimary(deadline);
+			if (Either.isLeft(acquired)) {
+				break;
+			}
+
+			const connection = acquired.right;
+			const cancelled = await record.insert(connection, key, {state: 'cancelled', affectedRows: 0, insertId: 0}, this.#left(deadline));
+			const found = Either.isLeft(cancelled) && record.isDuplicate(cancelled.left)
+				? await record.find(connection, key, this.#left(deadline))
+				: undefined;
+			await this.#group.release(connection, 'clean');
+			if (found && Either.isRight(found) && found.right) {
+				return this.#recall(found.right, request, mode, deadline);
+			}
+
+			if (Either.isRight(cancelled)) {
+				const acknowledged = await this.#acknowledge(cancelled.right, connection.server, mode, deadline);
+				if (Either.isRight(acknowledged.outcome)) {
+					return {kind: 'final', outcome: errors.fail('not-run', 'settle', connection.server, 'the connection was lost and the request was cancelled')};
+				}
+			}
+
+			await this.#group.clock.sleep(retryPauseMs);
+		}
+
+		return {kind: 'final', outcome: errors.fail('outcome-unknown', 'settle', this.#group.name, 'the connection was lost and the outcome could not be settled in time')};
+	}
+
+	/** The answer that a record stands for, once the record can't be lost any more. */
+	async #recall(found: record.Found, request: types.Request, mode: Mode, deadline: number): Promise<Attempt> {
+		const point = await this.#group.observed.readPoint(this.#left(deadline));
+		const confirmed = Either.isRight(point)
+			? await mode.policy.confirm(this.#group.observed, point.right.server, point.right.position, this.#left(deadline))
+			: point;
+		if (Either.isLeft(point) || Either.isLeft(confirmed)) {
+			return {kind: 'final', outcome: errors.fail('outcome-unknown', 'settle', this.#group.name, 'the record of the request could not be confirmed in time')};
+		}
+
+		if (found.state === 'cancelled') {
+			return {kind: 'final', outcome: errors.fail('not-run', 'settle', this.#group.name, `request ${request.requestId} was cancelled; send it again under another id`)};
+		}
+
+		return {
+			kind: 'final',
+			outcome: Either.right({
+				kind: 'ok', affectedRows: found.affectedRows, insertId: found.insertId, position: point.right.position, server: point.right.server,
+			}),
+		};
+	}
+
+	#left(deadline: number): number {
+		return Math.max(1, deadline - this.#group.clock.now());
+	}
+}
+
+function isRefused(failure: errors.Failure): boolean {
+	return failure.kind === 'database' && failure.code === codeReadOnly;
+}
+
+function refuse(failure: errors.Failure): errors.Outcome<never> {
+	return Either.left({...failure, kind: 'not-run', code: 0});
+}
--- /dev/null
+++ b/src/host/metrics.ts
@@ -0,0 +1,82 @@
+/**
+Counters and latency histograms for each tenant and class, readable over HTTP in the Prometheus text format.
+*/
+import * as hdr from 'hdr-histogram-js';
+import * as prometheus from 'prom-client';
+import type * as types from '../generated/types.js';
+
+const quantiles = [50, 90, 99, 99.9];
+const highestLatencyUs = 60_000_000;
+
+/** How a request ended: with an answer, or the kind of its failure. */
+export type Result = 'answered' | types.FailureKind;
+
+/** Metrics of one host. */
+export class Metrics {
+	readonly #registry = new prometheus.Registry();
+	readonly #requests: prometheus.Counter;
+	readonly #latency: prometheus.Gauge;
+	readonly #histograms = new Map<string, {tenant: string; class: string; histogram: hdr.Histogram}>();
+
+	constructor() {
+		this.#requests = new prometheus.Counter({
+			name: 'sycamorering_requests_total',
+			help: 'Requests by tenant, class and result',
+			labelNames: ['tenant', 'class', 'result'],
+			registers: [this.#registry],
+		});
+		this.#latency = new prometheus.Gauge({
+			name: 'sycamorering_request_seconds',
+			help: 'Quantiles of the request latency by tenant and class',
+			labelNames: ['tenant', 'class', 'quantile'],
+			registers: [this.#registry],
+			collect: () => {
+				this.#export();
+			},
+		});
+	}
+
+	/** Adds a request that took `latencyMs`. */
+	record(request: {readonly tenant: string; readonly class: string}, result: Result, latencyMs: number): void {
+		this.#requests.inc({tenant: request.tenant, class: request.class, result});
+		this.#histogram(request.tenant, request.class).recordValue(Math.min(highestLatencyUs, Math.round(latencyMs * 1000)));
+	}
+
+	/** Adds a gauge whose value is read when metrics are read. */
+	gauge(name: string, help: string, read: () => number): void {
+		const registers = [this.#registry];
+		// The registry keeps it.
+		// eslint-disable-next-line no-new
+		new prometheus.Gauge({
+			name: `sycamorering_${name}`, help, registers, collect() {
+				this.set(read());
+			},
+		});
+	}
+
+	/** All metrics in the Prometheus text format. */
+	async text(): Promise<string> {
+		return this.#registry.metrics();
+	}
+
+	#histogram(tenant: string, name: string): hdr.Histogram {
+		const key = `${tenant}/${name}`;
+		const found = this.#histograms.get(key);
+		if (found) {
+			return found.histogram;
+		}
+
+		const histogram = hdr.build({highestTrackableValue: highestLatencyUs, numberOfSignificantValueDigits: 2});
+		this.#histograms.set(key, {tenant, class: name, histogram});
+		return histogram;
+	}
+
+	#export(): void {
+		for (const entry of this.#histograms.values()) {
+			for (const quantile of quantiles) {
+				const seconds = entry.histogram.getValueAtPercentile(quantile) / 1_000_000;
+				this.#latency.set({tenant: entry.tenant, class: entry.class, quantile: String(quantile / 100)}, seconds);
+			}
+		}
+	}
+}
--- /dev/null
+++ b/src/platform/http.ts
@@ -0,0 +1,75 @@
+/**
+The platform's object API over HTTP and JSON.
+*/
+import * as Either from 'fp-ts/lib/Either.js';
+import * as errors from '../core/errors.js';
+import * as messages from '../generated/messages.js';
+import * as store from './store.js';
+
+/** Where the API is, and times in ms. */
+export type Options = {readonly url: string; readonly timeoutMs: number; readonly watchMs: number};
+
+const statusConflict = 409;
+
+/** The platform's store. */
+export class Store extends store.Store {
+	readonly #options: Options;
+
+	constructor(options: Options) {
+		super();
+		this.#options = options;
+	}
+
+	override async read(key: string): Promise<errors.Outcome<store.Entry>> {
+		return this.#call(key, {}, {timeoutMs: this.#options.timeoutMs});
+	}
+
+	override async update(key: string, value: string, expectedVersion: number): Promise<errors.Outcome<store.Entry>> {
+		return this.#call(key, {expected: expectedVersion}, {timeoutMs: this.#options.timeoutMs, value});
+	}
+
+	override async watch(key: string, afterVersion: number, signal: AbortSignal): Promise<errors.Outcome<store.Entry>> {
+		const {timeoutMs, watchMs} = this.#options;
+		return this.#call(key, {after: afterVersion, wait: watchMs}, {timeoutMs: timeoutMs + watchMs, signal});
+	}
+
+	async #call(
+		key: string,
+		query: Record<string, number>,
+		{timeoutMs, value, signal}: {timeoutMs: number; value?: string; signal?: AbortSignal},
+	): Promise<errors.Outcome<store.Entry>> {
+		const target = new URL(`objects/${encodeURIComponent(key)}`, this.#options.url.endsWith('/') ? this.#options.url : `${this.#options.url}/`);
+		for (const [name, number] of Object.entries(query)) {
+			target.searchParams.set(name, String(number));
+		}
+
+		const limit = AbortSignal.timeout(timeoutMs);
+		try {
+			const response = await fetch(target, {
+				method: value === undefined ? 'GET' : 'PUT',
+				body: value,
+				signal: signal ? AbortSignal.any([limit, signal]) : limit,
+			});
+			return await this.#read(key, response);
+		} catch (error) {
+			return this.#fail(`${key}: ${error instanceof Error ? error.message : String(error)}`);
+		}
+	}
+
+	async #read(key: string, response: Response): Promise<errors.Outcome<store.Entry>> {
+		if (response.status === statusConflict) {
+			return errors.fail('conflict', 'store', this.#options.url, `${key} has another version than expected`);
+		}
+
+		if (!response.ok) {
+			return this.#fail(`${key}: HTTP status ${response.status}`);
+		}
+
+		const entry: unknown = await response.json();
+		return messages.validateEntry(entry) ? Either.right(entry) : this.#fail(`${key}: unexpected answer`);
+	}
+
+	#fail(message: string): errors.Outcome<never> {
+		return errors.fail('store', 'store', this.#options.url, message);
+	}
+}
