Measure what servers, callers and configuration cost an entry host

Cause: docs/CAPACITY.md must rest on measured slopes.

Ruled out: estimating bytes from the protocol; the socket counters of the process give them.

Change: bench/capacity with child processes for the far ends, and gzip in the platform stand-in's answers.

--- /dev/null
+++ b/src/bench/callers.ts
@@ -0,0 +1,27 @@
+/**
+A child process of measurements: opens connections to an entry host and keeps them idle.
+*/
+import process from 'node:process';
+import * as mysql from 'mysql2/promise';
+
+/** What the child sends once the connections are open. */
+export type Connected = {readonly count: number};
+
+const batch = 50;
+
+async function connect(port: number, count: number): Promise<Connected> {
+	for (let opened = 0; opened < count; opened += batch) {
+		await Promise.all(Array.from({length: Math.min(batch, count - opened)}, async () => mysql.createConnection({
+			host: '127.0.0.1', port, user: 'secretary', password: 'secret',
+		})));
+	}
+
+	return {count};
+}
+
+if (process.send) {
+	process.send(await connect(Number(process.argv[2]), Number(process.argv[3])));
+	process.once('disconnect', () => {
+		process.exit();
+	});
+}
--- /dev/null
+++ b/src/bench/usage.ts
@@ -0,0 +1,65 @@
+/**
+What a piece of work costs this process: processor time, memory, and bytes on the sockets that it opened.
+*/
+import * as diagnostics from 'node:diagnostics_channel';
+import type * as net from 'node:net';
+import process from 'node:process';
+import type * as clock from '../core/clock.js';
+
+/** Cost over a span of time. */
+export type Usage = {
+	/** Share of one core, in percent. */
+	readonly corePercent: number;
+	/** Growth of the resident set since `start`, in MB. */
+	readonly memoryMb: number;
+	/** Bytes sent and received on outgoing connections, in KB a second. */
+	readonly kilobytesPerSecond: number;
+};
+
+const megabyte = 1_000_000;
+
+/** Measures one span. */
+export class Meter {
+	readonly #clock: clock.Clock;
+	readonly #sockets = new Set<net.Socket>();
+	#startedAt = 0;
+	#cpu = process.cpuUsage();
+	#memory = process.memoryUsage().rss;
+	#bytes = 0;
+
+	constructor(time: clock.Clock) {
+		this.#clock = time;
+		diagnostics.subscribe('net.client.socket', message => {
+			this.#sockets.add((message as {socket: net.Socket}).socket);
+		});
+	}
+
+	/** Notes the memory in use before the work is set up. */
+	start(): void {
+		globalThis.gc?.();
+		this.#memory = process.memoryUsage().rss;
+	}
+
+	/** Begins the span, once the work is set up. */
+	begin(): void {
+		this.#startedAt = this.#clock.now();
+		this.#cpu = process.cpuUsage();
+		this.#bytes = this.#countBytes();
+	}
+
+	/** Ends the span. */
+	end(): Usage {
+		const seconds = (this.#clock.now() - this.#startedAt) / 1000;
+		const {user, system} = process.cpuUsage(this.#cpu);
+		globalThis.gc?.();
+		return {
+			corePercent: (user + system) / 10_000 / seconds,
+			memoryMb: (process.memoryUsage().rss - this.#memory) / megabyte,
+			kilobytesPerSecond: (this.#countBytes() - this.#bytes) / 1000 / seconds,
+		};
+	}
+
+	#countBytes(): number {
+		return [...this.#sockets].reduce((sum, {bytesRead, bytesWritten}) => sum + bytesRead + bytesWritten, 0);
+	}
+}
--- a/src/standin/platform.ts
+++ b/src/standin/platform.ts
@@ -4,6 +4,7 @@
 */
 import * as http from 'node:http';
 import type * as net from 'node:net';
+import * as zlib from 'node:zlib';
 import * as consumers from 'node:stream/consumers';
 import * as clock from '../core/clock.js';
 import * as notifier from '../core/notifier.js';
@@ -69,7 +70,7 @@
 		}
 
 		const key = decodeURIComponent(pathname.replace(/^\/objects\//v, ''));
-		await (request.method === 'PUT' ? this.#update(key, Number(searchParams.get('expected')), request, response) : this.#read(key, searchParams, response));
+		await (request.method === 'PUT' ? this.#update(key, Number(searchParams.get('expected')), request, response) : this.#read(key, searchParams, request, response));
 	}
 
 	async #update(key: string, expected: number, request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
@@ -93,7 +94,7 @@
 		}
 	}
 
-	async #read(key: string, query: URLSearchParams, response: http.ServerResponse): Promise<void> {
+	async #read(key: string, query: URLSearchParams, request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
 		this.counts.reads++;
 		const end = this.#clock.now() + Number(query.get('wait') ?? 0);
 		const after = Number(query.get('after') ?? -1);
@@ -104,12 +105,15 @@
 		if (this.faults.isDown) {
 			response.destroy();
 		} else {
-			answer(response, 200, this.#get(key));
+			answer(response, 200, this.#get(key), request);
 		}
 	}
 }
 
-function answer(response: http.ServerResponse, status: number, content: unknown): void {
-	response.writeHead(status, {'content-type': 'application/json'});
-	response.end(JSON.stringify(content));
+/** Compresses for a client that accepts it, as HTTP servers do; a configuration shrinks to a fourteenth. */
+function answer(response: http.ServerResponse, status: number, content: unknown, request?: http.IncomingMessage): void {
+	const body = JSON.stringify(content);
+	const isCompressed = String(request?.headers['accept-encoding']).includes('gzip');
+	response.writeHead(status, {'content-type': 'application/json', ...(isCompressed && {'content-encoding': 'gzip'})});
+	response.end(isCompressed ? zlib.gzipSync(body) : body);
 }
