Keep a pool's waiters from stalling on attempts that hang or fail

Cause: with 20 requests waiting and attempts that hang, the last one learned of it at its deadline, because a failed attempt told one waiter and started no other attempt. A connection idle for up to 10 s was handed out unchecked. A reset was a ROLLBACK, which leaves table locks and variables on the connection. USE changed the default database of a pooled connection. A write waited its whole deadline at the server that was primary when it began.

Ruled out: a reset before every use, one round trip for each request; abandoning a hanging attempt at once, because its connection may still count at the server; giving up waiters while other attempts can still serve them.

Change: attempts count towards the limit until they end; an attempt or check that takes over 100 ms is raced by one new connection; connections idle for over 1 s are checked by a reset; a failed attempt is told to everybody it leaves without prospect. A reset is COM_RESET_CONNECTION, which the stand-in now carries out. USE is refused. acquirePrimary looks at the primary again after 500 ms.

Conclusion: nobody waits longer than two connect timeouts on a server that opens no connection. The old pool kept its limit, and a connection handed over at a waiter's timeout was not lost; both have a test now.

--- a/src/core/group.ts
+++ b/src/core/group.ts
@@ -18,8 +18,14 @@
 };
 
 const idleLimitMs = 10_000;
+/** Short enough that a connection is checked after every pause in which its state may have been lost on the way. */
+const trustMs = 1000;
+/** Several times what opening a connection takes at today's sites (12 and 30 ms). */
+const hedgeAfterMs = 100;
 const resetTimeoutMs = 1000;
 const primaryPollMs = 20;
+/** Longest wait in ms for one server's connection before it is asked again which server is primary. */
+const primaryWaitMs = 500;
 
 /** The observers and pools of a group. */
 export class Group {
@@ -30,21 +36,30 @@
 	readonly servers: ReadonlyMap<string, backend.Server>;
 	readonly #pools: ReadonlyMap<string, pool.Pool>;
 	readonly #left = new Set<string>();
+	#share: number;
 
 	constructor(options: Options, servers: readonly backend.Server[], time: clock.Clock) {
 		this.name = options.name;
 		this.place = options.place;
 		this.clock = time;
+		this.#share = options.share;
 		this.observed = new observer.Group(servers, time, options.timing);
 		this.servers = new Map(servers.map(server => [server.name, server]));
 		this.#pools = new Map(servers.map(server => [server.name, new pool.Pool(server, time, {
 			connections: options.share,
 			connectTimeoutMs: options.timing.probeTimeoutMs,
+			hedgeAfterMs,
+			trustMs,
 			idleLimitMs,
 			resetTimeoutMs,
 		})]));
 	}
 
+	/** Connections for requests to each server. */
+	get share(): number {
+		return this.#share;
+	}
+
 	/** Observes the servers until `signal` aborts, then closes the connections as they fall idle. */
 	async run(signal: AbortSignal): Promise<void> {
 		await this.observed.run(signal);
@@ -71,6 +86,7 @@
 
 	/** Changes the owner's share of each server's connections. */
 	resize(share: number): void {
+		this.#share = share;
 		for (const connections of this.#pools.values()) {
 			connections.resize(share);
 		}
@@ -99,7 +115,8 @@
 		while (this.clock.now() < deadline) {
 			const primary = this.observed.primary?.status.server;
 			if (primary !== undefined) {
-				outcome = await this.pool(primary).acquire(deadline - this.clock.now());
+				// The primary may be replaced during the wait, so the wait at one server is limited.
+				outcome = await this.pool(primary).acquire(Math.min(primaryWaitMs, deadline - this.clock.now()));
 				if (Either.isRight(outcome)) {
 					return outcome;
 				}
--- a/src/core/pool.ts
+++ b/src/core/pool.ts
@@ -9,9 +9,13 @@
 /** Limits of a pool. Times in ms. */
 export type Limits = {
 	/** Most connections, open or being opened. */
-	connections: number;
+	readonly connections: number;
 	readonly connectTimeoutMs: number;
-	/** An idle connection older than this is closed instead of being used, since it may have gone silent. */
+	/** When a connection is neither opened nor checked by then, another one is opened beside it. */
+	readonly hedgeAfterMs: number;
+	/** A connection that was idle for longer is checked before its next use, since it may have gone silent. */
+	readonly trustMs: number;
+	/** A connection that was idle for longer is closed instead of being checked. */
 	readonly idleLimitMs: number;
 	readonly resetTimeoutMs: number;
 };
@@ -20,7 +24,7 @@
 export type Residue = 'clean' | 'dirty';
 
 type Idle = {readonly connection: backend.Connection; readonly since: number};
-type Waiter = (outcome: errors.Outcome<backend.Connection>) => void;
+type Waiter = {readonly since: number; readonly settle: (outcome: errors.Outcome<backend.Connection>) => void};
 
 /** A pool of connections to one server. */
 export class Pool {
@@ -30,13 +34,18 @@
 	readonly #held = new Set<backend.Connection>();
 	#idle: Idle[] = [];
 	#waiters: Waiter[] = [];
-	#opening = 0;
+	/** Connections being opened or checked. They count towards the limit until the attempt has ended. */
+	#pending = 0;
+	/** Those of `#pending` that were started beside a slow one. */
+	#hedges = 0;
+	#connections: number;
 	#isClosed = false;
 
 	constructor(server: backend.Server, time: clock.Clock, limits: Limits) {
 		this.server = server;
 		this.#clock = time;
 		this.#limits = limits;
+		this.#connections = limits.connections;
 	}
 
 	/** Connections in use. */
@@ -51,11 +60,17 @@
 
 	/** Connections that are open or being opened. */
 	get open(): number {
-		return this.#held.size + this.#idle.length + this.#opening;
+		return this.#held.size + this.#idle.length + this.#pending;
+	}
+
+	/** Those who wait for whom a connection is being obtained. */
+	get #expected(): number {
+		return this.#pending - this.#hedges;
 	}
 
 	/**
 	Takes a connection, opening one if the limit allows, else waiting for one. The holder must give it to `release`.
+	An abort of `signal` ends the wait.
 
 	Errors: `not-run`, when none could be had.
 
@@ -64,21 +79,27 @@
 	const outcome = await pool.acquire(500);
 	```
 	*/
-	async acquire(timeoutMs: number): Promise<errors.Outcome<backend.Connection>> {
+	async acquire(timeoutMs: number, signal?: AbortSignal): Promise<errors.Outcome<backend.Connection>> {
 		if (this.#isClosed) {
-			return errors.fail('not-run', 'connect', this.server.name, 'the pool is closed');
+			return this.#refuse('the pool is closed');
 		}
 
-		const idle = this.#takeIdle();
-		if (idle) {
-			return Either.right(idle);
+		if (signal?.aborted) {
+			return this.#refuse('the connection is not needed any more');
 		}
 
-		return this.#wait(timeoutMs);
+		return this.#wait(timeoutMs, signal);
 	}
 
-	/** Gives a connection back. One that is dirty is reset before anybody else gets it. */
+	/**
+	Gives a connection back. One that is dirty is reset before anybody else gets it. A holder calls it once; a
+	connection that nobody holds is left alone, so that it isn't listed as idle twice.
+	*/
 	async release(connection: backend.Connection, residue: Residue): Promise<void> {
+		if (!this.#held.has(connection)) {
+			return;
+		}
+
 		if (residue === 'dirty' && connection.isOpen) {
 			const outcome = await connection.reset(this.#limits.resetTimeoutMs);
 			if (Either.isLeft(outcome)) {
@@ -88,12 +109,11 @@
 
 		this.#held.delete(connection);
 		this.#offer(connection);
-		this.#fill();
 	}
 
 	/** Changes the limit; connections above it close as they become idle. */
 	resize(connections: number): void {
-		this.#limits.connections = connections;
+		this.#connections = connections;
 		while (this.#idle.length > 0 && this.open > connections) {
 			this.#idle.shift()?.connection.close();
 		}
@@ -110,75 +130,161 @@
 
 		this.#idle = [];
 		for (const waiter of this.#waiters) {
-			waiter(errors.fail('not-run', 'connect', this.server.name, 'the pool is closed'));
+			waiter.settle(this.#refuse('the pool is closed'));
 		}
 	}
 
-	#takeIdle(): backend.Connection | undefined {
-		for (let idle = this.#idle.pop(); idle; idle = this.#idle.pop()) {
-			const isFresh = this.#clock.now() - idle.since <= this.#limits.idleLimitMs;
-			if (idle.connection.isOpen && isFresh) {
-				this.#held.add(idle.connection);
-				return idle.connection;
-			}
-
-			idle.connection.close();
-		}
-
-		return undefined;
-	}
-
-	async #wait(timeoutMs: number): Promise<errors.Outcome<backend.Connection>> {
-		const expired = new AbortController();
+	async #wait(timeoutMs: number, signal?: AbortSignal): Promise<errors.Outcome<backend.Connection>> {
+		const settled = new AbortController();
 		return new Promise(resolve => {
-			const waiter: Waiter = outcome => {
-				this.#waiters = this.#waiters.filter(other => other !== waiter);
-				expired.abort();
-				resolve(outcome);
+			const leave = (): void => {
+				waiter.settle(this.#refuse('the connection is not needed any more'));
+			};
+
+			// A settled waiter is no longer in the list, so no connection is handed to it after its timeout.
+			const waiter: Waiter = {
+				since: this.#clock.now(),
+				settle: outcome => {
+					this.#waiters = this.#waiters.filter(other => other !== waiter);
+					signal?.removeEventListener('abort', leave);
+					settled.abort();
+					resolve(outcome);
+				},
 			};
 
 			const expire = async (): Promise<void> => {
-				await this.#clock.sleep(timeoutMs, expired.signal);
-				waiter(errors.fail('not-run', 'connect', this.server.name, `no free connection within ${Math.round(timeoutMs)} ms`));
+				await this.#clock.sleep(timeoutMs, settled.signal);
+				if (!settled.signal.aborted) {
+					waiter.settle(this.#refuse(`no free connection within ${Math.round(timeoutMs)} ms`));
+				}
 			};
 
 			this.#waiters.push(waiter);
-			void expire();
+			signal?.addEventListener('abort', leave);
 			this.#fill();
+			if (!settled.signal.aborted) {
+				void expire();
+			}
 		});
 	}
 
-	/** Opens connections for those who wait, as far as the limit allows. */
+	/** Serves those who wait: from idle connections, then by checking or opening others as far as the limit allows. */
 	#fill(): void {
-		while (!this.#isClosed && this.#waiters.length > this.#opening && this.open < this.#limits.connections) {
-			void this.#openOne();
+		for (let idle = this.#nextIdle(); idle; idle = this.#nextIdle()) {
+			this.#use(idle);
+		}
+
+		while (this.#needsConnection(this.#expected)) {
+			void this.#supply(async () => this.#connect(), 'first');
+		}
+	}
+
+	/** The connection that was idle for the shortest time, if somebody waits whom no attempt under way will serve. */
+	#nextIdle(): Idle | undefined {
+		const idle = this.#idle.at(-1);
+		const isWanted = this.#waiters.length > 0 && idle && (this.#isTrusted(idle) || this.#waiters.length > this.#expected);
+		return isWanted && !this.#isClosed ? this.#idle.pop() : undefined;
+	}
+
+	#isTrusted({since}: Idle): boolean {
+		return this.#clock.now() - since <= this.#limits.trustMs;
+	}
+
+	/** Hands an idle connection over, checks it first, or closes it, by the time that it was idle. */
+	#use(idle: Idle): void {
+		const {connection, since} = idle;
+		const isOld = this.#clock.now() - since > this.#limits.idleLimitMs;
+		if (!connection.isOpen || isOld || this.open >= this.#connections) {
+			connection.close();
+		} else if (this.#isTrusted(idle)) {
+			this.#hand(connection);
+		} else {
+			void this.#supply(async () => this.#check(connection), 'first');
 		}
 	}
 
-	async #openOne(): Promise<void> {
-		this.#opening++;
-		const outcome = await this.server.connect(this.#limits.connectTimeoutMs);
-		this.#opening--;
-		if (Either.isRight(outcome)) {
+	#needsConnection(expected: number): boolean {
+		return !this.#isClosed && this.#waiters.length > expected && this.open < this.#connections;
+	}
+
+	/** Obtains one connection for those who wait, and a second one when the first is slow. */
+	async #supply(obtain: () => Promise<errors.Outcome<backend.Connection>>, order: 'first' | 'hedge'): Promise<void> {
+		const startedAt = this.#clock.now();
+		const ended = new AbortController();
+		this.#pending++;
+		this.#hedges += order === 'hedge' ? 1 : 0;
+		if (order === 'first') {
+			void this.#hedge(ended.signal);
+		}
+
+		const outcome = await obtain();
+		ended.abort();
+		this.#pending--;
+		this.#hedges -= order === 'hedge' ? 1 : 0;
+		if (Either.isLeft(outcome)) {
+			this.#fail(outcome, startedAt);
+		} else if (outcome.right.isOpen) {
 			this.#offer(outcome.right);
 		} else {
-			// Whoever waits longest learns of it and can try another server.
-			this.#waiters[0]?.(outcome);
+			this.#fail(this.#refuse('the connection was closed while it was opened'), startedAt);
 		}
 	}
 
-	#offer(connection: backend.Connection): void {
-		if (!connection.isOpen || this.#isClosed || this.open >= this.#limits.connections) {
-			connection.close();
-			return;
+	async #hedge(ended: AbortSignal): Promise<void> {
+		await this.#clock.sleep(this.#limits.hedgeAfterMs, ended);
+		if (!ended.aborted && this.#needsConnection(0)) {
+			void this.#supply(async () => this.#connect(), 'hedge');
+		}
+	}
+
+	/**
+	Tells those who wait that an attempt failed, so that they can try another server: the one who waits longest, and
+	when no connection is in use that could come back, everybody who waited throughout the attempt and whom no other
+	attempt will serve.
+	*/
+	#fail(outcome: errors.Outcome<never>, startedAt: number): void {
+		const served = this.#held.size === 0 ? this.#pending : Number.POSITIVE_INFINITY;
+		const told = this.#waiters.filter((waiter, index) => index === 0 || (index > served && waiter.since <= startedAt));
+		for (const waiter of told) {
+			waiter.settle(outcome);
+		}
+
+		this.#fill();
+	}
+
+	async #connect(): Promise<errors.Outcome<backend.Connection>> {
+		return this.server.connect(this.#limits.connectTimeoutMs);
+	}
+
+	/** Resets a connection that was idle for long; a new one replaces it if it does not answer. */
+	async #check(connection: backend.Connection): Promise<errors.Outcome<backend.Connection>> {
+		const outcome = await connection.reset(this.#limits.connectTimeoutMs);
+		if (Either.isRight(outcome) && connection.isOpen) {
+			return Either.right(connection);
 		}
 
-		const waiter = this.#waiters[0];
-		if (waiter) {
-			this.#held.add(connection);
-			waiter(Either.right(connection));
+		connection.close();
+		return this.#connect();
+	}
+
+	#offer(connection: backend.Connection): void {
+		if (!connection.isOpen || this.#isClosed || this.open >= this.#connections) {
+			connection.close();
+		} else if (this.#waiters.length > 0) {
+			this.#hand(connection);
 		} else {
 			this.#idle.push({connection, since: this.#clock.now()});
 		}
+
+		this.#fill();
+	}
+
+	#hand(connection: backend.Connection): void {
+		this.#held.add(connection);
+		this.#waiters[0]?.settle(Either.right(connection));
+	}
+
+	#refuse(reason: string): errors.Outcome<never> {
+		return errors.fail('not-run', 'connect', this.server.name, reason);
 	}
 }
--- a/src/core/statement.ts
+++ b/src/core/statement.ts
@@ -13,7 +13,7 @@
 	readonly isRecordable: boolean;
 };
 
-const readWords = new Set(['select', 'show', 'describe', 'desc', 'explain', 'with', 'values', 'table', 'help', 'use']);
+const readWords = new Set(['select', 'show', 'describe', 'desc', 'explain', 'with', 'values', 'table', 'help']);
 const recordableWords = new Set(['insert', 'update', 'delete', 'replace']);
 const transactionWords = new Map<string, Statement['transaction']>([
 	['begin', 'begin'], ['start', 'begin'], ['commit', 'commit'], ['rollback', 'rollback'],
@@ -47,6 +47,10 @@
 	}
 
 	const word = /^[\s\(]*(?<word>[a-z]+)/iv.exec(plain)?.groups?.word?.toLowerCase() ?? '';
+	if (word === 'use') {
+		return errors.fail('directive', 'parse', '', 'USE is not supported: the default database would stay on a pooled connection');
+	}
+
 	const transaction = transactionWords.get(word) ?? 'none';
 	const isRead = readWords.has(word) && !writingPattern.test(plain);
 	return Either.right({
--- /dev/null
+++ b/src/core/tests/fakes.ts
@@ -0,0 +1,170 @@
+/**
+Backend servers for tests on a manual clock. Their connections record every use that a pool must prevent.
+*/
+import * as Either from 'fp-ts/lib/Either.js';
+import type * as types from '../../generated/types.js';
+import * as backend from '../backend.js';
+import type * as clock from '../clock.js';
+import * as errors from '../errors.js';
+import type * as position from '../position.js';
+
+/** What happens to an attempt to connect. */
+export type Opening = {readonly kind: 'open' | 'refuse' | 'hang'; readonly delayMs: number};
+
+/** Answers a statement after a delay; `undefined` loses the connection without an answer. */
+export type Answering = (sql: string, connection: Connection) => Promise<errors.Outcome<types.Answer> | undefined>;
+
+/** A server whose behaviour a test sets. */
+export class Server extends backend.Server {
+	override readonly name: string;
+	override readonly place = 'puget-a';
+	readonly connections: Connection[] = [];
+	readonly executed: string[] = [];
+	readonly clock: clock.Clock;
+	attempts = 0;
+	state: types.Status;
+	/** Most connections that were open or being opened at once. */
+	peak = 0;
+	/** Connections that were given a statement while they owed an answer. */
+	overlaps = 0;
+	opening: () => Opening;
+	answering: Answering;
+	#attempting = 0;
+
+	constructor(name: string, time: clock.Clock, role: types.Role = 'replica') {
+		super();
+		this.name = name;
+		this.clock = time;
+		this.opening = () => ({kind: 'open', delayMs: 1});
+		this.answering = async () => Either.right(completion(name));
+		this.state = {
+			server: name,
+			role,
+			term: 1,
+			claimant: '',
+			last: {term: 1, index: 1},
+			history: [{term: 1, start: 1}],
+			following: '',
+			connections: 0,
+			connectionLimit: 16,
+			leaving: false,
+		};
+	}
+
+	get open(): number {
+		return this.connections.filter(({isOpen}) => isOpen).length;
+	}
+
+	override async connect(timeoutMs: number): Promise<errors.Outcome<backend.Connection>> {
+		const {kind, delayMs} = this.opening();
+		this.attempts++;
+		this.#attempting++;
+		this.peak = Math.max(this.peak, this.open + this.#attempting);
+		await this.clock.sleep(kind === 'hang' ? timeoutMs : Math.min(delayMs, timeoutMs));
+		this.#attempting--;
+		if (kind !== 'open' || delayMs > timeoutMs) {
+			return errors.fail('not-run', 'connect', this.name, 'refused');
+		}
+
+		const connection = new Connection(this);
+		this.connections.push(connection);
+		return Either.right(connection);
+	}
+}
+
+/** A connection of a fake server. */
+export class Connection extends backend.Connection {
+	override readonly server: string;
+	isSilent = false;
+	resets = 0;
+	#isOpen = true;
+	#owed = 0;
+	readonly #server: Server;
+
+	constructor(server: Server) {
+		super();
+		this.server = server.name;
+		this.#server = server;
+	}
+
+	override get isOpen(): boolean {
+		return this.#isOpen;
+	}
+
+	override async execute(sql: string, timeoutMs: number): Promise<errors.Outcome<types.Answer>> {
+		this.#server.executed.push(sql);
+		return this.#exchange(this.#server.answering(sql, this), timeoutMs);
+	}
+
+	override async status(timeoutMs: number): Promise<errors.Outcome<types.Status>> {
+		return this.#exchange(Promise.resolve(Either.right(this.#server.state)), timeoutMs);
+	}
+
+	override async wait(_wanted: position.Position, _waitMs: number, timeoutMs: number): Promise<errors.Outcome<types.Status>> {
+		return this.status(timeoutMs);
+	}
+
+	override async adoptTerm(): Promise<errors.Outcome<types.Grant>> {
+		throw new Error('not used');
+	}
+
+	override async promote(): Promise<errors.Outcome<types.Grant>> {
+		throw new Error('not used');
+	}
+
+	override async follow(): Promise<errors.Outcome<types.Grant>> {
+		throw new Error('not used');
+	}
+
+	override async reset(timeoutMs: number): Promise<errors.Outcome<void>> {
+		this.resets++;
+		return this.#exchange(Promise.resolve(Either.right(undefined)), timeoutMs);
+	}
+
+	override close(): void {
+		this.#isOpen = false;
+	}
+
+	async #exchange<T>(answer: Promise<errors.Outcome<T> | undefined>, timeoutMs: number): Promise<errors.Outcome<T>> {
+		if (!this.#isOpen) {
+			return errors.fail('not-run', 'send', this.server, 'closed');
+		}
+
+		this.#server.overlaps += this.#owed > 0 ? 1 : 0;
+		this.#owed++;
+		const {clock: time} = this.#server;
+		const outcome = await time.limit(this.isSilent ? Promise.race<undefined>([]) : answer, timeoutMs);
+		this.#owed--;
+		if (!outcome) {
+			this.close();
+			return errors.fail('outcome-unknown', 'receive', this.server, 'lost');
+		}
+
+		return outcome;
+	}
+}
+
+/** The answer to a statement without rows. */
+export function completion(server: string): types.Completion {
+	return {
+		kind: 'ok', affectedRows: 1, insertId: 0, position: null, server,
+	};
+}
+
+/** A request with usual values. */
+export function request(change: Partial<types.Request>): types.Request {
+	return {
+		sql: 'SELECT 1',
+		session: 's',
+		service: 'ledgers',
+		tenant: 'cascade',
+		class: '',
+		kind: 'read',
+		transaction: 'none',
+		position: null,
+		maximumAgeMs: 0,
+		requestId: 'r',
+		deadlineMs: 1000,
+		...change,
+	};
+}
--- /dev/null
+++ b/src/core/tests/pool.test.ts
@@ -0,0 +1,190 @@
+import * as assert from 'node:assert/strict';
+import * as test from 'node:test';
+import * as fc from 'fast-check';
+import * as Either from 'fp-ts/lib/Either.js';
+import type * as backend from '../backend.js';
+import * as clock from '../clock.js';
+import * as pool from '../pool.js';
+import * as fakes from './fakes.js';
+
+const limits = {
+	connections: 2, connectTimeoutMs: 500, hedgeAfterMs: 100, trustMs: 1000, idleLimitMs: 10_000, resetTimeoutMs: 200,
+};
+
+function make(change: Partial<pool.Limits> = {}): {time: clock.Manual; server: fakes.Server; connections: pool.Pool} {
+	const time = new clock.Manual();
+	const server = new fakes.Server('a', time);
+	return {time, server, connections: new pool.Pool(server, time, {...limits, ...change})};
+}
+
+type Step =
+	| {readonly kind: 'use'; readonly timeoutMs: number; readonly holdMs: number; readonly residue: pool.Residue; readonly end: 'keep' | 'lose'}
+	| {readonly kind: 'resize'; readonly connections: number}
+	| {readonly kind: 'silence'};
+
+const steps: fc.Arbitrary<Step> = fc.oneof(
+	{
+		weight: 8,
+		arbitrary: fc.record({
+			kind: fc.constant('use' as const),
+			timeoutMs: fc.integer({min: 0, max: 800}),
+			holdMs: fc.integer({min: 0, max: 1500}),
+			residue: fc.constantFrom('clean' as const, 'dirty' as const),
+			end: fc.constantFrom('keep' as const, 'lose' as const),
+		}),
+	},
+	{weight: 1, arbitrary: fc.record({kind: fc.constant('resize' as const), connections: fc.integer({min: 1, max: 4})})},
+	{weight: 1, arbitrary: fc.constant({kind: 'silence' as const})},
+);
+const openings = fc.record({kind: fc.constantFrom('open' as const, 'open' as const, 'refuse' as const, 'hang' as const), delayMs: fc.integer({min: 0, max: 700})});
+
+/** Runs steps 50 ms apart and checks after each that the limit holds and nobody shares a connection. */
+async function run(script: readonly Step[], openingScript: readonly fakes.Opening[], closeAt: number): Promise<void> {
+	const {time, server, connections} = make();
+	const holders = new Set<backend.Connection>();
+	let ended = 0;
+	let highest = limits.connections;
+	server.opening = () => openingScript[server.attempts % openingScript.length] ?? {kind: 'open', delayMs: 1};
+	const use = async (step: Step & {kind: 'use'}): Promise<void> => {
+		const outcome = await connections.acquire(step.timeoutMs);
+		if (Either.isRight(outcome)) {
+			const connection = outcome.right;
+			assert.ok(!holders.has(connection), 'two holders of one connection');
+			holders.add(connection);
+			await time.sleep(step.holdMs);
+			holders.delete(connection);
+			if (step.end === 'lose') {
+				connection.close();
+			}
+
+			await connections.release(connection, step.residue);
+		}
+
+		ended++;
+	};
+
+	const uses = script.filter(({kind}) => kind === 'use').length;
+	for (const [index, step] of script.entries()) {
+		if (index === closeAt) {
+			connections.close();
+		}
+
+		switch (step.kind) {
+			case 'use': {
+				void use(step);
+				break;
+			}
+
+			case 'resize': {
+				highest = Math.max(highest, step.connections);
+				connections.resize(step.connections);
+				break;
+			}
+
+			case 'silence': {
+				for (const connection of server.connections) {
+					connection.isSilent = true;
+				}
+			}
+		}
+
+		await time.advance(50);
+	}
+
+	assert.ok(server.peak <= highest, `${server.peak} connections at a limit of ${highest}`);
+	await time.advance(6000);
+	assert.deepEqual({
+		ended, waiting: connections.waiting, busy: connections.busy, overlaps: server.overlaps,
+	}, {
+		ended: uses, waiting: 0, busy: 0, overlaps: 0,
+	});
+	assert.equal(connections.open, server.open, 'a connection was lost from sight');
+}
+
+test.test('guards against a broken limit, shared connections and endless waits when anything fails', async () => {
+	await fc.assert(fc.asyncProperty(
+		fc.array(steps, {maxLength: 40}),
+		fc.array(openings, {minLength: 1, maxLength: 8}),
+		fc.integer({min: 0, max: 80}),
+		run,
+	), {seed: 20_261, numRuns: 150});
+});
+
+test.test('guards against waiting the whole deadline for a server whose attempts hang', async () => {
+	const {time, server, connections} = make();
+	server.opening = () => ({kind: 'hang', delayMs: 0});
+	const failedAt: number[] = [];
+	const wait = async (): Promise<void> => {
+		const outcome = await connections.acquire(5000);
+		assert.ok(Either.isLeft(outcome));
+		failedAt.push(time.now());
+	};
+
+	for (let index = 0; index < 20; index++) {
+		void wait();
+	}
+
+	await time.advance(5000);
+	assert.equal(failedAt.length, 20);
+	assert.ok(Math.max(...failedAt) <= 2 * limits.connectTimeoutMs, `the last one learned of it after ${Math.max(...failedAt)} ms`);
+});
+
+test.test('guards against waiting for one slow attempt while another connection could be opened', async () => {
+	const {time, server, connections} = make();
+	server.opening = () => ({kind: server.attempts === 0 ? 'hang' : 'open', delayMs: 1});
+	let servedAt = Number.POSITIVE_INFINITY;
+	const wait = async (): Promise<void> => {
+		assert.ok(Either.isRight(await connections.acquire(5000)));
+		servedAt = time.now();
+	};
+
+	void wait();
+	await time.advance(300);
+	assert.equal(servedAt, limits.hedgeAfterMs + 1);
+});
+
+test.test('guards against using an idle connection that has gone silent', async () => {
+	const {time, server, connections} = make();
+	const opened = connections.acquire(1000);
+	await time.advance(10);
+	const first = await opened;
+	assert.ok(Either.isRight(first));
+	await connections.release(first.right, 'clean');
+	for (const connection of server.connections) {
+		connection.isSilent = true;
+	}
+
+	await time.advance(limits.trustMs + 1);
+	const second = connections.acquire(1000);
+	await time.advance(limits.hedgeAfterMs + 1);
+	const outcome = await second;
+	assert.ok(Either.isRight(outcome) && outcome.right !== first.right);
+});
+
+test.test('guards against losing a connection that is handed over as its waiter times out', async () => {
+	const {time, server, connections} = make({connections: 1});
+	server.opening = () => ({kind: 'open', delayMs: 100});
+	const late = connections.acquire(100);
+	await time.advance(500);
+	const outcome = await late;
+	if (Either.isRight(outcome)) {
+		await connections.release(outcome.right, 'clean');
+	}
+
+	assert.ok(Either.isRight(await connections.acquire(10)));
+	assert.deepEqual([server.attempts, connections.busy], [1, 1]);
+});
+
+test.test('guards against a stalled waiter after another one\'s attempt was refused', async () => {
+	const {time, server, connections} = make();
+	server.opening = () => ({kind: server.attempts === 1 ? 'refuse' : 'open', delayMs: 1});
+	const held = connections.acquire(5000);
+	await time.advance(10);
+	assert.ok(Either.isRight(await held));
+	const refused = connections.acquire(5000);
+	const served = connections.acquire(5000);
+	await time.advance(10);
+	assert.ok(Either.isLeft(await refused));
+	assert.equal(connections.waiting, 0);
+	assert.ok(Either.isRight(await served));
+});
--- a/src/mysql/client.ts
+++ b/src/mysql/client.ts
@@ -128,8 +128,21 @@
 	}
 
 	override async reset(timeoutMs: number): Promise<errors.Outcome<void>> {
-		const outcome = await this.execute('ROLLBACK', timeoutMs);
-		return Either.map(() => undefined)(outcome);
+		if (!this.#isOpen) {
+			return errors.fail('not-run', 'reset', this.server, 'the connection is closed');
+		}
+
+		// COM_RESET_CONNECTION rolls back, and also drops locks, temporary tables and variables.
+		return new Promise(resolve => {
+			const timer = setTimeout(() => {
+				this.close();
+				resolve(errors.fail('outcome-unknown', 'reset', this.server, `no answer within ${timeoutMs} ms`));
+			}, timeoutMs);
+			this.#wire.reset(error => {
+				clearTimeout(timer);
+				resolve(error ? this.#refuse(error) : Either.right(undefined));
+			});
+		});
 	}
 
 	override close(): void {
--- a/src/standin/database.ts
+++ b/src/standin/database.ts
@@ -200,6 +200,10 @@
 	}
 
 	async #answer(connection: server.Connection, command: server.Command, session: Session): Promise<void> {
+		if (command.kind === 'reset') {
+			this.#rollback(session);
+		}
+
 		if (command.kind !== 'query') {
 			connection.reply(this.#completion(null));
 			return;
