Send a slow read to a second server

Cause: a read waited up to 1 s for a server that did not answer, and repeated without bound on servers that failed. The time spent waiting for a connection was not taken off the time for the statement, so a read could overrun its deadline.

Ruled out: closing the slower server's connection at once, which costs a reconnect (12 to 30 ms at today's sites) while the server goes on executing; a fixed delay for all classes, which hedges every slow report or no fast one.

Change: reads go to the next qualified server when there is no answer after the 95th percentile of their class's recent latencies (5 to 500 ms; 250 ms while fewer than 20 are known). The first complete answer wins. A server that has not been sent the statement by then is not sent it; the others are read to their end before their connections are used again. Every further server takes one of the retry budget; without it the read is not-run with step admit.

Broken by hand and caught each time: attempts without budget, a connection released while it owes an answer, one never released, no hedge, the deadline left out of a statement's timeout.

Conclusion: one silent replica costs a read the hedge delay instead of 1 s, as long as the budget lasts.

--- a/src/core/service.ts
+++ b/src/core/service.ts
@@ -55,7 +55,7 @@
 		this.#settings = settings;
 		this.writes = new admission.Admission(servers.clock, makeQueue(), () => servers.share);
 		this.reads = new admission.Admission(servers.clock, makeQueue(), () => servers.share * servers.servers.size * readsPerConnection);
-		this.reader = new read.Reader(servers, policy);
+		this.reader = new read.Reader(servers, policy, this.retries);
 		this.transactions = new transaction.Transactions(servers);
 		this.#writer = new write.Writer(servers, this.retries);
 	}
