Settle a lost COMMIT by the transaction's record

Cause: a COMMIT whose answer was lost ended as outcome-unknown, and a transaction that its caller repeated ran twice. A silent caller kept a connection to the primary for ever. A statement that commits implicitly (CREATE TABLE) inside a transaction committed part of it, after which a lost connection was told as not-run. COMMIT AND CHAIN left an open transaction on a connection that was given back. When a session ended during a statement, its connection was reset while it owed an answer.

Ruled out: a record for every transaction (one that only read would become a write); a request id generated for each BEGIN and COMMIT by the session, by which the owner can't tell it from the caller's.

Change: core/settlement.ts holds what writes and transactions share. At COMMIT a record is written when the transaction carries a request id, or wrote something in a class that is not idempotent (the class that COMMIT names goes before that of BEGIN). A transaction idle for 10 s is ended. Implicit commits inside a transaction and AND CHAIN are refused. A settled outcome always needs the durable policy: under `fenced`, a cancelled record could be lost with its primary after not-run was told.

Broken by hand and caught each time: no record, no settling, no recall of a duplicate, a generated id in place of the caller's, a cancelled record that reads as done, a cancelled request recalled as done, a record under another id, no idle limit, a permit not given back, implicit commits let through.

Conclusion: with a primary in reach, the outcome of a lost COMMIT is known within its deadline. The change from the class's policy to durable has no test of its own.

--- a/src/core/service.ts
+++ b/src/core/service.ts
@@ -10,6 +10,7 @@
 import * as read from './read.js';
 import * as retry from './retry.js';
 import type * as routing from './routing.js';
+import * as settlement from './settlement.js';
 import * as statement from './statement.js';
 import * as transaction from './transaction.js';
 import * as write from './write.js';
@@ -56,8 +57,9 @@
 		this.writes = new admission.Admission(servers.clock, makeQueue(), () => servers.share);
 		this.reads = new admission.Admission(servers.clock, makeQueue(), () => servers.share * servers.servers.size * readsPerConnection);
 		this.reader = new read.Reader(servers, policy, this.retries);
-		this.transactions = new transaction.Transactions(servers);
-		this.#writer = new write.Writer(servers, this.retries);
+		const settled = new settlement.Settlement(servers);
+		this.transactions = new transaction.Transactions(servers, settled);
+		this.#writer = new write.Writer(servers, this.retries, settled);
 	}
 
 	/** Takes a newer configuration of the same servers. */
@@ -76,7 +78,7 @@
 			case 'begin': {
 				// Before it waits, it gives up the connection that others may be waiting for.
 				await this.transactions.end(request.session);
-				return this.#admit(this.writes, request, found, async (admitted, permit) => this.transactions.begin(admitted, permit));
+				return this.#admit(this.writes, request, found, async (admitted, permit) => this.transactions.begin(admitted, permit, found.idempotent));
 			}
 
 			case 'within': {
@@ -84,7 +86,10 @@
 			}
 
 			case 'commit': {
-				return this.transactions.commit(request, acknowledgement.select(found.acknowledgement, this.group.clock));
+				return this.transactions.commit(request, {
+					isIdempotent: found.idempotent,
+					policy: acknowledgement.select(found.acknowledgement, this.group.clock),
+				});
 			}
 
 			case 'rollback': {
--- a/src/core/session.ts
+++ b/src/core/session.ts
@@ -188,7 +188,8 @@
 			transaction: this.#step(classified.right.transaction),
 			position: position.latest(this.#position, parsed.right.directives.position ?? null),
 			maximumAgeMs: directives.ageMs ?? found.maximumAgeMs,
-			requestId: parsed.right.directives.request ?? this.#random.name(),
+			// A transaction needs an id only if its caller gave one or it wrote something; the owner knows that.
+			requestId: parsed.right.directives.request ?? (classified.right.transaction === 'none' ? this.#random.name() : ''),
 			deadlineMs: found.deadlineMs,
 		});
 	}
--- a/src/core/statement.ts
+++ b/src/core/statement.ts
@@ -19,6 +19,8 @@
 	['begin', 'begin'], ['start', 'begin'], ['commit', 'commit'], ['rollback', 'rollback'],
 ]);
 
+const implicitCommitPattern = /^\s*(?:alter|analyze|create(?!\s+temporary)|drop(?!\s+temporary)|flush|grant|install|lock|optimize|rename|repair|revoke|truncate|uninstall|unlock)\b/iv;
+
 /** Text in which nothing has a meaning: quoted strings and names, and comments. */
 const opaquePattern = /'(?:[^'\\]|\\.|'')*'|"(?:[^"\\]|\\.|"")*"|`(?:[^`]|``)*`|\/\*[\s\S]*?\*\/|--\s[^\n]*|#[^\n]*/gv;
 /** Parts of a read that lock rows, write a file or variable, or change data in a common table expression. */
@@ -51,6 +53,10 @@
 		return errors.fail('directive', 'parse', '', 'USE is not supported: the default database would stay on a pooled connection');
 	}
 
+	if (/^(?:commit|rollback)\b.*\band\s+chain\b/isv.test(plain)) {
+		return errors.fail('directive', 'parse', '', 'AND CHAIN is not supported: it would open a transaction on a connection that is given back');
+	}
+
 	const transaction = transactionWords.get(word) ?? 'none';
 	const isRead = readWords.has(word) && !writingPattern.test(plain);
 	return Either.right({
@@ -59,3 +65,15 @@
 		isRecordable: recordableWords.has(word),
 	});
 }
+
+/**
+Whether MySQL commits the open transaction when it executes this statement.
+
+@example
+```
+statement.commitsImplicitly('CREATE TABLE account (id BIGINT)'); //=> true
+```
+*/
+export function commitsImplicitly(sql: string): boolean {
+	return implicitCommitPattern.test(sql.replaceAll(opaquePattern, ' '));
+}
--- a/src/core/transaction.ts
+++ b/src/core/transaction.ts
@@ -9,16 +9,48 @@
 import * as errors from './errors.js';
 import type * as group from './group.js';
 import type * as pool from './pool.js';
+import * as random from './random.js';
+import * as record from './record.js';
+import type * as settlement from './settlement.js';
+import * as statement from './statement.js';
 
-type Open = {readonly connection: backend.Connection; readonly permit: admission.Permit};
+/**
+Time in ms after which a transaction without a statement is ended. An owner has as few as 3 connections to a primary,
+so a caller that went silent inside a transaction must not keep one for long.
+*/
+export const idleLimitMs = 10_000;
+
+/** How a commit may be treated, by the class that it names. */
+export type Mode = {
+	/** Whether the transaction may run twice. */
+	readonly isIdempotent: boolean;
+	readonly policy: acknowledgement.Policy;
+};
+
+type Open = {
+	readonly connection: backend.Connection;
+	readonly permit: admission.Permit;
+	/** Request id of BEGIN; empty if it carries none. */
+	readonly requestId: string;
+	/** Whether the class of BEGIN is idempotent. */
+	readonly isIdempotent: boolean;
+	readonly closed: AbortController;
+	hasWritten: boolean;
+	isBusy: boolean;
+	usedAt: number;
+};
 
 /** Executes the statements of transactions of one group, by session. */
 export class Transactions {
 	readonly #group: group.Group;
+	readonly #settlement: settlement.Settlement;
+	readonly #random: random.Source;
 	readonly #open = new Map<string, Open>();
 
-	constructor(servers: group.Group) {
+	constructor(servers: group.Group, settled: settlement.Settlement, source: random.Source = new random.System()) {
 		this.#group = servers;
+		this.#settlement = settled;
+		this.#random = source;
 	}
 
 	/** Transactions that are open. */
@@ -28,9 +60,9 @@
 
 	/**
 	Opens a transaction for the request's session. An open one is rolled back, though MySQL would commit it. The permit
-	is given back with the connection.
+	is given back with the connection. `isIdempotent` is that of the request's class.
 	*/
-	async begin(request: types.Request, permit: admission.Permit): Promise<errors.Outcome<types.Answer>> {
+	async begin(request: types.Request, permit: admission.Permit, isIdempotent: boolean): Promise<errors.Outcome<types.Answer>> {
 		await this.end(request.session);
 		const deadline = this.#group.clock.now() + request.deadlineMs;
 		const acquired = await this.#group.acquirePrimary(deadline);
@@ -39,14 +71,26 @@
 			return acquired;
 		}
 
-		const open: Open = {connection: acquired.right, permit};
-		const outcome = await open.connection.execute(request.sql, Math.max(1, deadline - this.#group.clock.now()));
+		const open: Open = {
+			connection: acquired.right,
+			permit,
+			requestId: request.requestId,
+			isIdempotent,
+			closed: new AbortController(),
+			hasWritten: false,
+			isBusy: false,
+			usedAt: this.#group.clock.now(),
+		};
+		const outcome = await this.#execute(open, request.sql, deadline);
 		if (Either.isLeft(outcome)) {
 			await this.#close(open, 'dirty');
 			return notRun(outcome.left);
 		}
 
+		// Another transaction of the session can be there if its caller came back meanwhile.
+		await this.end(request.session);
 		this.#open.set(request.session, open);
+		void this.#endWhenIdle(request.session, open);
 		return outcome;
 	}
 
@@ -54,51 +98,129 @@
 	async within(request: types.Request): Promise<errors.Outcome<types.Answer>> {
 		const open = this.#open.get(request.session);
 		if (!open) {
-			return errors.fail('not-run', 'route', this.#group.name, 'the transaction has ended and was rolled back');
+			return this.#ended();
+		}
+
+		if (statement.commitsImplicitly(request.sql)) {
+			// Part of the transaction would be committed without its record, and before its caller says so.
+			await this.end(request.session);
+			return errors.fail('directive', 'parse', this.#group.name, 'the statement would commit the open transaction, which was rolled back');
 		}
 
-		const outcome = await open.connection.execute(request.sql, request.deadlineMs);
+		open.hasWritten ||= request.kind === 'write';
+		const outcome = await this.#execute(open, request.sql, this.#group.clock.now() + request.deadlineMs);
 		if (Either.isRight(outcome) || outcome.left.kind === 'database') {
 			return outcome;
 		}
 
-		this.#open.delete(request.session);
+		this.#forget(request.session, open);
 		await this.#close(open, 'dirty');
 		return notRun({...outcome.left, message: `${outcome.left.message}; the transaction was rolled back`});
 	}
 
-	/** Commits. The answer passes once `policy` agrees. */
-	async commit(request: types.Request, policy: acknowledgement.Policy): Promise<errors.Outcome<types.Answer>> {
+	/**
+	Commits. The answer passes once the policy agrees. A transaction that must not run twice, or that carries a request
+	id, writes its record first, by which a lost answer is settled.
+	*/
+	async commit(request: types.Request, mode: Mode): Promise<errors.Outcome<types.Answer>> {
 		const open = this.#open.get(request.session);
 		if (!open) {
-			return errors.fail('not-run', 'route', this.#group.name, 'the transaction has ended and was rolled back');
+			return this.#ended();
 		}
 
-		this.#open.delete(request.session);
+		this.#forget(request.session, open);
 		const deadline = this.#group.clock.now() + request.deadlineMs;
-		const outcome = await open.connection.execute(request.sql, request.deadlineMs);
-		await this.#close(open, Either.isRight(outcome) ? 'clean' : 'dirty');
-		if (Either.isLeft(outcome) || outcome.right.kind === 'rows' || !outcome.right.position) {
-			return outcome;
+		const key = this.#recordKey(request, open, mode);
+		if (key !== undefined) {
+			const recorded = await record.insert(open.connection, key, {state: 'done', affectedRows: 0, insertId: 0}, request.deadlineMs);
+			if (Either.isLeft(recorded)) {
+				await this.#close(open, 'dirty');
+				return record.isDuplicate(recorded.left)
+					? this.#settlement.explain(recorded.left, key, deadline)
+					: notRun({...recorded.left, message: `${recorded.left.message}; the transaction was rolled back`});
+			}
 		}
 
-		const leftMs = Math.max(1, deadline - this.#group.clock.now());
-		const confirmed = await policy.confirm(this.#group.observed, open.connection.server, outcome.right.position, leftMs);
-		return Either.map(() => outcome.right)(confirmed);
+		const outcome = await this.#execute(open, request.sql, deadline);
+		await this.#close(open, Either.isRight(outcome) ? 'clean' : 'dirty');
+		const acknowledged = Either.isRight(outcome) ? await this.#acknowledge(outcome.right, mode.policy, deadline) : outcome;
+		const isUnknown = Either.isLeft(acknowledged) && acknowledged.left.kind === 'outcome-unknown';
+		return isUnknown && key !== undefined ? this.#settlement.settle(key, deadline) : acknowledged;
 	}
 
 	/** Rolls back the session's transaction, if it has one. */
 	async end(session: string): Promise<void> {
 		const open = this.#open.get(session);
-		if (open) {
+		if (!open) {
+			return;
+		}
+
+		this.#forget(session, open);
+		if (open.isBusy) {
+			// It still owes an answer, which must not reach anybody else.
+			open.connection.close();
+		}
+
+		await this.#close(open, 'dirty');
+	}
+
+	/** Key of the transaction's record; `undefined` if it needs none. The class of COMMIT goes before that of BEGIN. */
+	#recordKey(request: types.Request, open: Open, mode: Mode): string | undefined {
+		const given = request.requestId === '' ? open.requestId : request.requestId;
+		const isIdempotent = request.class === '' ? open.isIdempotent : mode.isIdempotent;
+		if (given === '' && (isIdempotent || !open.hasWritten)) {
+			return undefined;
+		}
+
+		return record.id({...request, requestId: given === '' ? this.#random.name() : given});
+	}
+
+	async #execute(open: Open, sql: string, deadline: number): Promise<errors.Outcome<types.Answer>> {
+		open.isBusy = true;
+		const outcome = await open.connection.execute(sql, Math.max(1, deadline - this.#group.clock.now()));
+		open.isBusy = false;
+		open.usedAt = this.#group.clock.now();
+		return outcome;
+	}
+
+	async #acknowledge(answer: types.Answer, policy: acknowledgement.Policy, deadline: number): Promise<errors.Outcome<types.Answer>> {
+		if (answer.kind === 'rows' || !answer.position) {
+			return Either.right(answer);
+		}
+
+		const leftMs = Math.max(1, deadline - this.#group.clock.now());
+		const confirmed = await policy.confirm(this.#group.observed, answer.server, answer.position, leftMs);
+		return Either.map(() => answer)(confirmed);
+	}
+
+	/** The task of an open transaction: ends it once it is idle for too long. */
+	async #endWhenIdle(session: string, open: Open): Promise<void> {
+		while (!open.closed.signal.aborted) {
+			const idleMs = open.isBusy ? 0 : this.#group.clock.now() - open.usedAt;
+			if (idleMs >= idleLimitMs) {
+				await this.end(session);
+				return;
+			}
+
+			await this.#group.clock.sleep(idleLimitMs - idleMs, open.closed.signal);
+		}
+	}
+
+	/** Takes the transaction off its session, which may have another one by now. */
+	#forget(session: string, open: Open): void {
+		if (this.#open.get(session) === open) {
 			this.#open.delete(session);
-			await this.#close(open, 'dirty');
 		}
 	}
 
-	async #close({connection, permit}: Open, residue: pool.Residue): Promise<void> {
-		await this.#group.release(connection, residue);
-		permit.release();
+	async #close(open: Open, residue: pool.Residue): Promise<void> {
+		open.closed.abort();
+		await this.#group.release(open.connection, residue);
+		open.permit.release();
+	}
+
+	#ended(): errors.Outcome<never> {
+		return errors.fail('not-run', 'route', this.#group.name, 'the transaction has ended and was rolled back');
 	}
 }
 
--- a/src/core/write.ts
+++ b/src/core/write.ts
@@ -10,6 +10,7 @@
 import type * as group from './group.js';
 import * as record from './record.js';
 import type * as retry from './retry.js';
+import type * as settlement from './settlement.js';
 
 /** MySQL's code with which a server that is not primary refuses a write. */
 const codeReadOnly = 1290;
@@ -35,10 +36,12 @@
 export class Writer {
 	readonly #group: group.Group;
 	readonly #retries: retry.Budget;
+	readonly #settlement: settlement.Settlement;
 
-	constructor(servers: group.Group, retries: retry.Budget) {
+	constructor(servers: group.Group, retries: retry.Budget, settled: settlement.Settlement) {
 		this.#group = servers;
 		this.#retries = retries;
+		this.#settlement = settled;
 	}
 
 	/**
@@ -120,7 +123,9 @@
 		if (Either.isRight(outcome)) {
 			mode.permit.release();
 			const acknowledged = await this.#acknowledge(outcome.right, connection.server, mode, deadline);
-			return Either.isRight(acknowledged.outcome) ? acknowledged : this.#settle(request, mode, deadline);
+			return Either.isRight(acknowledged.outcome)
+				? acknowledged
+				: {kind: 'final', outcome: await this.#settlement.settle(record.id(request), deadline)};
 		}
 
 		if (isRefused(outcome.left)) {
@@ -128,12 +133,15 @@
 		}
 
 		if (outcome.left.kind === 'outcome-unknown') {
-			return this.#settle(request, mode, deadline);
+			return {kind: 'final', outcome: await this.#settlement.settle(record.id(request), deadline)};
 		}
 
-		return outcome.left.kind === 'database'
-			? this.#explain(outcome.left, request, mode, deadline)
-			: {kind: 'final', outcome};
+		return {
+			kind: 'final',
+			outcome: outcome.left.kind === 'database'
+				? await this.#settlement.explain(outcome.left, record.id(request), deadline)
+				: outcome,
+		};
 	}
 
 	async #executeRecorded(connection: backend.Connection, request: types.Request, deadline: number): Promise<errors.Outcome<types.Answer>> {
@@ -164,77 +172,6 @@
 		return {kind: 'final', outcome: Either.map(() => answer)(confirmed)};
 	}
 
-	/** An error of the statement may come from an earlier run of the same request, which its record then shows. */
-	async #explain(failure: errors.Failure, request: types.Request, mode: Mode, deadline: number): Promise<Attempt> {
-		const acquired = await this.#group.acquirePrimary(deadline);
-		if (Either.isLeft(acquired)) {
-			return {kind: 'final', outcome: Either.left(failure)};
-		}
-
-		const found = await record.find(acquired.right, record.id(request), this.#left(deadline));
-		await this.#group.release(acquired.right, 'clean');
-		return Either.isRight(found) && found.right
-			? this.#recall(found.right, request, mode, deadline)
-			: {kind: 'final', outcome: Either.left(failure)};
-	}
-
-	/**
-	Finds out whether a request ran whose answer was lost. A cancelled record of the same id makes sure that it never
-	will, unless its own record is there already.
-	*/
-	async #settle(request: types.Request, mode: Mode, deadline: number): Promise<Attempt> {
-		const key = record.id(request);
-		while (this.#left(deadline) > 1) {
-			const acquired = await this.#group.acquirePrimary(deadline);
-			if (Either.isLeft(acquired)) {
-				break;
-			}
-
-			const connection = acquired.right;
-			const cancelled = await record.insert(connection, key, {state: 'cancelled', affectedRows: 0, insertId: 0}, this.#left(deadline));
-			const found = Either.isLeft(cancelled) && record.isDuplicate(cancelled.left)
-				? await record.find(connection, key, this.#left(deadline))
-				: undefined;
-			await this.#group.release(connection, 'clean');
-			if (found && Either.isRight(found) && found.right) {
-				return this.#recall(found.right, request, mode, deadline);
-			}
-
-			if (Either.isRight(cancelled)) {
-				const acknowledged = await this.#acknowledge(cancelled.right, connection.server, mode, deadline);
-				if (Either.isRight(acknowledged.outcome)) {
-					return {kind: 'final', outcome: errors.fail('not-run', 'settle', connection.server, 'the connection was lost and the request was cancelled')};
-				}
-			}
-
-			await this.#group.clock.sleep(retryPauseMs);
-		}
-
-		return {kind: 'final', outcome: errors.fail('outcome-unknown', 'settle', this.#group.name, 'the connection was lost and the outcome could not be settled in time')};
-	}
-
-	/** The answer that a record stands for, once the record can't be lost any more. */
-	async #recall(found: record.Found, request: types.Request, mode: Mode, deadline: number): Promise<Attempt> {
-		const point = await this.#group.observed.readPoint(this.#left(deadline));
-		const confirmed = Either.isRight(point)
-			? await mode.policy.confirm(this.#group.observed, point.right.server, point.right.position, this.#left(deadline))
-			: point;
-		if (Either.isLeft(point) || Either.isLeft(confirmed)) {
-			return {kind: 'final', outcome: errors.fail('outcome-unknown', 'settle', this.#group.name, 'the record of the request could not be confirmed in time')};
-		}
-
-		if (found.state === 'cancelled') {
-			return {kind: 'final', outcome: errors.fail('not-run', 'settle', this.#group.name, `request ${request.requestId} was cancelled; send it again under another id`)};
-		}
-
-		return {
-			kind: 'final',
-			outcome: Either.right({
-				kind: 'ok', affectedRows: found.affectedRows, insertId: found.insertId, position: point.right.position, server: point.right.server,
-			}),
-		};
-	}
-
 	#left(deadline: number): number {
 		return Math.max(1, deadline - this.#group.clock.now());
 	}
