--- a/src/core/statement.ts
+++ b/src/core/statement.ts
@@ -13,12 +13,14 @@
 	readonly isRecordable: boolean;
 };
 
-const readWords = new Set(['select', 'show', 'describe', 'desc', 'explain', 'with', 'values', 'table', 'help', 'use']);
+const readWords = new Set(['select', 'show', 'describe', 'desc', 'explain', 'with', 'values', 'table', 'help']);
 const recordableWords = new Set(['insert', 'update', 'delete', 'replace']);
 const transactionWords = new Map<string, Statement['transaction']>([
 	['begin', 'begin'], ['start', 'begin'], ['commit', 'commit'], ['rollback', 'rollback'],
 ]);
 
+const implicitCommitPattern = /^\s*(?:alter|analyze|create(?!\s+temporary)|drop(?!\s+temporary)|flush|grant|install|lock|optimize|rename|repair|revoke|truncate|uninstall|unlock)\b/iv;
+
 /** Text in which nothing has a meaning: quoted strings and names, and comments. */
 const opaquePattern = /'(?:[^'\\]|\\.|'')*'|"(?:[^"\\]|\\.|"")*"|`(?:[^`]|``)*`|\/\*[\s\S]*?\*\/|--\s[^\n]*|#[^\n]*/gv;
 /** Parts of a read that lock rows, write a file or variable, or change data in a common table expression. */
@@ -47,6 +49,14 @@
 	}
 
 	const word = /^[\s\(]*(?<word>[a-z]+)/iv.exec(plain)?.groups?.word?.toLowerCase() ?? '';
+	if (word === 'use') {
+		return errors.fail('directive', 'parse', '', 'USE is not supported: the default database would stay on a pooled connection');
+	}
+
+	if (/^(?:commit|rollback)\b.*\band\s+chain\b/isv.test(plain)) {
+		return errors.fail('directive', 'parse', '', 'AND CHAIN is not supported: it would open a transaction on a connection that is given back');
+	}
+
 	const transaction = transactionWords.get(word) ?? 'none';
 	const isRead = readWords.has(word) && !writingPattern.test(plain);
 	return Either.right({
@@ -55,3 +65,15 @@
 		isRecordable: recordableWords.has(word),
 	});
 }
+
+/**
+Whether MySQL commits the open transaction when it executes this statement.
+
+@example
+```
+statement.commitsImplicitly('CREATE TABLE account (id BIGINT)'); //=> true
+```
+*/
+export function commitsImplicitly(sql: string): boolean {
+	return implicitCommitPattern.test(sql.replaceAll(opaquePattern, ' '));
+}
--- a/src/core/write.ts
+++ b/src/core/write.ts
@@ -4,14 +4,19 @@
 import * as Either from 'fp-ts/lib/Either.js';
 import type * as types from '../generated/types.js';
 import type * as acknowledgement from './acknowledgement.js';
+import type * as admission from './admission.js';
 import type * as backend from './backend.js';
 import * as errors from './errors.js';
 import type * as group from './group.js';
 import * as record from './record.js';
+import type * as retry from './retry.js';
+import type * as settlement from './settlement.js';
 
 /** MySQL's code with which a server that is not primary refuses a write. */
 const codeReadOnly = 1290;
 const retryPauseMs = 20;
+/** Longest wait in ms for a new status of a server that failed a write. */
+const refreshTimeoutMs = 500;
 
 /** How a write may be treated. */
 export type Mode = {
@@ -20,6 +25,8 @@
 	/** Whether a record in the same transaction can tell whether it ran. */
 	readonly isRecordable: boolean;
 	readonly policy: acknowledgement.Policy;
+	/** Given back with the connection, so that other writes run while replicas are asked to agree. */
+	readonly permit: admission.Permit;
 };
 
 /** The outcome of one attempt: final, or worth another attempt. */
@@ -28,9 +35,13 @@
 /** Executes writes of one group. */
 export class Writer {
 	readonly #group: group.Group;
+	readonly #retries: retry.Budget;
+	readonly #settlement: settlement.Settlement;
 
-	constructor(servers: group.Group) {
+	constructor(servers: group.Group, retries: retry.Budget, settled: settlement.Settlement) {
 		this.#group = servers;
+		this.#retries = retries;
+		this.#settlement = settled;
 	}
 
 	/**
@@ -40,19 +51,33 @@
 	*/
 	async execute(request: types.Request, mode: Mode): Promise<errors.Outcome<types.Answer>> {
 		const deadline = this.#group.clock.now() + request.deadlineMs;
-		let attempt: Attempt;
-		do {
-			attempt = mode.isRecordable && !mode.isIdempotent
+		const attempts = this.#retries.open();
+		let outcome: errors.Outcome<types.Answer> = errors.fail('not-run', 'route', this.#group.name, 'the deadline passed');
+		while (this.#group.clock.now() < deadline) {
+			if (!attempts.next()) {
+				return Either.mapLeft((failure: errors.Failure): errors.Failure => failure.kind === 'not-run'
+					? {...failure, step: 'admit', message: `${failure.message}; the retry budget is spent`}
+					: failure)(outcome);
+			}
+
+			const attempt = mode.isRecordable && !mode.isIdempotent
 				? await this.#attemptRecorded(request, mode, deadline)
 				: await this.#attemptPlain(request, mode, deadline);
-			if (attempt.kind === 'final') {
-				return attempt.outcome;
+			outcome = attempt.outcome;
+			if (attempt.kind === 'final' || Either.isRight(outcome)) {
+				return outcome;
 			}
 
-			await this.#group.clock.sleep(retryPauseMs);
-		} while (this.#group.clock.now() < deadline);
+			await this.#refresh(outcome.left, deadline);
+		}
+
+		return outcome;
+	}
 
-		return attempt.outcome;
+	/** Learns whether a server that failed a write is still primary, so that the next attempt is not refused as well. */
+	async #refresh({peer}: errors.Failure, deadline: number): Promise<void> {
+		await this.#group.observed.servers.get(peer)?.observe(Math.min(refreshTimeoutMs, this.#left(deadline)));
+		await this.#group.clock.sleep(retryPauseMs);
 	}
 
 	async #attemptPlain(request: types.Request, mode: Mode, deadline: number): Promise<Attempt> {
@@ -63,8 +88,10 @@
 
 		const connection = acquired.right;
 		const outcome = await connection.execute(request.sql, this.#left(deadline));
-		await this.#group.release(connection, 'clean');
+		// Other statements than changes of rows may leave locks or temporary tables.
+		await this.#group.release(connection, mode.isRecordable ? 'clean' : 'dirty');
 		if (Either.isRight(outcome)) {
+			mode.permit.release();
 			return this.#acknowledge(outcome.right, connection.server, mode, deadline);
 		}
 
@@ -94,8 +121,11 @@
 		const outcome = await this.#executeRecorded(connection, request, deadline);
 		await this.#group.release(connection, Either.isRight(outcome) ? 'clean' : 'dirty');
 		if (Either.isRight(outcome)) {
+			mode.permit.release();
 			const acknowledged = await this.#acknowledge(outcome.right, connection.server, mode, deadline);
-			return Either.isRight(acknowledged.outcome) ? acknowledged : this.#settle(request, mode, deadline);
+			return Either.isRight(acknowledged.outcome)
+				? acknowledged
+				: {kind: 'final', outcome: await this.#settlement.settle(record.id(request), deadline)};
 		}
 
 		if (isRefused(outcome.left)) {
@@ -103,12 +133,15 @@
 		}
 
 		if (outcome.left.kind === 'outcome-unknown') {
-			return this.#settle(request, mode, deadline);
+			return {kind: 'final', outcome: await this.#settlement.settle(record.id(request), deadline)};
 		}
 
-		return outcome.left.kind === 'database'
-			? this.#explain(outcome.left, request, mode, deadline)
-			: {kind: 'final', outcome};
+		return {
+			kind: 'final',
+			outcome: outcome.left.kind === 'database'
+				? await this.#settlement.explain(outcome.left, record.id(request), deadline)
+				: outcome,
+		};
 	}
 
 	async #executeRecorded(connection: backend.Connection, request: types.Request, deadline: number): Promise<errors.Outcome<types.Answer>> {
@@ -139,77 +172,6 @@
 		return {kind: 'final', outcome: Either.map(() => answer)(confirmed)};
 	}
 
-	/** An error of the statement may come from an earlier run of the same request, which its record then shows. */
-	async #explain(failure: errors.Failure, request: types.Request, mode: Mode, deadline: number): Promise<Attempt> {
-		const acquired = await this.#group.acquirePrimary(deadline);
-		if (Either.isLeft(acquired)) {
-			return {kind: 'final', outcome: Either.left(failure)};
-		}
-
-		const found = await record.find(acquired.right, record.id(request), this.#left(deadline));
-		await this.#group.release(acquired.right, 'clean');
-		return Either.isRight(found) && found.right
-			? this.#recall(found.right, request, mode, deadline)
-			: {kind: 'final', outcome: Either.left(failure)};
-	}
-
-	/**
-	Finds out whether a request ran whose answer was lost. A cancelled record of the same id makes sure that it never
-	will, unless its own record is there already.
-	*/
-	async #settle(request: types.Request, mode: Mode, deadline: number): Promise<Attempt> {
-		const key = record.id(request);
-		while (this.#left(deadline) > 1) {
-			const acquired = await this.#group.acquirePrimary(deadline);
-			if (Either.isLeft(acquired)) {
-				break;
-			}
-
-			const connection = acquired.right;
-			const cancelled = await record.insert(connection, key, {state: 'cancelled', affectedRows: 0, insertId: 0}, this.#left(deadline));
-			const found = Either.isLeft(cancelled) && record.isDuplicate(cancelled.left)
-				? await record.find(connection, key, this.#left(deadline))
-				: undefined;
-			await this.#group.release(connection, 'clean');
-			if (found && Either.isRight(found) && found.right) {
-				return this.#recall(found.right, request, mode, deadline);
-			}
-
-			if (Either.isRight(cancelled)) {
-				const acknowledged = await this.#acknowledge(cancelled.right, connection.server, mode, deadline);
-				if (Either.isRight(acknowledged.outcome)) {
-					return {kind: 'final', outcome: errors.fail('not-run', 'settle', connection.server, 'the connection was lost and the request was cancelled')};
-				}
-			}
-
-			await this.#group.clock.sleep(retryPauseMs);
-		}
-
-		return {kind: 'final', outcome: errors.fail('outcome-unknown', 'settle', this.#group.name, 'the connection was lost and the outcome could not be settled in time')};
-	}
-
-	/** The answer that a record stands for, once the record can't be lost any more. */
-	async #recall(found: record.Found, request: types.Request, mode: Mode, deadline: number): Promise<Attempt> {
-		const point = await this.#group.observed.readPoint(this.#left(deadline));
-		const confirmed = Either.isRight(point)
-			? await mode.policy.confirm(this.#group.observed, point.right.server, point.right.position, this.#left(deadline))
-			: point;
-		if (Either.isLeft(point) || Either.isLeft(confirmed)) {
-			return {kind: 'final', outcome: errors.fail('outcome-unknown', 'settle', this.#group.name, 'the record of the request could not be confirmed in time')};
-		}
-
-		if (found.state === 'cancelled') {
-			return {kind: 'final', outcome: errors.fail('not-run', 'settle', this.#group.name, `request ${request.requestId} was cancelled; send it again under another id`)};
-		}
-
-		return {
-			kind: 'final',
-			outcome: Either.right({
-				kind: 'ok', affectedRows: found.affectedRows, insertId: found.insertId, position: point.right.position, server: point.right.server,
-			}),
-		};
-	}
-
 	#left(deadline: number): number {
 		return Math.max(1, deadline - this.#group.clock.now());
 	}
