--- a/src/core/service.ts
+++ b/src/core/service.ts
@@ -95,5 +95,6 @@
 ```
 */
 export function findClass(settings: types.Service, request: Pick<types.Request, 'class' | 'kind'>): types.Class {
-	return settings.class[request.class] ?? {...classDefaults, kind: request.kind};
+	const found = Object.hasOwn(settings.class, request.class) ? settings.class[request.class] : undefined;
+	return found ?? {...classDefaults, kind: request.kind};
 }
--- a/src/core/session.ts
+++ b/src/core/session.ts
@@ -167,7 +167,7 @@
 
 		const directives = {...this.#defaults, ...parsed.right.directives};
 		const wanted = directives.class ?? '';
-		if (wanted !== '' && !(wanted in settings.class)) {
+		if (wanted !== '' && !Object.hasOwn(settings.class, wanted)) {
 			return errors.fail('directive', 'parse', this.#account.service, `unknown class "${wanted}"`);
 		}
 
--- a/src/host/callers.ts
+++ b/src/host/callers.ts
@@ -44,7 +44,8 @@
 			return errors.fail('not-run', 'authenticate', user, 'this entry host has no configuration yet');
 		}
 
-		const account = configuration.account[user];
+		// A user named `constructor` must not find what every object inherits.
+		const account = Object.hasOwn(configuration.account, user) ? configuration.account[user] : undefined;
 		return account
 			? Either.right({account: {name: user, service: account.service, tenant: account.tenant}, passwordHash: account.passwordHash})
 			: errors.fail('denied', 'authenticate', user, 'unknown account');
