Add the operators' library: declare, print, check, compare, apply

Cause: operators had to write INI by hand and put it into the store.

Change: declaration.Site collects plain data and hashes passwords; print.print gives the same bytes for the same data and leaves defaults out; change.diff compares by section and key and hides passwords and hashes; publish.apply updates with the expected version and settles a lost answer by reading back. The store's client names the cause of a failed call.

Ruled out: calling a lost answer with the expected version still present a failure without more, since the request may yet arrive; the message says that repeating with the same version is safe.

--- a/src/index.ts
+++ b/src/index.ts
@@ -6,3 +6,4 @@
 export * as position from './core/position.js';
 export * as settings from './core/settings.js';
 export * as host from './host/host.js';
+export * as operator from './operator/operator.js';
--- a/src/platform/http.ts
+++ b/src/platform/http.ts
@@ -52,7 +52,7 @@
 			});
 			return await this.#read(key, response);
 		} catch (error) {
-			return this.#fail(`${key}: ${error instanceof Error ? error.message : String(error)}`);
+			return this.#fail(`${key}: ${describe(error)}`);
 		}
 	}
 
@@ -73,3 +73,12 @@
 		return errors.fail('store', 'store', this.#options.url, message);
 	}
 }
+
+/** The message of an error with its cause, in which `fetch` names what happened to the connection. */
+function describe(error: unknown): string {
+	if (!(error instanceof Error)) {
+		return String(error);
+	}
+
+	return error.cause instanceof Error ? `${error.message}: ${error.cause.message}` : error.message;
+}
