--- a/src/cli/exit.ts
+++ b/src/cli/exit.ts
@@ -9,9 +9,17 @@
 	success: 0, failure: 1, usage: 2, conflict: 3,
 } as const;
 
-/** Prints a failure to standard error and sets the exit code that belongs to its kind. */
-export function report(failure: errors.Failure): void {
-	console.error(errors.describe(failure));
+/**
+Prints a failure to standard error and sets the exit code that belongs to its kind. For scripts it prints the failure
+as JSON to standard output instead.
+*/
+export function report(failure: errors.Failure, isJson = false): void {
+	if (isJson) {
+		console.log(JSON.stringify({failure}));
+	} else {
+		console.error(errors.describe(failure));
+	}
+
 	process.exitCode = codeOf(failure.kind);
 }
 
--- a/src/cli/host.ts
+++ b/src/cli/host.ts
@@ -1,17 +1,17 @@
 /**
 `sycamorering host`: runs an entry host.
 */
-import * as fs from 'node:fs/promises';
 import process from 'node:process';
 import * as Either from 'fp-ts/lib/Either.js';
 import type * as yargs from 'yargs';
-import * as errors from '../core/errors.js';
+import type * as errors from '../core/errors.js';
 import * as settings from '../core/settings.js';
 import * as entryHost from '../host/host.js';
 import * as log from '../host/log.js';
 import type * as types from '../generated/types.js';
 import * as http from '../platform/http.js';
 import * as exit from './exit.js';
+import * as input from './input.js';
 
 type Arguments = {settings: string};
 
@@ -46,9 +46,6 @@
 }
 
 async function load(file: string): Promise<errors.Outcome<types.Settings>> {
-	try {
-		return settings.parseSettings(await fs.readFile(file, 'utf8'), file);
-	} catch (error) {
-		return errors.fail('settings', 'start', file, error instanceof Error ? error.message : String(error));
-	}
+	const text = await input.read(file);
+	return Either.isLeft(text) ? text : settings.parseSettings(text.right, file);
 }
--- a/src/core/directive.ts
+++ b/src/core/directive.ts
@@ -76,6 +76,26 @@
 		: undefined;
 }
 
+/**
+Writes directives as a leading comment, followed by a space; an empty text if there are none.
+
+@example
+```
+directive.format({class: 'balance', ageMs: 2000}); //=> '/* sycamorering class=balance age=2000ms *\/ '
+```
+*/
+export function format({class: name, ageMs, position: wanted, request, session}: Directives): string {
+	const values: ReadonlyArray<readonly [string, string | undefined]> = [
+		['class', name],
+		['age', ageMs === undefined ? undefined : `${ageMs}ms`],
+		['position', wanted && position.format(wanted)],
+		['request', request],
+		['session', session],
+	];
+	const list = values.flatMap(([key, value]) => value === undefined ? [] : [`${key}=${value}`]);
+	return list.length === 0 ? '' : `/* sycamorering ${list.join(' ')} */ `;
+}
+
 function parse(name: string, value: string): errors.Outcome<Directives> {
 	switch (name) {
 		case 'class': {
