Measure throughput directly and through an entry host

Cause: no figure said what an entry host costs.

Between slices it waits until the replicas hold the whole log: without that, idempotent writes after a slice of direct writes ran into their deadline (0 answered, 24 failed). The stand-in no longer waits on a timer of 0 ms, which took 1 ms for each statement and held replication below 900 entries a second.

--- /dev/null
+++ b/src/bench/processes.ts
@@ -0,0 +1,198 @@
+/**
+A deployment of separate processes for measurements: platform and backend-server stand-ins and one entry host. Only
+measurement scripts start processes; the product never does.
+*/
+import * as childProcess from 'node:child_process';
+import * as fs from 'node:fs/promises';
+import * as net from 'node:net';
+import * as os from 'node:os';
+import * as path from 'node:path';
+import process from 'node:process';
+import * as url from 'node:url';
+import * as mysql from 'mysql2/promise';
+import * as Either from 'fp-ts/lib/Either.js';
+import * as clock from '../core/clock.js';
+import * as errors from '../core/errors.js';
+import type * as types from '../generated/types.js';
+import * as declaration from '../operator/declaration.js';
+import * as print from '../operator/print.js';
+
+/** What is deployed. */
+export type Options = {
+	readonly classes: Readonly<Record<string, declaration.Class>>;
+	readonly schema: readonly string[];
+	/** Options of Node.js for the entry host, for example `--cpu-prof`. */
+	readonly hostOptions: readonly string[];
+	readonly connections: number;
+	readonly slots: number;
+	readonly lagMs: number;
+};
+
+const address = '127.0.0.1';
+const names = ['a', 'b', 'c'] as const;
+const readyLimitMs = 15_000;
+const pollMs = 50;
+const exitLimitMs = 5000;
+const settleLimitMs = 10_000;
+/** Linux counts the processor time of a process in ticks of 10 ms. */
+const tickMs = 10;
+
+export const account = {user: 'secretary', password: 'secret'} as const;
+
+const main = path.join(path.dirname(url.fileURLToPath(import.meta.url)), '..', 'cli', 'main.js');
+
+/** A running deployment. */
+export class Deployment {
+	static async start(options: Options): Promise<Deployment> {
+		const directory = await fs.mkdtemp(path.join(os.tmpdir(), 'sycamorering-'));
+		const [platform = 0, caller = 0, http = 0, peer = 0, ...servers] = await Promise.all(Array.from({length: 7}, async () => findPort()));
+		const deployment = new Deployment(directory, caller, servers);
+		try {
+			await deployment.#start(options, {platform, http, peer});
+		} catch (error) {
+			await deployment.stop();
+			throw error;
+		}
+
+		return deployment;
+	}
+
+	/** Port of the entry host for callers. */
+	readonly caller: number;
+	/** Ports of the backend servers; the first is primary, the second is in the place of the entry host. */
+	readonly servers: readonly number[];
+	readonly #directory: string;
+	readonly #children: childProcess.ChildProcess[] = [];
+	readonly #clock = new clock.System();
+	#host: childProcess.ChildProcess | undefined;
+
+	private constructor(directory: string, caller: number, servers: readonly number[]) {
+		this.#directory = directory;
+		this.caller = caller;
+		this.servers = servers;
+	}
+
+	/** Processor time in ms that the entry host has used; `NaN` where the system does not tell. */
+	async processorMs(): Promise<number> {
+		try {
+			const text = await fs.readFile(`/proc/${this.#host?.pid ?? 0}/stat`, 'utf8');
+			const fields = text.slice(text.lastIndexOf(')') + 2).split(' ');
+			return (Number(fields[11]) + Number(fields[12])) * tickMs;
+		} catch {
+			return Number.NaN;
+		}
+	}
+
+	/** Waits until every server holds the whole log, so that one slice leaves no replication work to the next. */
+	async settle(): Promise<void> {
+		const connections = await Promise.all(this.servers.map(async port => mysql.createConnection({host: address, port, user: 'bench'})));
+		const end = this.#clock.now() + settleLimitMs;
+		let isSettled = false;
+		while (!isSettled && this.#clock.now() < end) {
+			const answers = await Promise.all(connections.map(async connection => connection.query<mysql.RowDataPacket[]>('CALL group_status()')));
+			const indexes = answers.map(([rows]) => (JSON.parse(String(rows[0]?.status)) as types.Status).last.index);
+			isSettled = new Set(indexes).size === 1;
+			await this.#clock.sleep(pollMs);
+		}
+
+		await Promise.all(connections.map(async connection => connection.end()));
+		if (!isSettled) {
+			throw new Error(`the replicas did not catch up within ${settleLimitMs} ms`);
+		}
+	}
+
+	/** Ends every process of the deployment. */
+	async stop(): Promise<void> {
+		const running = this.#children.filter(child => child.exitCode === null && child.signalCode === null);
+		const ended = running.map(async child => new Promise<void>(resolve => {
+			child.once('exit', () => {
+				resolve();
+			});
+			child.kill('SIGTERM');
+		}));
+		await this.#clock.limit(Promise.all(ended), exitLimitMs);
+		for (const child of running.filter(({exitCode, signalCode}) => exitCode === null && signalCode === null)) {
+			child.kill('SIGKILL');
+		}
+
+		await fs.rm(this.#directory, {recursive: true, force: true});
+	}
+
+	async #start(options: Options, ports: {platform: number; http: number; peer: number}): Promise<void> {
+		const site = path.join(this.#directory, 'site.ini');
+		const settings = path.join(this.#directory, 'entry-1.ini');
+		await fs.writeFile(site, this.#configuration(options));
+		await fs.writeFile(settings, [
+			'[host]\nname = entry-1\nplace = place-b\nregion = r',
+			`[listen]\ncaller = ${address}:${this.caller}\npeer = ${address}:${ports.peer}\nhttp = ${address}:${ports.http}`,
+			`[platform]\nurl = http://${address}:${ports.platform}/`,
+			'[log]\nlevel = error\n',
+		].join('\n'));
+		this.#spawn([], 'standin', 'platform', '--listen', `${address}:${ports.platform}`, '--configuration', site);
+		for (const [index, name] of names.entries()) {
+			const peers = names.flatMap((other, place) => other === name ? [] : ['--peer', `${other}=${address}:${this.servers[place]}`]);
+			const limits = ['--connections', String(options.connections), '--slots', String(options.slots), '--lagMs', String(options.lagMs)];
+			const schema = options.schema.flatMap(sql => ['--schema', sql]);
+			this.#spawn([], 'standin', 'server', '--name', name, '--primary', 'a', '--listen', `${address}:${this.servers[index]}`, ...limits, ...schema, ...peers);
+		}
+
+		this.#host = this.#spawn(options.hostOptions, 'host', '--settings', settings);
+		await this.#waitUntilReady(ports.http);
+	}
+
+	#configuration({classes, connections, slots}: Options): string {
+		const site = new declaration.Site();
+		const group = site.service('ledgers', {connections, slots});
+		for (const [index, name] of names.entries()) {
+			group.server(name, {address: `${address}:${this.servers[index]}`, place: `place-${name}`});
+		}
+
+		for (const [name, content] of Object.entries(classes)) {
+			group.class(name, content);
+		}
+
+		site.account(account.user, {service: 'ledgers', tenant: 'cascade', password: account.password});
+		const text = print.print(site.data);
+		if (Either.isLeft(text)) {
+			throw new Error(errors.describe(text.left));
+		}
+
+		return text.right;
+	}
+
+	#spawn(nodeOptions: readonly string[], ...parameters: string[]): childProcess.ChildProcess {
+		const child = childProcess.spawn(process.execPath, [...nodeOptions, main, ...parameters], {stdio: ['ignore', 'ignore', 'ignore']});
+		this.#children.push(child);
+		return child;
+	}
+
+	async #waitUntilReady(port: number): Promise<void> {
+		const end = this.#clock.now() + readyLimitMs;
+		while (this.#clock.now() < end) {
+			try {
+				const response = await fetch(`http://${address}:${port}/ready`);
+				if (response.ok) {
+					return;
+				}
+			} catch {
+				// It does not listen yet.
+			}
+
+			await this.#clock.sleep(pollMs);
+		}
+
+		throw new Error(`the entry host did not become ready within ${readyLimitMs} ms`);
+	}
+}
+
+async function findPort(): Promise<number> {
+	const listener = net.createServer();
+	await new Promise<void>(resolve => {
+		listener.listen(0, address, resolve);
+	});
+	const {port} = listener.address() as net.AddressInfo;
+	await new Promise(resolve => {
+		listener.close(resolve);
+	});
+	return port;
+}
--- a/src/standin/database.ts
+++ b/src/standin/database.ts
@@ -193,6 +193,13 @@
 		void this.#replicate();
 	}
 
+	/** Waits for `ms`, if that is any time. A timer of 0 ms takes 1 ms, which held replication below 900 entries a second. */
+	async #delay(ms: number): Promise<void> {
+		if (ms > 0) {
+			await this.#clock.sleep(ms, this.#stopped.signal);
+		}
+	}
+
 	async #thaw(connection: server.Connection): Promise<void> {
 		while ((this.#faults.isFrozen || this.#faults.isCut) && !connection.closed.aborted) {
 			await this.#clock.sleep(freezePollMs, connection.closed);
@@ -226,7 +233,7 @@
 		}
 
 		try {
-			await this.#clock.sleep(this.#faults.serviceMs);
+			await this.#delay(this.#faults.serviceMs);
 			return await this.#execute(sql, session);
 		} finally {
 			releaseSlot();
@@ -539,7 +546,7 @@
 		}
 
 		for (const entry of page.entries) {
-			await this.#clock.sleep(this.#faults.lagMs - entry.ageMs, this.#stopped.signal);
+			await this.#delay(this.#faults.lagMs - entry.ageMs);
 			const release = await this.#writeLock.acquire(lockTimeoutMs);
 			if (!release || !this.#follows(term, source) || entry.index !== this.#log.last.index + 1) {
 				release?.();
