Add the library for callers

Cause: a caller with a bare driver has to carry its position between entry hosts and to decide itself what may be sent again.

Change: caller.session.Session takes the position from the OK packet or asks for it, states it to the next entry host, and repeats reads, writes that did not run, and writes of unknown outcome under the same request id where a record tells whether they ran. Once an attempt may have run, only an answer or a not-run of step settle under its id decides. Failures are a tagged union. An entry host without configuration now answers a login with not-run instead of access denied, which callers can't tell from a wrong password.

Ruled out: repeating transactions, since their body may do more than send statements; repeating DDL of unknown outcome, which no record covers.

Measured: 7 tests against an in-process deployment, with a relay that loses answers.

--- /dev/null
+++ b/src/caller/tests/session.test.ts
@@ -0,0 +1,181 @@
+import * as assert from 'node:assert/strict';
+import * as net from 'node:net';
+import * as test from 'node:test';
+import * as Either from 'fp-ts/lib/Either.js';
+import * as deployment from '../../standin/deployment.js';
+import * as caller from '../caller.js';
+
+const schema = ['CREATE TABLE ledger (id INTEGER PRIMARY KEY, fund VARCHAR(64), cents INTEGER)'];
+const classes = '[service.ledgers.class.balance]\nkind = read\nmaximumAgeMs = 60000\n';
+const insert = 'INSERT INTO ledger (fund, cents) VALUES (?, ?)';
+const count = 'SELECT count(*) AS entries FROM ledger';
+const account = {user: 'secretary', password: 'secret'};
+
+/** Passes bytes on to an entry host. While `isLosing`, it cuts a connection instead of passing an answer on. */
+class Relay {
+	isLosing = false;
+	readonly #server: net.Server;
+
+	constructor(port: number) {
+		this.#server = net.createServer(near => {
+			const far = net.connect(port, '127.0.0.1');
+			near.on('data', data => far.write(data));
+			far.on('data', data => this.isLosing ? near.destroy() : near.write(data));
+			near.on('close', () => far.destroy());
+			far.on('close', () => near.destroy());
+			near.on('error', () => far.destroy());
+			far.on('error', () => near.destroy());
+		});
+	}
+
+	async listen(): Promise<string> {
+		await new Promise<void>(resolve => {
+			this.#server.listen(0, '127.0.0.1', resolve);
+		});
+		return `127.0.0.1:${(this.#server.address() as net.AddressInfo).port}`;
+	}
+
+	close(): void {
+		this.#server.close();
+	}
+}
+
+type Place = {site: deployment.Deployment; relay: Relay; session: caller.session.Session; hosts: string[]};
+
+async function withSession(body: (place: Place) => Promise<void>, lagMs = 10): Promise<void> {
+	const site = await deployment.Deployment.start({
+		places: ['p-1', 'p-2', 'p-3'], hosts: ['p-2', 'p-3'], schema, classes, lagMs,
+	});
+	const [first = 0, second = 0] = site.entries.map(({ports}) => ports.caller);
+	const relay = new Relay(first);
+	const hosts = [await relay.listen(), `127.0.0.1:${second}`];
+	const session = new caller.session.Session({hosts, ...account, limitMs: 4000});
+	try {
+		await body({
+			site, relay, session, hosts,
+		});
+	} finally {
+		await session.end();
+		relay.close();
+		await site.stop();
+	}
+}
+
+function failureOf(outcome: caller.failure.Outcome<unknown>): caller.failure.Failure {
+	assert.ok(Either.isLeft(outcome), JSON.stringify(outcome));
+	return outcome.left;
+}
+
+function entriesOf(outcome: caller.failure.Outcome<caller.session.Answer>): number {
+	assert.ok(Either.isRight(outcome) && outcome.right.kind === 'rows', JSON.stringify(outcome));
+	return Number(outcome.right.rows[0]?.entries);
+}
+
+test.test('a session reads its own write at another entry host after its host is gone, even where it accepts old data', async () => {
+	await withSession(async ({site, session, hosts}) => {
+		assert.ok(Either.isRight(await session.write(insert, {values: ['bus', 1250]})));
+		const {position, host} = session;
+		assert.match(position ?? '', /^1:\d+$/v);
+		assert.equal(host, hosts[0]);
+		await site.entries[0]?.host.stop();
+		site.group.server('c').set({lagMs: 2000});
+		assert.equal(entriesOf(await session.read(count, {class: 'balance'})), 1);
+		assert.equal(session.host, hosts[1]);
+		const other = new caller.session.Session({hosts: [hosts[1] ?? ''], ...account});
+		assert.ok(Either.isRight(other.adopt(position)));
+		assert.equal(entriesOf(await other.read(count, {class: 'balance'})), 1);
+		await other.end();
+	}, 300);
+});
+
+test.test('a write whose answer is lost runs once and is answered through the next entry host', async () => {
+	await withSession(async ({site, relay, session, hosts}) => {
+		await session.read('SELECT 1');
+		relay.isLosing = true;
+		const outcome = await session.write(insert, {values: ['bus', 1250]});
+		assert.deepEqual(outcome, Either.right({kind: 'ok', affectedRows: 1, insertId: 1}));
+		assert.equal(session.host, hosts[1]);
+		assert.equal(site.writes('a').length, 1);
+	});
+});
+
+test.test('a write that no record covers is not repeated when its answer is lost', async () => {
+	await withSession(async ({site, relay, session}) => {
+		await session.read('SELECT 1');
+		relay.isLosing = true;
+		const failed = failureOf(await session.write('CREATE TABLE IF NOT EXISTS extra (id INTEGER)'));
+		assert.deepEqual([failed.kind, failed.kind === 'outcome-unknown' && failed.requestId], ['outcome-unknown', '']);
+		assert.equal(site.writes('a').length, 1);
+	});
+});
+
+test.test('a caller that repeats a write under its own request id gets the first answer', async () => {
+	await withSession(async ({site, session}) => {
+		const first = await session.write(insert, {values: ['bus', 1250], requestId: 'r-1'});
+		assert.deepEqual(await session.write(insert, {values: ['bus', 1250], requestId: 'r-1'}), first);
+		assert.equal(site.writes('a').length, 1);
+	});
+});
+
+test.test('a transaction that loses its connection is not-run, at COMMIT its outcome is unknown, and a failing body rolls back', async () => {
+	await withSession(async ({site, relay, session}) => {
+		const lost = await session.transaction(async query => {
+			relay.isLosing = true;
+			await query(insert, ['bus', 1]);
+			return query(insert, ['bus', 2]);
+		});
+		assert.equal(failureOf(lost).kind, 'not-run');
+		const failed = await session.transaction(async query => {
+			await query(insert, ['bus', 3]);
+			return query('INSERT INTO nowhere VALUES (1)');
+		});
+		assert.equal(failureOf(failed).kind, 'database');
+		assert.equal(site.writes('a').length, 0);
+		assert.ok(Either.isRight(await session.transaction(async query => query(insert, ['bus', 4]))));
+		assert.equal(entriesOf(await session.read(count)), 1);
+	});
+	await withSession(async ({relay, session}) => {
+		const unknown = await session.transaction(async query => {
+			const outcome = await query(insert, ['bus', 1]);
+			relay.isLosing = true;
+			return outcome;
+		});
+		assert.equal(failureOf(unknown).kind, 'outcome-unknown');
+	});
+});
+
+test.test('each refusal has its own kind, and only what did not run is called so', async () => {
+	await withSession(async ({session, hosts}) => {
+		assert.equal(failureOf(await session.read('SELECT 1', {class: 'none'})).kind, 'directive');
+		assert.equal(failureOf(await session.write('INSERT INTO nowhere VALUES (1)')).kind, 'database');
+		const wrong = new caller.session.Session({hosts, ...account, password: 'x'});
+		assert.equal(failureOf(await wrong.read('SELECT 1')).kind, 'denied');
+		const nowhere = new caller.session.Session({hosts: ['127.0.0.1:1'], ...account, limitMs: 200});
+		assert.equal(failureOf(await nowhere.write('DELETE FROM ledger')).kind, 'not-run');
+	});
+	// A database error may repeat text of the statement, which must not pass for the proxy's own word.
+	const imitation = {errno: 1062, sqlState: '23000', message: 'not-run: nothing (step send)'};
+	assert.equal(caller.failure.read(imitation, '').kind, 'database');
+});
+
+test.test('a host without configuration says not-run, so that a session goes on to the next host', async () => {
+	await withSession(async ({site, hosts}) => {
+		site.platform.faults.isDown = true;
+		// The host is ready only with a configuration, so it is not waited for.
+		const starting = site.addHost('entry-3', 'p-1');
+		const entry = await new Promise<deployment.Entry>(resolve => {
+			const poll = setInterval(() => {
+				const found = site.entries[2];
+				if (found) {
+					clearInterval(poll);
+					resolve(found);
+				}
+			}, 5);
+		});
+		const session = new caller.session.Session({hosts: [`127.0.0.1:${entry.ports.caller}`, hosts[1] ?? ''], ...account});
+		assert.equal(entriesOf(await session.read(count)), 0);
+		await session.end();
+		site.platform.faults.isDown = false;
+		await starting;
+	});
+});
--- a/src/index.ts
+++ b/src/index.ts
@@ -7,3 +7,4 @@
 export * as settings from './core/settings.js';
 export * as host from './host/host.js';
 export * as operator from './operator/operator.js';
+export * as caller from './caller/caller.js';
--- a/src/mysql/server.ts
+++ b/src/mysql/server.ts
@@ -23,7 +23,8 @@
 export abstract class Handler<Account> {
 	/**
 	The account of a user and the SHA-1 of the SHA-1 of its password, or the reason of the refusal.
-	A refusal of kind `database` passes with its code, for example 1040 for too many connections.
+	A refusal passes as it is, for example `database` with code 1040 for too many connections; one of kind `denied` says
+	no more than that the access is denied.
 	*/
 	abstract find(user: string): errors.Outcome<{account: Account; passwordHash: string}>;
 
@@ -327,7 +328,7 @@
 			return Either.right(found.right.account);
 		}
 
-		if (Either.isLeft(found) && found.left.kind === 'database') {
+		if (Either.isLeft(found) && found.left.kind !== 'denied') {
 			return found;
 		}
 
