End transactions at a term change and fail calls on closed connections

Cause: failover rests on the database stand-in and on the client, and both had faults. A server that adopted a term left open transactions alone: an idle one held the write lock against replication and against the promotion of that server for up to 5 s. Two promotion calls that waited together both appended a first entry of the term. A frozen replica went on applying entries. A call on a connection that this side closed ended only at its timeout, because mysql2 calls back no query whose connection is destroyed. A refusal by the server itself, such as too many connections, could not be told from a dead server.

Ruled out: rolling the transaction back without closing its connection. Its client would have its COMMIT answered as done with nothing committed.

Change: adopting a term ends open transactions and closes their connections. Repeated promotions append one entry. A former primary goes on serving its log to followers of its old term until it follows another server or is promoted again, so that a planned move can complete while writes go on. restart() keeps log and term and loses the role. The client fails a pending call when its connection is closed, tells whoever asks about the close, and keeps the server's error code in a refused connection.

--- a/src/core/backend.ts
+++ b/src/core/backend.ts
@@ -20,6 +20,11 @@
 	/** Name of the server. */
 	abstract readonly server: string;
 
+	/** Has `ended` called once the connection closes, where the implementation learns of it. */
+	whenClosed(_ended: () => void): void {
+		// Without this, the owner learns of a closed connection at its next call.
+	}
+
 	abstract get isOpen(): boolean;
 
 	/** Executes one statement. */
@@ -43,7 +48,7 @@
 	/** Ends the session's transaction and state, so that another session may use the connection. */
 	abstract reset(timeoutMs: number): Promise<errors.Outcome<void>>;
 
-	/** Closes the connection at once; what it still owes is dropped. */
+	/** Closes the connection at once. What it still owes is dropped, and a call that waits fails with `outcome-unknown`. */
 	abstract close(): void;
 }
 
--- a/src/mysql/client.ts
+++ b/src/mysql/client.ts
@@ -55,7 +55,9 @@
 				clearTimeout(timer);
 				if (error) {
 					connection.close();
-					resolve(errors.fail('not-run', 'connect', name, error.message));
+					// A server that answers with an error of its own, such as too many connections, is alive.
+					const {sqlState, errno} = error as ServerError;
+					resolve(Either.left({...errors.failure('not-run', 'connect', name, error.message), code: sqlState === undefined ? 0 : errno ?? 0}));
 				} else {
 					resolve(Either.right(connection));
 				}
@@ -68,7 +70,7 @@
 export class Connection extends backend.Connection {
 	override readonly server: string;
 	readonly #wire: mysql.Connection;
-	#isOpen = true;
+	readonly #closed = new AbortController();
 
 	constructor(server: string, wire: mysql.Connection) {
 		super();
@@ -83,22 +85,33 @@
 	}
 
 	override get isOpen(): boolean {
-		return this.#isOpen;
+		return !this.#closed.signal.aborted;
 	}
 
 	override async execute(sql: string, timeoutMs: number): Promise<errors.Outcome<types.Answer>> {
-		if (!this.#isOpen) {
+		if (!this.isOpen) {
 			return errors.fail('not-run', 'send', this.server, 'the connection is closed');
 		}
 
 		return new Promise(resolve => {
+			const finish = (outcome: errors.Outcome<types.Answer>): void => {
+				clearTimeout(timer);
+				this.#closed.signal.removeEventListener('abort', fail);
+				resolve(outcome);
+			};
+
+			// The library does not call back a query whose connection this side closes.
+			const fail = (): void => {
+				finish(errors.fail('outcome-unknown', 'receive', this.server, 'the connection was closed before the answer'));
+			};
+
 			const timer = setTimeout(() => {
+				finish(errors.fail('outcome-unknown', 'receive', this.server, `no complete answer within ${timeoutMs} ms`));
 				this.close();
-				resolve(errors.fail('outcome-unknown', 'receive', this.server, `no complete answer within ${timeoutMs} ms`));
 			}, timeoutMs);
+			this.#closed.signal.addEventListener('abort', fail);
 			this.#wire.query({sql, rowsAsArray: true, typeCast: readCell}, (error, content, fields) => {
-				clearTimeout(timer);
-				resolve(error ? this.#refuse(error) : Either.right(this.#read(content, fields as unknown as Field[])));
+				finish(error ? this.#refuse(error) : Either.right(this.#read(content, fields as unknown as Field[])));
 			});
 		});
 	}
@@ -133,8 +146,12 @@
 	}
 
 	override close(): void {
-		this.#isOpen = false;
 		this.#wire.destroy();
+		this.#closed.abort();
+	}
+
+	override whenClosed(ended: () => void): void {
+		this.#closed.signal.addEventListener('abort', ended, {once: true});
 	}
 
 	/** Calls a procedure of the group, which answers with one JSON document in one row. */
--- a/src/standin/database.ts
+++ b/src/standin/database.ts
@@ -47,6 +47,8 @@
 	/** The term in which the transaction began. */
 	term: number;
 	release: (() => void) | undefined;
+	/** Set when a newer term ended its transaction; the connection is closed, and nothing more runs on it. */
+	isEnded: boolean;
 };
 
 const codeReadOnly = 1290;
@@ -81,11 +83,14 @@
 	readonly #faults: Faults;
 	readonly #stopped = new AbortController();
 	readonly #connections = new Set<server.Connection>();
+	readonly #sessions = new Map<server.Connection, Session>();
 	readonly #appended = new notifier.Notifier();
 	readonly #arrivals = new Map<number, number>();
 	#role: types.Role;
 	#term: number;
 	#claimant = '';
+	/** Term of which this server was primary until it adopted the present one; followers may still fetch its log. */
+	#servedTerm = 0;
 	#following = '';
 	#port = 0;
 
@@ -135,6 +140,14 @@
 		}
 	}
 
+	/** Restarts the server: terms and log are durable, its role and connections are not. */
+	restart(): void {
+		this.#role = 'replica';
+		this.#servedTerm = 0;
+		this.#endTransactions();
+		this.disconnect();
+	}
+
 	/** Closes every open connection. */
 	disconnect(): void {
 		for (const connection of this.#connections) {
@@ -169,8 +182,9 @@
 		}
 
 		const session: Session = {
-			writes: [], isInTransaction: false, term: 0, release: undefined,
+			writes: [], isInTransaction: false, term: 0, release: undefined, isEnded: false,
 		};
+		this.#sessions.set(connection, session);
 		await this.#clock.sleep(this.#options.connectMs, connection.closed);
 		try {
 			for (let command = await connection.next(); command; command = await connection.next()) {
@@ -179,6 +193,7 @@
 			}
 		} finally {
 			this.#connections.delete(connection);
+			this.#sessions.delete(connection);
 			this.#rollback(session);
 		}
 	}
@@ -234,6 +249,10 @@
 	}
 
 	async #execute(sql: string, session: Session): Promise<errors.Outcome<types.Answer>> {
+		if (session.isEnded) {
+			return this.#refuseWrite(session);
+		}
+
 		const word = /^\s*(?<word>\w+)/v.exec(sql)?.groups?.word?.toLowerCase() ?? '';
 		switch (word) {
 			case 'begin':
@@ -429,10 +448,23 @@
 	}
 
 	#enter(term: number, claimant: string): void {
+		this.#servedTerm = this.#role === 'primary' ? this.#term : 0;
 		this.#term = term;
 		this.#claimant = claimant;
 		this.#role = 'replica';
 		this.#following = '';
+		this.#endTransactions();
+	}
+
+	/** An open transaction would hold the write lock against replication and promotion until its client's next statement. */
+	#endTransactions(): void {
+		for (const [connection, session] of this.#sessions) {
+			if (session.release) {
+				this.#rollback(session);
+				session.isEnded = true;
+				connection.close();
+			}
+		}
 	}
 
 	async #promote(term: number, claimant: string): Promise<boolean> {
@@ -443,19 +475,28 @@
 		if (this.#role !== 'primary') {
 			// An open transaction of an older term ends before the first entry of this one.
 			const release = await this.#writeLock.acquire(lockTimeoutMs);
-			if (!release || this.#claimant !== claimant) {
+			if (!release || this.#claimant !== claimant || this.#term !== term) {
 				release?.();
 				return false;
 			}
 
 			release();
-			this.#role = 'primary';
-			this.#append([]);
+			// A repeated call may have waited for the lock together with the first.
+			if (!this.#isPrimary()) {
+				this.#role = 'primary';
+				this.#servedTerm = 0;
+				this.#following = '';
+				this.#append([]);
+			}
 		}
 
 		return true;
 	}
 
+	#isPrimary(): boolean {
+		return this.#role === 'primary';
+	}
+
 	#follow(primary: string, term: number): boolean {
 		if (term < this.#term || (term === this.#term && this.#role === 'primary') || primary === this.#options.name) {
 			return false;
@@ -465,6 +506,7 @@
 			this.#enter(term, '');
 		}
 
+		this.#servedTerm = 0;
 		this.#following = primary;
 		return true;
 	}
@@ -482,7 +524,7 @@
 			await this.#clock.limit(this.#appended.next(), replicationWaitMs);
 		}
 
-		const isSource = this.#role === 'primary' && term === this.#term;
+		const isSource = (this.#isPrimary() && term === this.#term) || (term > 0 && term === this.#servedTerm);
 		const due = this.#clock.now();
 		const entries = this.#log.entries.slice(index, index + entriesPerPull)
 			.map(entry => ({...entry, ageMs: due - (this.#arrivals.get(entry.index) ?? 0)}));
@@ -527,10 +569,18 @@
 				return;
 			}
 
+			await this.#thawReplication();
 			await this.#takePage(page, term, source);
 		}
 	}
 
+	/** A frozen server applies nothing, and a server that is cut off receives nothing. */
+	async #thawReplication(): Promise<void> {
+		while (this.#faults.isFrozen && !this.#stopped.signal.aborted) {
+			await this.#clock.sleep(freezePollMs, this.#stopped.signal);
+		}
+	}
+
 	async #takePage(page: Page, term: number, source: string): Promise<void> {
 		const common = this.#log.commonIndex(page.history, page.last);
 		if (common < this.#log.last.index && this.#follows(term, source)) {
--- /dev/null
+++ b/src/standin/tests/database.test.ts
@@ -0,0 +1,81 @@
+import * as assert from 'node:assert/strict';
+import * as test from 'node:test';
+import * as Either from 'fp-ts/lib/Either.js';
+import * as client from '../../mysql/client.js';
+import * as group from '../group.js';
+
+async function start() {
+	const servers = await group.Group.start({places: ['x', 'y', 'z'], schema: ['CREATE TABLE t (id INTEGER PRIMARY KEY)']});
+	const connect = async (name: string): Promise<client.Connection> => {
+		const target = new client.Server({
+			name, place: '', host: '127.0.0.1', port: servers.server(name).port, user: 'u', password: '',
+		});
+		const outcome = await target.connect(1000);
+		assert.ok(Either.isRight(outcome));
+		return outcome.right as client.Connection;
+	};
+
+	return {servers, connect};
+}
+
+// Guards against a failover that waits for the lock of a transaction whose client is gone or idle, and against its COMMIT being answered as done.
+test.test('a server that adopts a term ends open transactions and can be promoted at once', async () => {
+	const {servers, connect} = await start();
+	const [caller, control] = [await connect('a'), await connect('a')];
+	await caller.execute('BEGIN', 1000);
+	assert.ok(Either.isRight(await caller.execute('INSERT INTO t VALUES (1)', 1000)));
+	const startedAt = performance.now();
+	const adopted = await control.adoptTerm(2, 'x', 1000);
+	const promoted = await control.promote(2, 'x', 4000);
+	assert.ok(Either.isRight(adopted) && adopted.right.granted && Either.isRight(promoted) && promoted.right.granted);
+	assert.ok(performance.now() - startedAt < 1000);
+	const committed = await caller.execute('COMMIT', 1000);
+	assert.ok(Either.isLeft(committed));
+	assert.deepEqual(servers.server('a').entries.flatMap(({writes}) => writes), []);
+	control.close();
+	servers.stop();
+});
+
+// Guards against a first entry of a term that is appended twice when the answer to a promotion was lost.
+test.test('a repeated promotion changes nothing, also while the first one waits', async () => {
+	const {servers, connect} = await start();
+	const [one, other] = [await connect('a'), await connect('a')];
+	await one.adoptTerm(2, 'x', 1000);
+	await Promise.all([one.promote(2, 'x', 1000), other.promote(2, 'x', 1000)]);
+	assert.equal(servers.server('a').entries.filter(({term}) => term === 2).length, 1);
+	one.close();
+	other.close();
+	servers.stop();
+});
+
+// Guards against a planned move that can never complete while writes go on.
+test.test('a former primary serves its log to followers of its term until it follows another', async () => {
+	const {servers, connect} = await start();
+	const control = await connect('a');
+	servers.server('b').set({lagMs: 100});
+	await control.execute('INSERT INTO t VALUES (1)', 1000);
+	const grant = await control.adoptTerm(2, 'x', 1000);
+	assert.ok(Either.isRight(grant));
+	const replica = await connect('b');
+	const reached = await replica.wait(grant.right.status.last, 1000, 2000);
+	assert.ok(Either.isRight(reached));
+	assert.deepEqual(reached.right.last, grant.right.status.last);
+	assert.equal(reached.right.term, 1);
+	control.close();
+	replica.close();
+	servers.stop();
+});
+
+// Guards against a caller that waits until its deadline for a connection that this side has closed.
+test.test('a call on a connection that this side closes fails at once', async () => {
+	const {servers, connect} = await start();
+	servers.server('a').set({serviceMs: 500});
+	const connection = await connect('a');
+	const answer = connection.execute('SELECT 1', 5000);
+	const startedAt = performance.now();
+	connection.close();
+	const outcome = await answer;
+	assert.ok(Either.isLeft(outcome) && outcome.left.kind === 'outcome-unknown');
+	assert.ok(performance.now() - startedAt < 200);
+	servers.stop();
+});
