Replace a lost primary by ballots of the servers

The owner runs the task for each service; host/changes.ts logs its events.

Faults found and fixed in observer, acknowledgement, group and write, with a test each: too many connections, and timeouts, counted as refusals and so as a lost primary; silence counted while this host itself was paused; a dropped control connection was noticed only at the next probe; an older answer could replace a newer status; a replica of a newer term kept the acknowledgement question open until the deadline; requests at a frozen primary stayed there until their deadline after it had been replaced; a read point could rest on a primary without an entry of its term. The observer's notifier kept a waiter for each probe of an idle server; it now sleeps on a signal.

Ruled out: claiming before a majority accepts connections, because a term that only a minority adopts cuts these servers off from the primary.

--- a/src/core/acknowledgement.ts
+++ b/src/core/acknowledgement.ts
@@ -77,7 +77,8 @@
 */
 export class Durable extends Majority {
 	protected override async ask(server: observer.Server, committed: position.Position, timeoutMs: number): Promise<observer.Observation | undefined> {
-		return server.reach(committed, timeoutMs);
+		// A replica of a newer term will never agree, and its caller can settle the write at the new primary at once.
+		return server.reach(committed, timeoutMs, committed.term);
 	}
 
 	protected override agrees({status}: observer.Observation, committed: position.Position): boolean {
--- a/src/core/group.ts
+++ b/src/core/group.ts
@@ -30,12 +30,15 @@
 	readonly servers: ReadonlyMap<string, backend.Server>;
 	readonly #pools: ReadonlyMap<string, pool.Pool>;
 	readonly #left = new Set<string>();
+	#primary: string | undefined;
 
 	constructor(options: Options, servers: readonly backend.Server[], time: clock.Clock) {
 		this.name = options.name;
 		this.place = options.place;
 		this.clock = time;
-		this.observed = new observer.Group(servers, time, options.timing);
+		this.observed = new observer.Group(servers, time, options.timing, () => {
+			this.#notice();
+		});
 		this.servers = new Map(servers.map(server => [server.name, server]));
 		this.#pools = new Map(servers.map(server => [server.name, new pool.Pool(server, time, {
 			connections: options.share,
@@ -115,4 +118,17 @@
 	async release(connection: backend.Connection, residue: pool.Residue): Promise<void> {
 		await this.pool(connection.server).release(connection, residue);
 	}
+
+	/**
+	Interrupts requests at a primary that has been replaced. It may be frozen, and they would wait until their deadline
+	although another server could answer them.
+	*/
+	#notice(): void {
+		const primary = this.observed.primary?.status.server;
+		const replaced = this.#primary;
+		if (primary !== undefined && primary !== replaced) {
+			this.#primary = primary;
+			this.#pools.get(replaced ?? '')?.interrupt();
+		}
+	}
 }
--- a/src/core/observer.ts
+++ b/src/core/observer.ts
@@ -6,7 +6,6 @@
 import type * as backend from './backend.js';
 import type * as clock from './clock.js';
 import * as errors from './errors.js';
-import * as notifier from './notifier.js';
 import * as position from './position.js';
 
 /** A status with the local times, in ms, at which it was asked for and received. */
@@ -24,9 +23,13 @@
 /** Longest time in ms for which a question may wait at the server, so that other questions follow soon. */
 const waitStepMs = 20;
 const readPointLimit = 512;
+/** Pause in ms after a connection that could not be opened. Two refusals make a suspicion, so it is part of the gap. */
+const reconnectPauseMs = 150;
 
 type Waiter = {
 	readonly wanted: position.Position | undefined;
+	/** A status of a higher term resolves the waiter even if its log is behind. */
+	readonly highestTerm: number;
 	/** After this time nobody waits any more. */
 	readonly expiresAt: number;
 	readonly resolve: (observation: Observation) => void;
@@ -37,9 +40,9 @@
 	readonly #server: backend.Server;
 	readonly #clock: clock.Clock;
 	readonly #timing: Timing;
-	readonly #wake = new notifier.Notifier();
 	readonly #observed: (observation: Observation) => void;
 	#waiters: Waiter[] = [];
+	#rest = new AbortController();
 	#latest: Observation | undefined;
 	#lastAnswerAt: number;
 	#refusals = 0;
@@ -65,53 +68,81 @@
 		return this.#latest;
 	}
 
-	/** Time in ms since the server last answered; since the start if it never did. */
-	get silentMs(): number {
-		return this.#clock.now() - this.#lastAnswerAt;
+	/** Time of the clock in ms at which the server last answered; the start if it never did. */
+	get lastAnswerAt(): number {
+		return this.#lastAnswerAt;
 	}
 
-	/** Connections that were refused or failed one after another since the last answer. */
+	/** Connections that were refused one after another since the last answer. A timeout is not counted: it is silence. */
 	get refusals(): number {
 		return this.#refusals;
 	}
 
 	/** A status that was asked for after this call; `undefined` at the timeout. */
 	async observe(timeoutMs: number): Promise<Observation | undefined> {
-		return this.#enter(undefined, timeoutMs);
+		return this.#enter(undefined, Number.POSITIVE_INFINITY, timeoutMs);
 	}
 
 	/**
-	A status, asked for after this call, of a log that contains `wanted` or has lost it; `undefined` at the timeout.
+	A status, asked for after this call, of a log that contains `wanted` or has lost it, or of a term above
+	`highestTerm`; `undefined` at the timeout.
 	*/
-	async reach(wanted: position.Position, timeoutMs: number): Promise<Observation | undefined> {
-		return this.#enter(wanted, timeoutMs);
+	async reach(wanted: position.Position, timeoutMs: number, highestTerm = Number.POSITIVE_INFINITY): Promise<Observation | undefined> {
+		return this.#enter(wanted, highestTerm, timeoutMs);
+	}
+
+	/** Takes a status that came with the answer to another call. */
+	learn(observation: Observation): void {
+		this.#take(observation, []);
 	}
 
 	/** The task: asks, answers waiters, and waits for the next probe or the next waiter. */
 	async run(signal: AbortSignal): Promise<void> {
+		const stopped = new AbortController();
+		signal.addEventListener('abort', () => {
+			stopped.abort();
+			this.#rest.abort();
+		});
 		while (!signal.aborted) {
 			const connection = await this.#connect();
 			if (connection) {
+				connection.whenClosed(() => {
+					this.#rest.abort();
+				});
+				const answeredAt = this.#lastAnswerAt;
 				await this.#converse(connection, signal);
 				connection.close();
-			} else {
-				await this.#clock.sleep(this.#timing.probeIntervalMs, signal);
+				if (this.#lastAnswerAt !== answeredAt) {
+					continue;
+				}
 			}
+
+			await this.#clock.sleep(Math.min(reconnectPauseMs, this.#timing.probeIntervalMs), stopped.signal);
 		}
 	}
 
-	async #enter(wanted: position.Position | undefined, timeoutMs: number): Promise<Observation | undefined> {
+	async #enter(wanted: position.Position | undefined, highestTerm: number, timeoutMs: number): Promise<Observation | undefined> {
 		const observed = new Promise<Observation>(resolve => {
-			this.#waiters.push({wanted, expiresAt: this.#clock.now() + timeoutMs, resolve});
-			this.#wake.notify();
+			this.#waiters.push({
+				wanted, highestTerm, expiresAt: this.#clock.now() + timeoutMs, resolve,
+			});
+			this.#rest.abort();
 		});
 		return this.#clock.limit(observed, timeoutMs);
 	}
 
 	async #connect(): Promise<backend.Connection | undefined> {
+		const startedAt = this.#clock.now();
 		const outcome = await this.#server.connect(this.#timing.probeTimeoutMs);
 		if (Either.isLeft(outcome)) {
-			this.#refusals++;
+			if (outcome.left.code !== 0) {
+				// A server that refuses by an error of its own, at its connection limit for example, is alive.
+				this.#lastAnswerAt = this.#clock.now();
+				this.#refusals = 0;
+			} else if (this.#clock.now() - startedAt < this.#timing.probeTimeoutMs) {
+				this.#refusals++;
+			}
+
 			return undefined;
 		}
 
@@ -127,13 +158,13 @@
 			if (Either.isLeft(outcome)) {
 				// A silent connection is not trusted: the questions go to a new one.
 				this.#waiters = [...asked, ...this.#waiters];
-				this.#refusals++;
 				return;
 			}
 
 			this.#take({status: outcome.right, askedAt, receivedAt: this.#clock.now()}, asked);
 			if (this.#waiters.length === 0) {
-				await this.#clock.limit(this.#wake.next(), this.#timing.probeIntervalMs);
+				this.#rest = new AbortController();
+				await (signal.aborted || !connection.isOpen ? undefined : this.#clock.sleep(this.#timing.probeIntervalMs, this.#rest.signal));
 			}
 		}
 	}
@@ -149,12 +180,17 @@
 	}
 
 	#take(observation: Observation, asked: readonly Waiter[]): void {
-		this.#latest = observation;
+		// An answer to an earlier question may arrive later, over another connection.
+		if (observation.askedAt >= (this.#latest?.askedAt ?? Number.NEGATIVE_INFINITY)) {
+			this.#latest = observation;
+		}
+
 		this.#lastAnswerAt = observation.receivedAt;
 		this.#refusals = 0;
 		this.#observed(observation);
 		for (const waiter of asked) {
-			if (waiter.wanted && position.relate(observation.status, waiter.wanted) === 'behind') {
+			const isBehind = waiter.wanted && position.relate(observation.status, waiter.wanted) === 'behind';
+			if (isBehind && observation.status.term <= waiter.highestTerm) {
 				this.#waiters.push(waiter);
 			} else {
 				waiter.resolve(observation);
@@ -169,12 +205,14 @@
 	readonly #clock: clock.Clock;
 	#readPoints: ReadPoint[] = [];
 
-	constructor(servers: readonly backend.Server[], time: clock.Clock, timing: Timing) {
+	/** `observed` is called after each observation. */
+	constructor(servers: readonly backend.Server[], time: clock.Clock, timing: Timing, observed?: () => void) {
 		this.#clock = time;
 		this.servers = new Map(servers.map(server => [
 			server.name,
 			new Server(server, time, timing, () => {
 				this.#addReadPoint();
+				observed?.();
 			}),
 		]));
 	}
@@ -191,7 +229,12 @@
 
 	/** The highest term that any server reported. */
 	get highestTerm(): number {
-		return Math.max(0, ...this.#latest().map(({status}) => status.term));
+		return Math.max(0, ...this.statuses.map(({term}) => term));
+	}
+
+	/** The last status of each server that ever answered. */
+	get statuses(): readonly backend.Status[] {
+		return this.#latest().map(({status}) => status);
 	}
 
 	/** Runs one task for each server until `signal` aborts. */
@@ -264,7 +307,8 @@
 */
 function confirm(observations: readonly Observation[], majority: number): ReadPoint | undefined {
 	const primary = observations.filter(({status}) => status.role === 'primary').toSorted((left, right) => right.status.term - left.status.term)[0];
-	if (!primary) {
+	// Without an entry of its own term, a later primary could still drop the last entries of the log.
+	if (!primary || primary.status.last.term !== primary.status.term) {
 		return undefined;
 	}
 
--- a/src/core/pool.ts
+++ b/src/core/pool.ts
@@ -101,6 +101,13 @@
 		this.#fill();
 	}
 
+	/** Closes every connection, so that calls which wait for a server that has been replaced fail at once. */
+	interrupt(): void {
+		for (const connection of [...this.#held, ...this.#idle.map(idle => idle.connection)]) {
+			connection.close();
+		}
+	}
+
 	/** Closes idle connections and refuses further holders. Connections in use close when they are released. */
 	close(): void {
 		this.#isClosed = true;
--- /dev/null
+++ b/src/core/tests/observer.test.ts
@@ -0,0 +1,101 @@
+import * as assert from 'node:assert/strict';
+import * as test from 'node:test';
+import * as Either from 'fp-ts/lib/Either.js';
+import * as acknowledgement from '../acknowledgement.js';
+import type * as backend from '../backend.js';
+import * as clock from '../clock.js';
+import * as errors from '../errors.js';
+import * as observer from '../observer.js';
+import * as fake from './fake.js';
+
+class Full extends fake.Unreachable {
+	override async connect(): Promise<errors.Outcome<backend.Connection>> {
+		return Either.left({...errors.failure('not-run', 'connect', this.name, 'Too many connections'), code: 1040});
+	}
+}
+
+async function observe(server: backend.Server, ms: number, time = new clock.Manual()): Promise<observer.Server> {
+	const stopped = new AbortController();
+	const observed = new observer.Server(server, time, fake.timing, () => undefined);
+	void observed.run(stopped.signal);
+	await time.advance(ms);
+	stopped.abort();
+	return observed;
+}
+
+// Guards against a promotion because a healthy primary is at its connection limit.
+test.test('a server that refuses with an error of its own is alive, and one that refuses the connection is not', async () => {
+	const full = await observe(new Full('a'), 1000);
+	assert.equal(full.refusals, 0);
+	assert.ok(full.lastAnswerAt >= 900);
+	const dead = await observe(new fake.Unreachable('a'), 1000);
+	assert.ok(dead.refusals >= 2);
+	assert.equal(dead.lastAnswerAt, 0);
+});
+
+// Guards against a connection attempt that merely timed out twice being taken for two refusals.
+test.test('a connection that times out is silence, not a refusal', async () => {
+	const time = new clock.Manual();
+	const slow = await observe(new fake.Unreachable('a', time, fake.timing.probeTimeoutMs), 1000, time);
+	assert.equal(slow.refusals, 0);
+});
+
+// Guards against an answer to an older question that arrives late and hides a promotion.
+test.test('a status that was asked for earlier does not replace a later one', async () => {
+	const site = new fake.Site(1);
+	await site.clock.advance(200);
+	const observed = site.owner(0).group.observed.servers.get('b');
+	const {status} = observed!.latest!;
+	observed!.learn({status: {...status, role: 'primary', term: 2}, askedAt: 1000, receivedAt: 1000});
+	observed!.learn({status, askedAt: 999, receivedAt: 1001});
+	assert.equal(site.owner(0).group.observed.primary?.status.server, 'b');
+	await site.stop();
+});
+
+// Guards against writes that wait until their deadline although a newer term has already decided about them.
+test.test('a write whose term has been replaced is refused at once', async () => {
+	const site = new fake.Site(1);
+	await site.clock.advance(200);
+	site.machine('b').adopt(5, 'x');
+	site.machine('c').adopt(5, 'x');
+	let outcome: errors.Outcome<void> | undefined;
+	const confirm = async (): Promise<void> => {
+		const policy = new acknowledgement.Durable(site.owner(0).clock);
+		outcome = await policy.confirm(site.owner(0).group.observed, 'a', {term: 1, index: 9}, 5000);
+	};
+
+	void confirm();
+	await site.clock.advance(60);
+	assert.ok(outcome && Either.isLeft(outcome) && outcome.left.kind === 'outcome-unknown');
+	await site.stop();
+});
+
+// Guards against reads and recalled records that rest on entries which a later primary may still drop.
+test.test('a primary without an entry of its term confirms no read point', async () => {
+	const site = new fake.Site(1);
+	await site.clock.advance(200);
+	for (const machine of site.machines.values()) {
+		machine.term = 2;
+	}
+
+	const point = site.owner(0).group.observed.readPoint(100);
+	await site.clock.advance(200);
+	assert.ok(Either.isLeft(await point));
+	await site.stop();
+});
+
+// Guards against requests that stay at a frozen primary until their deadline after it has been replaced.
+test.test('connections to a replaced primary are closed', async () => {
+	const site = new fake.Site(1);
+	await site.clock.advance(200);
+	const {group} = site.owner(0);
+	const held = group.acquirePrimary(1000);
+	await site.clock.advance(50);
+	const outcome = await held;
+	assert.ok(Either.isRight(outcome) && outcome.right.server === 'a' && outcome.right.isOpen);
+	site.machine('b').adopt(2, 'x');
+	site.machine('b').promote(2, 'x');
+	await site.clock.advance(100);
+	assert.equal(outcome.right.isOpen, false);
+	await site.stop();
+});
--- a/src/core/write.ts
+++ b/src/core/write.ts
@@ -65,7 +65,8 @@
 		const outcome = await connection.execute(request.sql, this.#left(deadline));
 		await this.#group.release(connection, 'clean');
 		if (Either.isRight(outcome)) {
-			return this.#acknowledge(outcome.right, connection.server, mode, deadline);
+			const acknowledged = await this.#acknowledge(outcome.right, connection.server, mode, deadline);
+			return Either.isLeft(acknowledged.outcome) && mode.isIdempotent ? {...acknowledged, kind: 'retry'} : acknowledged;
 		}
 
 		if (isRefused(outcome.left)) {
--- a/src/host/host.ts
+++ b/src/host/host.ts
@@ -5,9 +5,11 @@
 import type * as net from 'node:net';
 import * as Either from 'fp-ts/lib/Either.js';
 import * as address from '../core/address.js';
+import * as claim from '../core/claim.js';
 import * as clock from '../core/clock.js';
 import * as dispatch from '../core/dispatch.js';
 import type * as errors from '../core/errors.js';
+import * as peers from '../core/peers.js';
 import * as random from '../core/random.js';
 import type * as session from '../core/session.js';
 import * as settings from '../core/settings.js';
@@ -25,6 +27,9 @@
 const storeRetryMs = 1000;
 const serverVersion = '8.0.0-sycamorering';
 
+/** Parts that a test or measurement replaces. */
+export type Replacements = {readonly peers?: peers.Peers; readonly claim?: claim.Policy};
+
 /** Executes every request here. */
 class Local extends dispatch.Dispatcher {
 	readonly #owner: owner.Owner;
@@ -58,12 +63,20 @@
 	#configuration: {version: number; content: types.Configuration} | undefined;
 	#isDraining = false;
 
-	constructor(hostSettings: types.Settings, platform: store.Store, logger: log.Logger) {
+	constructor(hostSettings: types.Settings, platform: store.Store, logger: log.Logger, replaced: Replacements = {}) {
 		this.#settings = hostSettings;
 		this.#store = platform;
 		this.#logger = logger;
 		this.#owner = new owner.Owner({
-			clock: this.#clock, place: hostSettings.host.place, timing: hostSettings.timing, logger,
+			clock: this.#clock,
+			random: new random.System(),
+			name: hostSettings.host.name,
+			place: hostSettings.host.place,
+			timing: hostSettings.timing,
+			logger,
+			peers: replaced.peers ?? new peers.Alone(),
+			store: platform,
+			claim: replaced.claim ?? new claim.Ballot(this.#clock),
 		});
 		this.#callers = new callers.Callers({
 			clock: this.#clock,
@@ -79,6 +92,11 @@
 		});
 	}
 
+	/** The services that this host owns. */
+	get owner(): owner.Owner {
+		return this.#owner;
+	}
+
 	/** Listens and starts the tasks; gives the ports. */
 	async start(): Promise<Ports> {
 		const {caller, http: web} = this.#settings.listen;
--- a/src/host/owner.ts
+++ b/src/host/owner.ts
@@ -3,12 +3,18 @@
 */
 import type * as clock from '../core/clock.js';
 import * as address from '../core/address.js';
+import type * as claim from '../core/claim.js';
 import * as errors from '../core/errors.js';
 import * as group from '../core/group.js';
+import type * as peers from '../core/peers.js';
+import * as promotion from '../core/promotion.js';
+import type * as random from '../core/random.js';
 import * as routing from '../core/routing.js';
 import * as service from '../core/service.js';
 import type * as types from '../generated/types.js';
 import * as client from '../mysql/client.js';
+import type * as store from '../platform/store.js';
+import * as changes from './changes.js';
 import type * as log from './log.js';
 
 /** Time in ms that a replica is expected to take for an answer. */
@@ -19,12 +25,18 @@
 /** What owning services needs. */
 export type Parts = {
 	readonly clock: clock.Clock;
+	readonly random: random.Source;
+	/** Name of this host. */
+	readonly name: string;
 	readonly place: string;
 	readonly timing: types.Timing;
 	readonly logger: log.Logger;
+	readonly peers: peers.Peers;
+	readonly store: store.Store;
+	readonly claim: claim.Policy;
 };
 
-type Owned = {readonly service: service.Service; readonly servers: string; readonly stop: AbortController; task: Promise<void>};
+type Owned = {readonly service: service.Service; readonly promotion: promotion.Promotion; readonly servers: string; readonly stop: AbortController; task: Promise<void>};
 
 /** Owned services by name. */
 export class Owner {
@@ -45,6 +57,11 @@
 		return this.#owned.get(name)?.service;
 	}
 
+	/** The promotion task of an owned service; answers the other owners' questions and takes their notices. */
+	promotion(name: string): promotion.Promotion | undefined {
+		return this.#owned.get(name)?.promotion;
+	}
+
 	/** Owns exactly the services in `names`, with the settings of the configuration. */
 	async configure(configuration: types.Configuration, names: readonly string[]): Promise<void> {
 		for (const name of this.#owned.keys()) {
@@ -86,8 +103,13 @@
 		const stop = new AbortController();
 		const taken = new service.Service(this.#makeGroup(name, settings), settings, new routing.Fresh(expectedServiceMs));
 		taken.group.markLeaving(leavingServers(settings));
+		const task = this.#makePromotion(taken.group);
 		this.#owned.set(name, {
-			service: taken, servers: fingerprint(settings), stop, task: taken.group.run(stop.signal),
+			service: taken,
+			promotion: task,
+			servers: fingerprint(settings),
+			stop,
+			task: this.#run(taken.group, task, stop.signal),
 		});
 		this.#parts.logger.info('took ownership of service', {service: name});
 	}
@@ -103,6 +125,17 @@
 		}, servers, this.#parts.clock);
 	}
 
+	#makePromotion(owned: group.Group): promotion.Promotion {
+		const {name, timing, random: source, claim: policy, peers: others, store: platform, logger} = this.#parts;
+		return new promotion.Promotion({
+			group: owned, host: name, timing, random: source, policy, peers: others, store: platform, recorder: new changes.Log(logger),
+		});
+	}
+
+	async #run(owned: group.Group, task: promotion.Promotion, signal: AbortSignal): Promise<void> {
+		await Promise.all([owned.run(signal), task.run(signal)]);
+	}
+
 	async #release(name: string): Promise<void> {
 		const owned = this.#owned.get(name);
 		if (owned) {
--- a/src/standin/deployment.ts
+++ b/src/standin/deployment.ts
@@ -3,6 +3,7 @@
 */
 import * as Either from 'fp-ts/lib/Either.js';
 import * as mysql from 'mysql2/promise';
+import * as claim from '../core/claim.js';
 import * as clock from '../core/clock.js';
 import * as errors from '../core/errors.js';
 import * as settings from '../core/settings.js';
@@ -10,7 +11,10 @@
 import * as log from '../host/log.js';
 import * as server from '../mysql/server.js';
 import * as http from '../platform/http.js';
+import * as store from '../platform/store.js';
 import * as group from './group.js';
+import * as neighbours from './neighbours.js';
+import type * as network from './network.js';
 import * as platform from './platform.js';
 
 /** What is deployed. */
@@ -21,6 +25,10 @@
 	readonly classes?: string;
 	/** The `timing` section of each entry host, as INI text. */
 	readonly timing?: string;
+	/** How the entry hosts claim terms; `ballot` by default. */
+	readonly claim?: 'ballot' | 'store';
+	/** Whether the entry hosts hear each other; false by default. */
+	readonly isLinked?: boolean;
 };
 
 /** A running entry host and its ports. */
@@ -32,15 +40,46 @@
 const readyPollMs = 10;
 const readyLimitMs = 10_000;
 
+/** The store as the hosts of one place see it: the configuration names the links to the servers. */
+class Located extends store.Store {
+	readonly #store: store.Store;
+	readonly #group: group.Group;
+	readonly #place: string;
+	readonly #network: network.Network;
+
+	constructor(platformStore: store.Store, servers: group.Group, place: string, links: network.Network) {
+		super();
+		this.#store = platformStore;
+		this.#group = servers;
+		this.#place = place;
+		this.#network = links;
+	}
+
+	override async read(key: string): Promise<errors.Outcome<store.Entry>> {
+		return this.#store.read(key);
+	}
+
+	override async update(key: string, value: string, expectedVersion: number): Promise<errors.Outcome<store.Entry>> {
+		return this.#store.update(key, value, expectedVersion);
+	}
+
+	override async watch(key: string, afterVersion: number, signal: AbortSignal): Promise<errors.Outcome<store.Entry>> {
+		const outcome = await this.#store.watch(key, afterVersion, signal);
+		return key === 'configuration' && Either.isRight(outcome) && outcome.right.version > afterVersion
+			? Either.right({...outcome.right, value: await this.#group.locate(outcome.right.value, this.#place, this.#network)})
+			: outcome;
+	}
+}
+
 /** A deployment with one service, `ledgers`, and one account. */
 export class Deployment {
 	static async start(options: Options): Promise<Deployment> {
 		const servers = await group.Group.start(options);
-		const store = new platform.Platform();
-		const url = await store.start(address, 0);
+		const platformStandin = new platform.Platform();
+		const url = await platformStandin.start(address, 0);
 		const account = `[account.${user}]\nservice = ledgers\ntenant = cascade\npasswordHash = ${server.hashPassword(password)}\n`;
-		store.put('configuration', `${servers.configuration('ledgers', options.classes)}\n${account}`);
-		const deployment = new Deployment(servers, store, url, options.timing ?? '');
+		platformStandin.put('configuration', `${servers.configuration('ledgers', options.classes)}\n${account}`);
+		const deployment = new Deployment(servers, platformStandin, url, options);
 		for (const [index, place] of options.hosts.entries()) {
 			await deployment.addHost(`entry-${index + 1}`, place);
 		}
@@ -51,14 +90,16 @@
 	readonly group: group.Group;
 	readonly platform: platform.Platform;
 	readonly entries: Entry[] = [];
+	readonly hub: neighbours.Hub;
 	readonly #url: string;
-	readonly #timing: string;
+	readonly #options: Options;
 
-	private constructor(servers: group.Group, store: platform.Platform, url: string, timing: string) {
+	private constructor(servers: group.Group, platformStandin: platform.Platform, url: string, options: Options) {
 		this.group = servers;
-		this.platform = store;
+		this.platform = platformStandin;
+		this.hub = new neighbours.Hub(options.network);
 		this.#url = url;
-		this.#timing = timing;
+		this.#options = options;
 	}
 
 	/** Starts an entry host and waits until it is ready. */
@@ -76,13 +117,19 @@
 			`url = ${this.#url}`,
 			'watchMs = 500',
 			'[timing]',
-			this.#timing,
+			this.#options.timing ?? '',
 		].join('\n'), `${name}.ini`);
 		if (Either.isLeft(parsed)) {
 			throw new Error(errors.describe(parsed.left));
 		}
 
-		const entryHost = new host.Host(parsed.right, new http.Store(parsed.right.platform), log.create('silent', {}));
+		const {isLinked, network: links, claim: policy} = this.#options;
+		const api = new http.Store(parsed.right.platform);
+		const entryHost = new host.Host(parsed.right, links ? new Located(api, this.group, place, links) : api, log.create('silent', {}), {
+			peers: isLinked ? new neighbours.Neighbours(this.hub, name, place) : undefined,
+			claim: policy === 'store' ? new claim.Store(api, new clock.System()) : undefined,
+		});
+		this.hub.join({host: name, place, promotion: service => entryHost.owner.promotion(service)});
 		const entry = {host: entryHost, ports: await entryHost.start()};
 		this.entries.push(entry);
 		await waitUntilReady(entry.ports.http);
