--- a/src/core/settlement.ts
+++ b/src/core/settlement.ts
@@ -95,8 +95,8 @@
 
 	async #isKept(answer: types.Answer, deadline: number): Promise<boolean> {
 		const committed = answer.kind === 'ok' ? answer.position : null;
-		return committed === null
-			|| Either.isRight(await this.#policy.confirm(this.#group.observed, answer.server, committed, this.#left(deadline)));
+		return committed !== null
+			&& Either.isRight(await this.#policy.confirm(this.#group.observed, answer.server, committed, this.#left(deadline)));
 	}
 
 	#left(deadline: number): number {
--- a/src/core/write.ts
+++ b/src/core/write.ts
@@ -92,7 +92,8 @@
 		await this.#group.release(connection, mode.isRecordable ? 'clean' : 'dirty');
 		if (Either.isRight(outcome)) {
 			mode.permit.release();
-			return this.#acknowledge(outcome.right, connection.server, mode, deadline);
+			const acknowledged = await this.#acknowledge(outcome.right, connection.server, mode, deadline);
+			return Either.isLeft(acknowledged.outcome) && mode.isIdempotent ? {...acknowledged, kind: 'retry'} : acknowledged;
 		}
 
 		if (isRefused(outcome.left)) {
