--- a/src/core/read.ts
+++ b/src/core/read.ts
@@ -71,8 +71,9 @@
 		}
 
 		const primary = this.#group.observed.servers.get(point.right.server)?.latest;
-		if (request.position && primary && position.relate(primary.status, request.position) === 'lost') {
-			return errors.fail('position-lost', 'route', this.#group.name, `position ${position.format(request.position)} was lost in a failover`);
+		// The primary answered after the request arrived, so a position that it has not reached was never acknowledged.
+		if (request.position && primary && position.relate(primary.status, request.position) !== 'contains') {
+			return errors.fail('position-lost', 'route', this.#group.name, `position ${position.format(request.position)} is not in the log of the primary; it was lost in a failover`);
 		}
 
 		const wanted = position.latest(request.position, point.right.position);
--- a/src/core/session.ts
+++ b/src/core/session.ts
@@ -23,9 +23,19 @@
 const columnLength = 1024;
 
 const positionPattern = /^\s*select\s+@@(?:session\.)?sycamorering_position\s*;?\s*$/iv;
-/** Settings that drivers make when they connect and that change nothing here. */
-const harmlessPattern = /^\s*set\s+(?:names\b|character\s+set\b|(?:@@)?(?:session\s+|session\.)?(?:autocommit\s*=\s*(?:1|on|true)|character_set_results|net_write_timeout|sql_mode|time_zone)\b)/iv;
-const setPattern = /^\s*set\b/iv;
+/**
+Settings that drivers make when they connect and that hold on every connection anyway. ANSI_QUOTES and
+NO_BACKSLASH_ESCAPES would change what a statement means, so they are not among them.
+*/
+const harmlessVariable = String.raw`autocommit\s*=\s*(?:1|on|true)|character_set_results\s*=\s*(?:null|'?utf8\w*'?)|net_write_timeout\s*=\s*\d+|sql_mode\s*=\s*'(?:(?!ansi|no_backslash)[\w,])*'`;
+const harmlessSetting = String.raw`(?:(?:names|character\s+set)\s+'?utf8\w*'?|(?:@@)?(?:session\s+|session\.)?(?:${harmlessVariable}))`;
+const harmlessPattern = new RegExp(String.raw`^\s*set\s+${harmlessSetting}(?:\s*,\s*${harmlessSetting})*\s*;?\s*$`, 'iv');
+
+/**
+MySQL's codes for errors after which a transaction can't go on: the server rolled it back (deadlock, lock wait timeout
+with rollback) or is not primary any more. A later statement would run outside the transaction.
+*/
+const endingCodes = new Set([1205, 1213, 1290]);
 
 /**
 State of the session's transaction. After a failure the caller must end it, so that statements meant for the
@@ -46,6 +56,9 @@
 	#defaults: directive.Directives = {};
 	#position: types.Position | null = null;
 	#transaction: TransactionState = 'none';
+	/** Whether the open transaction ran a statement, and whether one of them generated an id. */
+	#hasRun = false;
+	#hasInserted = false;
 	#class = '';
 
 	constructor(account: Account, services: Services, dispatcher: dispatch.Dispatcher, source: random.Source) {
@@ -113,10 +126,6 @@
 			return Either.right(completion);
 		}
 
-		if (setPattern.test(text)) {
-			return errors.fail('directive', 'parse', this.#account.name, `"${text.trim().slice(0, 80)}" is not supported: variables do not last across pooled connections`);
-		}
-
 		return this.#request(text);
 	}
 
@@ -132,7 +141,7 @@
 		}
 
 		const outcome = await this.#dispatcher.execute(request.right);
-		this.#note(request.right, outcome);
+		await this.#note(request.right, outcome);
 		return outcome;
 	}
 
@@ -178,6 +187,11 @@
 			return errors.fail('directive', 'parse', this.#account.service, `class "${wanted}" takes reads only`);
 		}
 
+		const fault = this.#check(classified.right, parsed.right.directives, found);
+		if (fault !== '') {
+			return errors.fail('directive', 'parse', this.#account.service, fault);
+		}
+
 		return Either.right({
 			sql: parsed.right.sql,
 			session: this.#name,
@@ -193,18 +207,56 @@
 		});
 	}
 
+	/** Why the statement can't run as things stand in this session; empty if it can. */
+	#check({transaction, isRecordable, isCommitting, needs}: statement.Statement, {request}: directive.Directives, {kind, idempotent}: types.Class): string {
+		const isOpen = this.isInTransaction;
+		if (isOpen && transaction === 'begin') {
+			return 'a transaction is open; commit it or roll it back first';
+		}
+
+		if (isOpen && isCommitting) {
+			return 'this statement would commit the open transaction; commit it or roll it back first';
+		}
+
+		const isKnown = needs === 'LAST_INSERT_ID()' ? this.#hasInserted : this.#hasRun;
+		if (needs !== '' && !(isOpen && isKnown)) {
+			return `${needs} is only supported inside a transaction, after the statement it refers to`;
+		}
+
+		if (request !== undefined && kind === 'write' && transaction === 'none' && !isOpen && !isRecordable && !idempotent) {
+			return 'a request id is only supported for INSERT, UPDATE, DELETE and REPLACE, since nothing records whether another statement ran';
+		}
+
+		return '';
+	}
+
 	#step(step: statement.Statement['transaction']): types.TransactionStep {
 		return step === 'none' && this.#transaction === 'open' ? 'within' : step;
 	}
 
-	#note(request: types.Request, outcome: errors.Outcome<types.Answer>): void {
-		const isLost = Either.isLeft(outcome) && outcome.left.kind !== 'database';
-		if (request.transaction === 'begin') {
-			this.#transaction = Either.isRight(outcome) ? 'open' : 'failed';
-		} else if (request.transaction === 'within' && isLost) {
-			this.#transaction = 'failed';
-		} else if (request.transaction === 'commit' || request.transaction === 'rollback') {
-			this.#transaction = 'none';
+	async #note(request: types.Request, outcome: errors.Outcome<types.Answer>): Promise<void> {
+		switch (request.transaction) {
+			case 'begin': {
+				this.#transaction = Either.isRight(outcome) ? 'open' : 'failed';
+				this.#hasRun = false;
+				this.#hasInserted = false;
+				break;
+			}
+
+			case 'within': {
+				await this.#noteWithin(outcome);
+				break;
+			}
+
+			case 'commit':
+			case 'rollback': {
+				this.#transaction = 'none';
+				break;
+			}
+
+			case 'none': {
+				break;
+			}
 		}
 
 		if (Either.isRight(outcome) && outcome.right.kind === 'ok') {
@@ -212,6 +264,19 @@
 		}
 	}
 
+	async #noteWithin(outcome: errors.Outcome<types.Answer>): Promise<void> {
+		if (Either.isRight(outcome)) {
+			this.#hasRun = true;
+			this.#hasInserted ||= outcome.right.kind === 'ok' && outcome.right.insertId > 0;
+			return;
+		}
+
+		if (outcome.left.kind !== 'database' || endingCodes.has(outcome.left.code)) {
+			this.#transaction = 'failed';
+			await this.#dispatcher.endSession(this.#account.service, this.#name);
+		}
+	}
+
 	#describePosition(): types.Answer {
 		return {
 			kind: 'rows',
--- a/src/core/write.ts
+++ b/src/core/write.ts
@@ -3,7 +3,7 @@
 */
 import * as Either from 'fp-ts/lib/Either.js';
 import type * as types from '../generated/types.js';
-import type * as acknowledgement from './acknowledgement.js';
+import * as acknowledgement from './acknowledgement.js';
 import type * as backend from './backend.js';
 import * as errors from './errors.js';
 import type * as group from './group.js';
@@ -28,9 +28,15 @@
 /** Executes writes of one group. */
 export class Writer {
 	readonly #group: group.Group;
+	/**
+	For records that decide what a caller is told. A class with a weaker policy could lose the record in a failover,
+	and then a request that was reported as not run could come back with the log of an older primary.
+	*/
+	readonly #durable: acknowledgement.Durable;
 
 	constructor(servers: group.Group) {
 		this.#group = servers;
+		this.#durable = new acknowledgement.Durable(servers.clock);
 	}
 
 	/**
@@ -41,18 +47,21 @@
 	async execute(request: types.Request, mode: Mode): Promise<errors.Outcome<types.Answer>> {
 		const deadline = this.#group.clock.now() + request.deadlineMs;
 		let attempt: Attempt;
+		let unknown: errors.Outcome<types.Answer> | undefined;
 		do {
 			attempt = mode.isRecordable && !mode.isIdempotent
 				? await this.#attemptRecorded(request, mode, deadline)
 				: await this.#attemptPlain(request, mode, deadline);
 			if (attempt.kind === 'final') {
-				return attempt.outcome;
+				break;
 			}
 
+			unknown = isUnknown(attempt.outcome) ? attempt.outcome : unknown;
 			await this.#group.clock.sleep(retryPauseMs);
 		} while (this.#group.clock.now() < deadline);
 
-		return attempt.outcome;
+		// An earlier attempt may have run, so that a later one which did not settles nothing.
+		return unknown && Either.isLeft(attempt.outcome) ? unknown : attempt.outcome;
 	}
 
 	async #attemptPlain(request: types.Request, mode: Mode, deadline: number): Promise<Attempt> {
@@ -65,7 +74,9 @@
 		const outcome = await connection.execute(request.sql, this.#left(deadline));
 		await this.#group.release(connection, 'clean');
 		if (Either.isRight(outcome)) {
-			return this.#acknowledge(outcome.right, connection.server, mode, deadline);
+			return outcome.right.kind === 'ok' && outcome.right.position
+				? this.#acknowledge(outcome.right, connection.server, mode.policy, deadline)
+				: this.#confirmPrimary(outcome.right, deadline);
 		}
 
 		if (isRefused(outcome.left)) {
@@ -94,8 +105,8 @@
 		const outcome = await this.#executeRecorded(connection, request, deadline);
 		await this.#group.release(connection, Either.isRight(outcome) ? 'clean' : 'dirty');
 		if (Either.isRight(outcome)) {
-			const acknowledged = await this.#acknowledge(outcome.right, connection.server, mode, deadline);
-			return Either.isRight(acknowledged.outcome) ? acknowledged : this.#settle(request, mode, deadline);
+			const acknowledged = await this.#acknowledge(outcome.right, connection.server, mode.policy, deadline);
+			return Either.isRight(acknowledged.outcome) ? acknowledged : this.#settle(request, deadline);
 		}
 
 		if (isRefused(outcome.left)) {
@@ -103,11 +114,11 @@
 		}
 
 		if (outcome.left.kind === 'outcome-unknown') {
-			return this.#settle(request, mode, deadline);
+			return this.#settle(request, deadline);
 		}
 
 		return outcome.left.kind === 'database'
-			? this.#explain(outcome.left, request, mode, deadline)
+			? this.#explain(outcome.left, request, deadline)
 			: {kind: 'final', outcome};
 	}
 
@@ -129,18 +140,32 @@
 			: executed.right)(committed);
 	}
 
-	async #acknowledge(answer: types.Answer, server: string, mode: Mode, deadline: number): Promise<Attempt> {
+	async #acknowledge(answer: types.Answer, server: string, policy: acknowledgement.Policy, deadline: number): Promise<Attempt> {
 		const committed = answer.kind === 'ok' ? answer.position : null;
 		if (!committed) {
 			return {kind: 'final', outcome: Either.right(answer)};
 		}
 
-		const confirmed = await mode.policy.confirm(this.#group.observed, server, committed, this.#left(deadline));
+		const confirmed = await policy.confirm(this.#group.observed, server, committed, this.#left(deadline));
 		return {kind: 'final', outcome: Either.map(() => answer)(confirmed)};
 	}
 
+	/**
+	An answer without a commit, for example of a locking read or of an update that matched nothing, still comes from a
+	server that may have been replaced. It passes if the server is confirmed as primary afterwards.
+	*/
+	async #confirmPrimary(answer: types.Answer, deadline: number): Promise<Attempt> {
+		const point = await this.#group.observed.readPoint(this.#left(deadline));
+		if (Either.isRight(point) && point.right.server === answer.server) {
+			return {kind: 'final', outcome: Either.right(answer)};
+		}
+
+		const reason = Either.isRight(point) ? 'the server that answered has been replaced as primary' : point.left.message;
+		return {kind: 'final', outcome: errors.fail('outcome-unknown', 'acknowledge', answer.server, reason)};
+	}
+
 	/** An error of the statement may come from an earlier run of the same request, which its record then shows. */
-	async #explain(failure: errors.Failure, request: types.Request, mode: Mode, deadline: number): Promise<Attempt> {
+	async #explain(failure: errors.Failure, request: types.Request, deadline: number): Promise<Attempt> {
 		const acquired = await this.#group.acquirePrimary(deadline);
 		if (Either.isLeft(acquired)) {
 			return {kind: 'final', outcome: Either.left(failure)};
@@ -149,7 +174,7 @@
 		const found = await record.find(acquired.right, record.id(request), this.#left(deadline));
 		await this.#group.release(acquired.right, 'clean');
 		return Either.isRight(found) && found.right
-			? this.#recall(found.right, request, mode, deadline)
+			? this.#recall(found.right, request, deadline)
 			: {kind: 'final', outcome: Either.left(failure)};
 	}
 
@@ -157,7 +182,7 @@
 	Finds out whether a request ran whose answer was lost. A cancelled record of the same id makes sure that it never
 	will, unless its own record is there already.
 	*/
-	async #settle(request: types.Request, mode: Mode, deadline: number): Promise<Attempt> {
+	async #settle(request: types.Request, deadline: number): Promise<Attempt> {
 		const key = record.id(request);
 		while (this.#left(deadline) > 1) {
 			const acquired = await this.#group.acquirePrimary(deadline);
@@ -172,11 +197,11 @@
 				: undefined;
 			await this.#group.release(connection, 'clean');
 			if (found && Either.isRight(found) && found.right) {
-				return this.#recall(found.right, request, mode, deadline);
+				return this.#recall(found.right, request, deadline);
 			}
 
 			if (Either.isRight(cancelled)) {
-				const acknowledged = await this.#acknowledge(cancelled.right, connection.server, mode, deadline);
+				const acknowledged = await this.#acknowledge(cancelled.right, connection.server, this.#durable, deadline);
 				if (Either.isRight(acknowledged.outcome)) {
 					return {kind: 'final', outcome: errors.fail('not-run', 'settle', connection.server, 'the connection was lost and the request was cancelled')};
 				}
@@ -189,10 +214,10 @@
 	}
 
 	/** The answer that a record stands for, once the record can't be lost any more. */
-	async #recall(found: record.Found, request: types.Request, mode: Mode, deadline: number): Promise<Attempt> {
+	async #recall(found: record.Found, request: types.Request, deadline: number): Promise<Attempt> {
 		const point = await this.#group.observed.readPoint(this.#left(deadline));
 		const confirmed = Either.isRight(point)
-			? await mode.policy.confirm(this.#group.observed, point.right.server, point.right.position, this.#left(deadline))
+			? await this.#durable.confirm(this.#group.observed, point.right.server, point.right.position, this.#left(deadline))
 			: point;
 		if (Either.isLeft(point) || Either.isLeft(confirmed)) {
 			return {kind: 'final', outcome: errors.fail('outcome-unknown', 'settle', this.#group.name, 'the record of the request could not be confirmed in time')};
@@ -215,6 +240,10 @@
 	}
 }
 
+function isUnknown(outcome: errors.Outcome<types.Answer>): boolean {
+	return Either.isLeft(outcome) && outcome.left.kind === 'outcome-unknown';
+}
+
 function isRefused(failure: errors.Failure): boolean {
 	return failure.kind === 'database' && failure.code === codeReadOnly;
 }
--- a/src/standin/database.ts
+++ b/src/standin/database.ts
@@ -83,6 +83,7 @@
 	readonly #connections = new Set<server.Connection>();
 	readonly #appended = new notifier.Notifier();
 	readonly #arrivals = new Map<number, number>();
+	readonly #dropped: log.Entry[][] = [];
 	#role: types.Role;
 	#term: number;
 	#claimant = '';
@@ -112,6 +113,11 @@
 		return this.#log.entries;
 	}
 
+	/** Entries that the server dropped because its primary does not hold them, with the log before them, one list each time. */
+	get dropped(): ReadonlyArray<readonly log.Entry[]> {
+		return this.#dropped;
+	}
+
 	get status(): types.Status {
 		return {
 			server: this.#options.name,
@@ -127,6 +133,11 @@
 		};
 	}
 
+	/** Time in ms, of this process's monotonic clock, at which the log received the entry with this index. */
+	arrivedAt(index: number): number | undefined {
+		return this.#arrivals.get(index);
+	}
+
 	/** Changes how the server behaves from now on. */
 	set(change: Partial<Faults>): void {
 		Object.assign(this.#faults, change);
@@ -562,6 +573,7 @@
 	async #rebuild(index: number, term: number, source: string): Promise<void> {
 		const release = await this.#writeLock.acquire(lockTimeoutMs);
 		if (release && this.#follows(term, source)) {
+			this.#dropped.push([...this.#log.entries]);
 			this.#log.truncate(index);
 			this.#engine.clear();
 			this.#engine.apply(this.#options.schema);
--- a/src/standin/deployment.ts
+++ b/src/standin/deployment.ts
@@ -10,8 +10,10 @@
 import * as log from '../host/log.js';
 import * as server from '../mysql/server.js';
 import * as http from '../platform/http.js';
+import * as store from '../platform/store.js';
 import * as group from './group.js';
 import * as platform from './platform.js';
+import * as relay from './relay.js';
 
 /** What is deployed. */
 export type Options = group.Options & {
@@ -21,8 +23,42 @@
 	readonly classes?: string;
 	/** The `timing` section of each entry host, as INI text. */
 	readonly timing?: string;
+	/**
+	One-way delay in ms from an entry host's place to a server's. If given, each entry host reaches each server through
+	a relay of its own.
+	*/
+	readonly linkMs?: (from: string, to: string) => number;
 };
 
+/** The platform's store as one entry host sees it: with the addresses of its relays in place of the servers'. */
+class Rewritten extends store.Store {
+	readonly #inner: store.Store;
+	readonly #addresses: ReadonlyMap<string, string>;
+
+	constructor(inner: store.Store, addresses: ReadonlyMap<string, string>) {
+		super();
+		this.#inner = inner;
+		this.#addresses = addresses;
+	}
+
+	override async read(key: string): Promise<errors.Outcome<store.Entry>> {
+		return Either.map((entry: store.Entry) => this.#rewrite(entry))(await this.#inner.read(key));
+	}
+
+	override async update(key: string, value: string, expectedVersion: number): Promise<errors.Outcome<store.Entry>> {
+		return this.#inner.update(key, value, expectedVersion);
+	}
+
+	override async watch(key: string, afterVersion: number, signal: AbortSignal): Promise<errors.Outcome<store.Entry>> {
+		return Either.map((entry: store.Entry) => this.#rewrite(entry))(await this.#inner.watch(key, afterVersion, signal));
+	}
+
+	#rewrite(entry: store.Entry): store.Entry {
+		const value = entry.value.replaceAll(/(?<=^address = )\S+$/gmv, found => this.#addresses.get(found) ?? found);
+		return {...entry, value};
+	}
+}
+
 /** A running entry host and its ports. */
 export type Entry = {readonly host: host.Host; readonly ports: host.Ports};
 
@@ -36,11 +72,11 @@
 export class Deployment {
 	static async start(options: Options): Promise<Deployment> {
 		const servers = await group.Group.start(options);
-		const store = new platform.Platform();
-		const url = await store.start(address, 0);
+		const objects = new platform.Platform();
+		const url = await objects.start(address, 0);
 		const account = `[account.${user}]\nservice = ledgers\ntenant = cascade\npasswordHash = ${server.hashPassword(password)}\n`;
-		store.put('configuration', `${servers.configuration('ledgers', options.classes)}\n${account}`);
-		const deployment = new Deployment(servers, store, url, options.timing ?? '');
+		objects.put('configuration', `${servers.configuration('ledgers', options.classes)}\n${account}`);
+		const deployment = new Deployment(servers, objects, url, options);
 		for (const [index, place] of options.hosts.entries()) {
 			await deployment.addHost(`entry-${index + 1}`, place);
 		}
@@ -51,14 +87,16 @@
 	readonly group: group.Group;
 	readonly platform: platform.Platform;
 	readonly entries: Entry[] = [];
+	/** Relays by entry host and server, for example `entry-1/a`. */
+	readonly relays = new Map<string, relay.Relay>();
 	readonly #url: string;
-	readonly #timing: string;
+	readonly #options: Options;
 
-	private constructor(servers: group.Group, store: platform.Platform, url: string, timing: string) {
+	private constructor(servers: group.Group, objects: platform.Platform, url: string, options: Options) {
 		this.group = servers;
-		this.platform = store;
+		this.platform = objects;
 		this.#url = url;
-		this.#timing = timing;
+		this.#options = options;
 	}
 
 	/** Starts an entry host and waits until it is ready. */
@@ -76,13 +114,13 @@
 			`url = ${this.#url}`,
 			'watchMs = 500',
 			'[timing]',
-			this.#timing,
+			this.#options.timing ?? '',
 		].join('\n'), `${name}.ini`);
 		if (Either.isLeft(parsed)) {
 			throw new Error(errors.describe(parsed.left));
 		}
 
-		const entryHost = new host.Host(parsed.right, new http.Store(parsed.right.platform), log.create('silent', {}));
+		const entryHost = new host.Host(parsed.right, await this.#openStore(name, place, parsed.right.platform), log.create('silent', {}));
 		const entry = {host: entryHost, ports: await entryHost.start()};
 		this.entries.push(entry);
 		await waitUntilReady(entry.ports.http);
@@ -104,9 +142,25 @@
 	/** Stops everything. */
 	async stop(): Promise<void> {
 		await Promise.all(this.entries.map(async entry => entry.host.stop()));
+		for (const link of this.relays.values()) {
+			link.stop();
+		}
+
 		this.platform.stop();
 		this.group.stop();
 	}
+
+	async #openStore(name: string, place: string, options: http.Options): Promise<store.Store> {
+		const addresses = new Map<string, string>();
+		const {linkMs} = this.#options;
+		for (const [server, {port}] of linkMs ? this.group.servers : []) {
+			const link = await relay.Relay.start({host: address, port}, linkMs?.(place, this.group.place(server)));
+			this.relays.set(`${name}/${server}`, link);
+			addresses.set(`${address}:${port}`, `${address}:${link.port}`);
+		}
+
+		return new Rewritten(new http.Store(options), addresses);
+	}
 }
 
 async function waitUntilReady(port: number): Promise<void> {
--- a/src/standin/group.ts
+++ b/src/standin/group.ts
@@ -63,6 +63,11 @@
 		return found;
 	}
 
+	/** Place of a server. */
+	place(name: string): string {
+		return this.#places[names.indexOf(name)] ?? '';
+	}
+
 	/** The configuration of the group as service `name`, with the classes in `classes` as INI text. */
 	configuration(name: string, classes = ''): string {
 		const sections = [...this.servers].map(([server, {port}], index) => [
