Fuzz and replay the promises against the servers' own logs, with mutations

Cause: the promises on what callers are told had two tests.

Change: fast-check cases with roaming sessions, transactions, repeated request ids, lag, silent and cut links and changes of primary, judged by the logs of the stand-ins; four recorded traces with stated outcomes; named mutations of the compiled code, each tied to its promise and test.

BEGIN on a silent connection used the whole deadline; it now has 500 ms. Statements used the time needed to settle them; they now have 70% of it. The database stand-in rolled an open transaction back at BEGIN where MySQL commits it, which hid a missing reset.

Ruled out: a mutation that ignores the age only when routing. It survives, since the check after the answer alone keeps the promise; it was replaced by one that leaves the answer's own time out.

--- /dev/null
+++ b/scripts/mutate.js
@@ -0,0 +1,103 @@
+/**
+Shows that the proofs can fail: applies one named mutation at a time to a copy of the compiled code under `out/mutate`,
+runs the tests that must catch it, and prints a table. Exits with 1 if a mutation survives. `--only NAME` runs one.
+*/
+import * as childProcess from 'node:child_process';
+import * as fs from 'node:fs';
+import * as path from 'node:path';
+import process from 'node:process';
+import * as url from 'node:url';
+import * as util from 'node:util';
+
+const root = path.join(path.dirname(url.fileURLToPath(import.meta.url)), '..');
+const scratch = path.join(root, 'out', 'mutate');
+const testTimeoutMs = 90_000;
+const tasks = 2;
+const trace = 'host/tests/trace.test.js';
+const fuzz = 'bench/tests/fuzz.test.js';
+const session = 'core/tests/session.test.js';
+const statement = 'core/tests/statement.test.js';
+
+/** Name, promise that it breaks, tests of which one must catch it, file, and the text that replaces another. */
+const mutations = [
+	['ignore the session position', 1, [trace, fuzz], 'core/read.js', 'position: request.position, maximumAgeMs: undefined', 'position: null, maximumAgeMs: undefined'],
+	['read point without a majority', 1, [trace, fuzz], 'core/observer.js', 'supporters.length < majority - 1', 'false'],
+	['answer without a commit unconfirmed', 1, [trace], 'core/write.js', 'Either.isRight(point) && point.right.server === answer.server', 'true'],
+	['skip the age check after the answer', 1, [trace, fuzz], 'core/read.js', 'ageMs > need.maximumAgeMs', 'false'],
+	['count the age without the answer\'s time', 1, [trace, fuzz], 'core/read.js', 'known + this.#group.clock.now() - sentAt', 'known'],
+	['acknowledge without asking', 2, [trace, fuzz], 'core/acknowledgement.js', 'name === \'durable\' ? new Durable(time)', 'name === \'durable\' ? new Immediate()'],
+	['reuse a connection without reset', 3, [trace, fuzz], 'core/pool.js', 'residue === \'dirty\'', 'residue === \'never\''],
+	['begin inside an open transaction', 3, [session], 'core/session.js', 'isOpen && transaction === \'begin\'', 'false'],
+	['go on after a deadlock', 3, [session], 'core/session.js', 'endingCodes.has(outcome.left.code)', 'false'],
+	['drop the last row of an answer', 4, [trace], 'mysql/client.js', 'rows: content,', 'rows: content.slice(0, -1),'],
+	['pass the answer of another read', 4, [fuzz, trace], 'core/read.js', 'const outcome = await acquired.right.execute(request.sql, timeoutMs);', 'const outcome = this.last ?? await acquired.right.execute(request.sql, timeoutMs); this.last = outcome;'],
+	['not-run after a lost connection without settling', 5, [trace, fuzz], 'core/write.js', 'const key = record.id(request);\n        while', 'const key = record.id(request);\n        return { kind: \'final\', outcome: errors.fail(\'not-run\', \'settle\', \'\', \'\') };\n        while'],
+	['not-run after an unknown attempt', 5, [trace, fuzz], 'core/write.js', 'unknown && Either.isLeft(attempt.outcome) ? unknown', 'false ? unknown'],
+	['cancel without a record', 5, [trace, fuzz], 'core/write.js', 'await record.insert(connection, key, { state: \'cancelled\', affectedRows: 0, insertId: 0 }, this.#left(deadline))', 'Either.right({ kind: \'ok\', affectedRows: 0, insertId: 0, position: null, server: connection.server })'],
+	['retry a non-idempotent write', 6, [trace], 'core/write.js', '(outcome.left.kind === \'outcome-unknown\' && mode.isIdempotent)', 'outcome.left.kind === \'outcome-unknown\''],
+	['skip the request record', 6, [trace, fuzz], 'core/write.js', 'await record.insert(connection, record.id(request), { state: \'done\', affectedRows, insertId }, this.#left(deadline))', 'Either.right({ kind: \'ok\', affectedRows: 0, insertId: 0, position: null, server: connection.server })'],
+	['accept a request id without a record', 6, [session], 'core/session.js', '!isRecordable && !idempotent', 'false'],
+	['allow several statements in one text', 1, [statement], 'core/statement.js', String.raw`/;[\s;]*[^\s;]/v.test(text)`, 'false'],
+	['treat executed comments as comments', 1, [statement], 'core/statement.js', 'executedCommentPattern.test(match)', 'false'],
+	['end a comment one line too late', 1, [statement], 'core/statement.js', String.raw`--(?=[\u0000-\u0020\u007F]|$)[^\n\0]*`, String.raw`--\s[^\n]*`],
+	['read with a stored function', 1, [statement], 'core/statement.js', 'functions.harmless.has((groups?.name ?? \'\').toLowerCase())', 'true'],
+	['ignore the connection share', '1.1', [trace], 'core/pool.js', 'this.#held.size + this.#idle.length + this.#opening', '0'],
+];
+
+/** Nothing is changed, so that every test must pass; else a failure of the machine would count as a catch. */
+const baseline = ['(none)', '', [trace, fuzz, session, statement], 'core/read.js', 'known + ', 'known + '];
+
+function prepare(index, mutation) {
+	const [name, file, from, to] = [mutation[0], ...mutation.slice(3)];
+	const folder = path.join(scratch, String(index));
+	fs.rmSync(folder, {recursive: true, force: true});
+	fs.mkdirSync(folder, {recursive: true});
+	fs.cpSync(path.join(root, 'dist'), path.join(folder, 'dist'), {recursive: true});
+	fs.cpSync(path.join(root, 'src/host/tests/traces'), path.join(folder, 'src/host/tests/traces'), {recursive: true});
+	fs.copyFileSync(path.join(root, 'package.json'), path.join(folder, 'package.json'));
+	const target = path.join(folder, 'dist', file);
+	const text = fs.readFileSync(target, 'utf8');
+	if (text.split(from).length !== 2) {
+		throw new Error(`mutation "${name}": its text occurs ${text.split(from).length - 1} times in ${file}`);
+	}
+
+	fs.writeFileSync(target, text.replace(from, () => to));
+	return folder;
+}
+
+async function run(folder, file) {
+	return new Promise(resolve => {
+		childProcess.execFile(process.execPath, ['--test', '--test-reporter=tap', path.join('dist', file)], {cwd: folder, timeout: testTimeoutMs, maxBuffer: 50_000_000}, (error, output) => {
+			const failed = /^not ok \d+ - (?<name>.*)$/mv.exec(output)?.groups?.name;
+			resolve(error ? (failed ?? 'the test did not end in time') : '');
+		});
+	});
+}
+
+async function check(index, mutation) {
+	const folder = prepare(index, mutation);
+	for (const file of mutation[2]) {
+		const failed = await run(folder, file);
+		if (failed !== '') {
+			return `${file}: ${failed.slice(0, 60)}`;
+		}
+	}
+
+	return '';
+}
+
+const {values} = util.parseArgs({options: {only: {type: 'string'}}});
+const pending = [baseline, ...mutations].map((mutation, index) => ({mutation, index}))
+	.filter(({mutation}) => mutation === baseline || values.only === undefined || mutation[0] === values.only);
+const results = [];
+await Promise.all(Array.from({length: tasks}, async () => {
+	for (let next = pending.shift(); next; next = pending.shift()) {
+		results.push({index: next.index, mutation: next.mutation, caughtBy: await check(next.index, next.mutation)});
+	}
+}));
+console.log('| mutation | promise | caught by |\n| --- | --- | --- |');
+for (const {mutation: [name, promise], caughtBy} of results.toSorted((left, right) => left.index - right.index)) {
+	console.log(`| ${name} | ${promise} | ${caughtBy === '' ? (name === baseline[0] ? 'passes' : '**survived**') : caughtBy} |`);
+}
+
+process.exitCode = results.some(({mutation, caughtBy}) => (caughtBy === '') !== (mutation === baseline)) ? 1 : 0;
--- /dev/null
+++ b/src/bench/cases.ts
@@ -0,0 +1,80 @@
+/**
+Random cases of the workload, for the tests and for `fuzz.js`.
+*/
+import * as fc from 'fast-check';
+import * as workload from '../standin/workload.js';
+
+const session = fc.nat(3);
+const host = fc.nat(2);
+const server = fc.constantFrom('a', 'b', 'c');
+
+/** Time in ms after which the log is searched once more for requests that were reported as not run. */
+const lateMs = 2000;
+
+const fault: fc.Arbitrary<workload.Fault> = fc.oneof(
+	fc.record({kind: fc.constantFrom('silence', 'silence', 'cut', 'refuse', 'accept', 'accept'), host, server}),
+	fc.record({
+		kind: fc.constant('cut-after'), host, server, direction: fc.constantFrom('toFar', 'toNear'), bytes: fc.nat(600),
+	}),
+	fc.record({
+		kind: fc.constant('delay'), host, server, ms: fc.constantFrom(0, 0, 20, 150),
+	}),
+	fc.record({kind: fc.constant('lag'), server, ms: fc.constantFrom(0, 20, 100, 400)}),
+	fc.record({kind: fc.constant('service'), server, ms: fc.constantFrom(0, 0, 30, 120)}),
+);
+
+/** Commands, with about as many faults as requests of each kind. */
+const commands = fc.noBias(fc.commands([
+	fc.tuple(session, fc.constantFrom('strict', 'session', 'aged'), fc.constantFrom(50, 100, 500, 2000)).map(([who, freshness, ageMs]) => new workload.Read(who, freshness, ageMs)),
+	fc.tuple(session, fc.constantFrom('strict', 'session', 'aged'), fc.constantFrom(50, 100, 200)).map(([who, freshness, ageMs]) => new workload.Read(who, freshness, ageMs)),
+	fc.tuple(session, fc.constantFrom('none', 'new', 'used'), fc.boolean()).map(([who, naming, isIdempotent]) => new workload.Write(who, naming, isIdempotent)),
+	fc.tuple(session, fc.constantFrom('none', 'new', 'used')).map(([who, naming]) => new workload.Write(who, naming, false)),
+	fc.tuple(session, fc.integer({min: 1, max: 3}), fc.constantFrom('commit', 'commit', 'rollback', 'vanish')).map(([who, statements, end]) => new workload.Transaction(who, statements, end)),
+	fc.tuple(session, host, fc.boolean()).map(([who, where, isCarrying]) => new workload.Roam(who, where, isCarrying)),
+	fc.array(fault, {minLength: 1, maxLength: 1}).map(faults => new workload.Faults(faults)),
+	fc.tuple(fault, fault).map(faults => new workload.Faults(faults)),
+	fc.boolean().map(isIsolating => new workload.Replace(isIsolating)),
+	fc.constantFrom(20, 60).map(ms => new workload.Pause(ms)),
+	fc.constantFrom(5, 30, 100, 300).map(ms => new workload.Pause(ms)),
+], {maxCommands: 60, size: 'max'}));
+
+/** What a case did. */
+export type Tally = {reads: number; writes: number; told: Record<string, number>};
+
+/**
+Runs the case of a seed. Gives the oracle's findings and the commands, or an empty text if all is well.
+
+@example
+```
+assert.equal(await cases.check(7, cases.tally()), '');
+```
+*/
+export async function check(seed: number, tally: Tally): Promise<string> {
+	const property = fc.asyncProperty(commands, async list => runCase(list, tally));
+	const {failed, errorInstance, counterexample} = await fc.check(property, {seed, numRuns: 1, endOnFailure: true});
+	return failed ? `${errorInstance instanceof Error ? errorInstance.message : String(errorInstance)}\n${(counterexample ?? []).map(list => [...list].join('; ')).join('')}` : '';
+}
+
+async function runCase(list: Iterable<fc.AsyncCommand<workload.Model, workload.Site>>, tally: Tally): Promise<void> {
+	const site = await workload.Site.start();
+	try {
+		await fc.asyncModelRun(() => ({model: {ids: 0, replacements: 0}, real: site}), list);
+		await site.settle();
+		report(site.judge());
+		await site.pause(lateMs);
+		report(site.judge());
+		tally.reads += site.reads.length;
+		tally.writes += site.writes.length;
+		for (const {told} of site.writes) {
+			tally.told[told] = (tally.told[told] ?? 0) + 1;
+		}
+	} finally {
+		await site.stop();
+	}
+}
+
+function report(faults: readonly string[]): void {
+	if (faults.length > 0) {
+		throw new Error(faults.slice(0, 5).join('\n'));
+	}
+}
--- a/src/core/write.ts
+++ b/src/core/write.ts
@@ -12,6 +12,10 @@
 /** MySQL's code with which a server that is not primary refuses a write. */
 const codeReadOnly = 1290;
 const retryPauseMs = 20;
+/** Time in ms after which a connection that does not even answer BEGIN counts as silent, and a new one is tried. */
+const beginTimeoutMs = 500;
+/** Share of the time left that the statements may take; the rest is for finding out the outcome if they fail. */
+const runShare = 0.7;
 
 /** How a write may be treated. */
 export type Mode = {
@@ -95,14 +99,14 @@
 		}
 
 		const connection = acquired.right;
-		const begun = await connection.execute('BEGIN', this.#left(deadline));
+		const begun = await connection.execute('BEGIN', Math.min(beginTimeoutMs, this.#left(deadline)));
 		if (Either.isLeft(begun)) {
 			// No byte of the request itself has been sent.
 			await this.#group.release(connection, 'dirty');
 			return {kind: 'retry', outcome: refuse(begun.left)};
 		}
 
-		const outcome = await this.#executeRecorded(connection, request, deadline);
+		const outcome = await this.#executeRecorded(connection, request, deadline - (this.#left(deadline) * (1 - runShare)));
 		await this.#group.release(connection, Either.isRight(outcome) ? 'clean' : 'dirty');
 		if (Either.isRight(outcome)) {
 			const acknowledged = await this.#acknowledge(outcome.right, connection.server, mode.policy, deadline);
--- /dev/null
+++ b/src/host/tests/trace.test.ts
@@ -0,0 +1,118 @@
+import * as assert from 'node:assert/strict';
+import * as fs from 'node:fs';
+import * as test from 'node:test';
+import type * as mysql from 'mysql2/promise';
+import * as clock from '../../core/clock.js';
+import * as workload from '../../standin/workload.js';
+
+/** A step at its time after the start. Steps of one session on one host follow each other. */
+type Step = {readonly atMs: number} & (
+	| {readonly session: string; readonly host: number; readonly class: string; readonly sql: string; readonly expect: Expected}
+	| {readonly fault: workload.Fault}
+	| {readonly replace: 'isolating' | 'told'}
+	| {readonly vanish: string}
+);
+/** What a caller must be told; rows are those of the first column. */
+type Expected = {readonly told: readonly string[]; readonly rows?: readonly string[]; readonly insertId?: number};
+/** A trace: `log` holds the rows or tables that each entry of the final log made. */
+type Trace = {readonly guards: string; readonly lagMs: number; readonly steps: readonly Step[]; readonly log: ReadonlyArray<readonly string[]>};
+
+const folder = new URL('../../../src/host/tests/traces/', import.meta.url);
+const time = new clock.System();
+
+class Replay {
+	readonly #site: workload.Site;
+	readonly #started = time.now();
+	readonly #connections = new Map<string, mysql.Connection>();
+	readonly #hosts = new Map<string, number>();
+	readonly #positions = new Map<string, string>();
+	readonly #tails = new Map<string, Promise<void>>();
+
+	constructor(site: workload.Site) {
+		this.#site = site;
+	}
+
+	async run(trace: Trace): Promise<void> {
+		await Promise.all(trace.steps.map(async step => {
+			await time.sleep(this.#started + step.atMs - time.now());
+			await this.#step(step);
+		}));
+	}
+
+	close(): void {
+		for (const connection of this.#connections.values()) {
+			connection.destroy();
+		}
+	}
+
+	async #step(step: Step): Promise<void> {
+		if ('fault' in step) {
+			workload.cause(this.#site.deployment, step.fault);
+		} else if ('replace' in step) {
+			await this.#site.replace(step.replace === 'isolating');
+		} else if ('vanish' in step) {
+			this.#connections.get(`${step.vanish} 0`)?.destroy();
+		} else {
+			const previous = this.#tails.get(step.session);
+			const tail = (async () => {
+				await previous;
+				await this.#execute(step);
+			})();
+			this.#tails.set(step.session, tail);
+			await tail;
+		}
+	}
+
+	async #execute({session, host, class: name, sql, expect}: Extract<Step, {sql: string}>): Promise<void> {
+		const connection = await this.#connect(session, host);
+		let told = 'ok';
+		let content: unknown;
+		try {
+			[content] = await connection.query(`/* sycamorering class=${name} */ ${sql}`);
+		} catch (error) {
+			told = (error as Error).message;
+		}
+
+		assert.ok(expect.told.some(kind => told === 'ok' ? kind === 'ok' : told.startsWith(`${kind}:`)), `${session}: ${sql}: ${told}`);
+		if (expect.rows) {
+			assert.deepEqual((content as Array<{mark: string}>).map(({mark}) => mark), expect.rows, `${session}: ${sql}`);
+		}
+
+		if (expect.insertId) {
+			assert.equal((content as {insertId: number}).insertId, expect.insertId, `${session}: ${sql}`);
+		}
+
+		this.#positions.set(session, await workload.readPosition(connection) ?? '');
+	}
+
+	/** The session's connection to this host; the session's position comes along. */
+	async #connect(session: string, host: number): Promise<mysql.Connection> {
+		const key = `${session} ${host}`;
+		const connection = this.#connections.get(key) ?? await this.#site.deployment.connect(host);
+		if (this.#hosts.get(session) !== host && this.#positions.get(session)) {
+			await connection.query(`SET @sycamorering_position = '${this.#positions.get(session)!}'`);
+		}
+
+		this.#connections.set(key, connection);
+		this.#hosts.set(session, host);
+		return connection;
+	}
+}
+
+for (const name of fs.readdirSync(folder)) {
+	const trace = JSON.parse(fs.readFileSync(new URL(name, folder), 'utf8')) as Trace;
+	// Each trace names the failure that it guards against.
+	test.test(`trace ${name}: ${trace.guards}`, async () => {
+		const site = await workload.Site.start(trace.lagMs);
+		const replay = new Replay(site);
+		try {
+			await replay.run(trace);
+			await site.settle();
+			assert.deepEqual(site.final().map(({writes}) => writes.flatMap(sql => /VALUES \('(?<mark>\w+)'\)|EXISTS (?<table>\w+)/v.exec(sql)?.slice(1).find(Boolean) ?? [])).filter(made => made.length > 0), trace.log);
+			assert.deepEqual(site.judgeConnections(), []);
+		} finally {
+			replay.close();
+			await site.stop();
+		}
+	});
+}
--- a/src/mysql/client.ts
+++ b/src/mysql/client.ts
@@ -69,6 +69,8 @@
 	override readonly server: string;
 	readonly #wire: mysql.Connection;
 	#isOpen = true;
+	/** Ends the statement that waits for its answer. */
+	#abandon: ((reason: string) => void) | undefined;
 
 	constructor(server: string, wire: mysql.Connection) {
 		super();
@@ -92,13 +94,23 @@
 		}
 
 		return new Promise(resolve => {
+			const finish = (outcome: errors.Outcome<types.Answer>): void => {
+				clearTimeout(timer);
+				this.#abandon = undefined;
+				resolve(outcome);
+			};
+
 			const timer = setTimeout(() => {
+				this.#abandon?.(`no complete answer within ${Math.round(timeoutMs)} ms`);
 				this.close();
-				resolve(errors.fail('outcome-unknown', 'receive', this.server, `no complete answer within ${timeoutMs} ms`));
 			}, timeoutMs);
+			// The library does not call back when the connection is destroyed here, so that `close` has to.
+			this.#abandon = reason => {
+				finish(errors.fail('outcome-unknown', 'receive', this.server, reason));
+			};
+
 			this.#wire.query({sql, rowsAsArray: true, typeCast: readCell}, (error, content, fields) => {
-				clearTimeout(timer);
-				resolve(error ? this.#refuse(error) : Either.right(this.#read(content, fields as unknown as Field[])));
+				finish(error ? this.#refuse(error) : Either.right(this.#read(content, fields as unknown as Field[])));
 			});
 		});
 	}
@@ -135,6 +147,7 @@
 	override close(): void {
 		this.#isOpen = false;
 		this.#wire.destroy();
+		this.#abandon?.('the connection was lost');
 	}
 
 	/** Calls a procedure of the group, which answers with one JSON document in one row. */
--- a/src/standin/database.ts
+++ b/src/standin/database.ts
@@ -271,8 +271,13 @@
 		}
 	}
 
+	/** Begins a transaction. As in MySQL, one that is open is committed first. */
 	async #begin(session: Session): Promise<errors.Outcome<types.Answer>> {
-		this.#rollback(session);
+		const committed = this.#commit(session);
+		if (Either.isLeft(committed)) {
+			return committed;
+		}
+
 		session.isInTransaction = true;
 		session.term = this.#term;
 		return Either.right(this.#completion(null));
--- a/src/standin/relay.ts
+++ b/src/standin/relay.ts
@@ -32,6 +32,9 @@
 */
 const orphanLimitMs = 300;
 
+/** Time in ms within which this process notices that an end has closed a connection before it opened the next. */
+const closingMs = 20;
+
 /** A running relay. */
 export class Relay {
 	static async start(target: Target, delayMs = 0): Promise<Relay> {
@@ -46,6 +49,7 @@
 	readonly #faults: Faults;
 	readonly #clock = new clock.System();
 	readonly #pairs = new Set<Pair>();
+	#mostOpen = 0;
 	readonly #listener = net.createServer(near => {
 		this.#accept(near);
 	});
@@ -60,9 +64,9 @@
 		return (this.#listener.address() as net.AddressInfo).port;
 	}
 
-	/** Connections whose near end is open. */
-	get open(): number {
-		return [...this.#pairs].filter(({near}) => !near.destroyed).length;
+	/** Most connections whose near end was open at the same time, not counting those that close within `closingMs`. */
+	get mostOpen(): number {
+		return this.#mostOpen;
 	}
 
 	/** Changes the delay, and whether new connections are refused. */
@@ -108,6 +112,7 @@
 			near, far, isSilent: false, left: {toFar: Number.POSITIVE_INFINITY, toNear: Number.POSITIVE_INFINITY},
 		};
 		this.#pairs.add(pair);
+		void this.#count();
 		this.#pass(pair, 'toFar');
 		this.#pass(pair, 'toNear');
 	}
@@ -145,6 +150,12 @@
 		});
 	}
 
+	async #count(): Promise<void> {
+		const present = [...this.#pairs];
+		await this.#clock.sleep(closingMs);
+		this.#mostOpen = Math.max(this.#mostOpen, present.filter(({near}) => !near.destroyed).length);
+	}
+
 	async #orphan(pair: Pair): Promise<void> {
 		await this.#clock.sleep(orphanLimitMs);
 		close(pair);
