--- a/src/caller/session.ts
+++ b/src/caller/session.ts
@@ -246,7 +246,9 @@
 		// Once an attempt may have run, only an answer under the same id or a settled `not-run` tells its outcome.
 		let isUnknown = false;
 		for (;;) {
-			const outcome = await this.#attempt(directive.format({class: name, request}) + sql, values, request, end);
+			// Only a statement that a record covers may carry an id that the caller did not choose.
+			const directives = {class: name, ...((isRepeatable || requestId !== undefined) && {request})};
+			const outcome = await this.#attempt(directive.format(directives) + sql, values, request, end);
 			if (Either.isRight(outcome)) {
 				return this.#finishWrite(outcome.right, end);
 			}
--- a/src/core/transaction.ts
+++ b/src/core/transaction.ts
@@ -101,7 +101,8 @@
 			return this.#ended();
 		}
 
-		if (statement.commitsImplicitly(request.sql)) {
+		const classified = statement.classify(request.sql);
+		if (Either.isRight(classified) && classified.right.isCommitting) {
 			// Part of the transaction would be committed without its record, and before its caller says so.
 			await this.end(request.session);
 			return errors.fail('directive', 'parse', this.#group.name, 'the statement would commit the open transaction, which was rolled back');
--- a/src/core/write.ts
+++ b/src/core/write.ts
@@ -17,6 +17,10 @@
 const retryPauseMs = 20;
 /** Longest wait in ms for a new status of a server that failed a write. */
 const refreshTimeoutMs = 500;
+/** Time in ms after which a connection that does not even answer BEGIN counts as silent, and a new one is tried. */
+const beginTimeoutMs = 500;
+/** Share of the time left that the statements may take; the rest is for finding out the outcome if they fail. */
+const runShare = 0.7;
 
 /** How a write may be treated. */
 export type Mode = {
@@ -53,11 +57,13 @@
 		const deadline = this.#group.clock.now() + request.deadlineMs;
 		const attempts = this.#retries.open();
 		let outcome: errors.Outcome<types.Answer> = errors.fail('not-run', 'route', this.#group.name, 'the deadline passed');
+		let unknown: errors.Outcome<types.Answer> | undefined;
 		while (this.#group.clock.now() < deadline) {
 			if (!attempts.next()) {
-				return Either.mapLeft((failure: errors.Failure): errors.Failure => failure.kind === 'not-run'
+				outcome = Either.mapLeft((failure: errors.Failure): errors.Failure => failure.kind === 'not-run'
 					? {...failure, step: 'admit', message: `${failure.message}; the retry budget is spent`}
 					: failure)(outcome);
+				break;
 			}
 
 			const attempt = mode.isRecordable && !mode.isIdempotent
@@ -65,13 +71,15 @@
 				: await this.#attemptPlain(request, mode, deadline);
 			outcome = attempt.outcome;
 			if (attempt.kind === 'final' || Either.isRight(outcome)) {
-				return outcome;
+				break;
 			}
 
+			unknown = isUnknown(outcome) ? outcome : unknown;
 			await this.#refresh(outcome.left, deadline);
 		}
 
-		return outcome;
+		// An earlier attempt may have run, so that a later one which did not settles nothing.
+		return unknown && Either.isLeft(outcome) ? unknown : outcome;
 	}
 
 	/** Learns whether a server that failed a write is still primary, so that the next attempt is not refused as well. */
@@ -92,7 +100,9 @@
 		await this.#group.release(connection, mode.isRecordable ? 'clean' : 'dirty');
 		if (Either.isRight(outcome)) {
 			mode.permit.release();
-			const acknowledged = await this.#acknowledge(outcome.right, connection.server, mode, deadline);
+			const acknowledged = outcome.right.kind === 'ok' && outcome.right.position
+				? await this.#acknowledge(outcome.right, connection.server, mode.policy, deadline)
+				: await this.#confirmPrimary(outcome.right, deadline);
 			return Either.isLeft(acknowledged.outcome) && mode.isIdempotent ? {...acknowledged, kind: 'retry'} : acknowledged;
 		}
 
@@ -112,18 +122,18 @@
 		}
 
 		const connection = acquired.right;
-		const begun = await connection.execute('BEGIN', this.#left(deadline));
+		const begun = await connection.execute('BEGIN', Math.min(beginTimeoutMs, this.#left(deadline)));
 		if (Either.isLeft(begun)) {
 			// No byte of the request itself has been sent.
 			await this.#group.release(connection, 'dirty');
 			return {kind: 'retry', outcome: refuse(begun.left)};
 		}
 
-		const outcome = await this.#executeRecorded(connection, request, deadline);
+		const outcome = await this.#executeRecorded(connection, request, deadline - (this.#left(deadline) * (1 - runShare)));
 		await this.#group.release(connection, Either.isRight(outcome) ? 'clean' : 'dirty');
 		if (Either.isRight(outcome)) {
 			mode.permit.release();
-			const acknowledged = await this.#acknowledge(outcome.right, connection.server, mode, deadline);
+			const acknowledged = await this.#acknowledge(outcome.right, connection.server, mode.policy, deadline);
 			return Either.isRight(acknowledged.outcome)
 				? acknowledged
 				: {kind: 'final', outcome: await this.#settlement.settle(record.id(request), deadline)};
@@ -163,21 +173,39 @@
 			: executed.right)(committed);
 	}
 
-	async #acknowledge(answer: types.Answer, server: string, mode: Mode, deadline: number): Promise<Attempt> {
+	async #acknowledge(answer: types.Answer, server: string, policy: acknowledgement.Policy, deadline: number): Promise<Attempt> {
 		const committed = answer.kind === 'ok' ? answer.position : null;
 		if (!committed) {
 			return {kind: 'final', outcome: Either.right(answer)};
 		}
 
-		const confirmed = await mode.policy.confirm(this.#group.observed, server, committed, this.#left(deadline));
+		const confirmed = await policy.confirm(this.#group.observed, server, committed, this.#left(deadline));
 		return {kind: 'final', outcome: Either.map(() => answer)(confirmed)};
 	}
 
+	/**
+	An answer without a commit, for example of a locking read or of an update that matched nothing, still comes from a
+	server that may have been replaced. It passes if the server is confirmed as primary afterwards.
+	*/
+	async #confirmPrimary(answer: types.Answer, deadline: number): Promise<Attempt> {
+		const point = await this.#group.observed.readPoint(this.#left(deadline));
+		if (Either.isRight(point) && point.right.server === answer.server) {
+			return {kind: 'final', outcome: Either.right(answer)};
+		}
+
+		const reason = Either.isRight(point) ? 'the server that answered has been replaced as primary' : point.left.message;
+		return {kind: 'final', outcome: errors.fail('outcome-unknown', 'acknowledge', answer.server, reason)};
+	}
+
 	#left(deadline: number): number {
 		return Math.max(1, deadline - this.#group.clock.now());
 	}
 }
 
+function isUnknown(outcome: errors.Outcome<types.Answer>): boolean {
+	return Either.isLeft(outcome) && outcome.left.kind === 'outcome-unknown';
+}
+
 function isRefused(failure: errors.Failure): boolean {
 	return failure.kind === 'database' && failure.code === codeReadOnly;
 }
--- a/src/standin/database.ts
+++ b/src/standin/database.ts
@@ -86,6 +86,7 @@
 	readonly #sessions = new Map<server.Connection, Session>();
 	readonly #appended = new notifier.Notifier();
 	readonly #arrivals = new Map<number, number>();
+	readonly #dropped: log.Entry[][] = [];
 	#role: types.Role;
 	#term: number;
 	#claimant = '';
@@ -117,6 +118,11 @@
 		return this.#log.entries;
 	}
 
+	/** Entries that the server dropped because its primary does not hold them, with the log before them, one list each time. */
+	get dropped(): ReadonlyArray<readonly log.Entry[]> {
+		return this.#dropped;
+	}
+
 	get status(): types.Status {
 		return {
 			server: this.#options.name,
@@ -132,6 +138,11 @@
 		};
 	}
 
+	/** Time in ms, of this process's monotonic clock, at which the log received the entry with this index. */
+	arrivedAt(index: number): number | undefined {
+		return this.#arrivals.get(index);
+	}
+
 	/** Changes how the server behaves from now on. */
 	set(change: Partial<Faults>): void {
 		Object.assign(this.#faults, change);
@@ -290,8 +301,13 @@
 		}
 	}
 
+	/** Begins a transaction. As in MySQL, one that is open is committed first. */
 	async #begin(session: Session): Promise<errors.Outcome<types.Answer>> {
-		this.#rollback(session);
+		const committed = this.#commit(session);
+		if (Either.isLeft(committed)) {
+			return committed;
+		}
+
 		session.isInTransaction = true;
 		session.term = this.#term;
 		return Either.right(this.#completion(null));
@@ -623,6 +639,7 @@
 	async #rebuild(index: number, term: number, source: string): Promise<void> {
 		const release = await this.#writeLock.acquire(lockTimeoutMs);
 		if (release && this.#follows(term, source)) {
+			this.#dropped.push([...this.#log.entries]);
 			this.#log.truncate(index);
 			this.#engine.clear();
 			this.#engine.apply(this.#options.schema);
--- a/src/standin/deployment.ts
+++ b/src/standin/deployment.ts
@@ -16,6 +16,7 @@
 import * as neighbours from './neighbours.js';
 import type * as network from './network.js';
 import * as platform from './platform.js';
+import * as relay from './relay.js';
 
 /** What is deployed. */
 export type Options = group.Options & {
@@ -29,8 +30,42 @@
 	readonly claim?: 'ballot' | 'store';
 	/** Whether the entry hosts hear each other; false by default. */
 	readonly isLinked?: boolean;
+	/**
+	One-way delay in ms from an entry host's place to a server's. If given, each entry host reaches each server through
+	a relay of its own.
+	*/
+	readonly linkMs?: (from: string, to: string) => number;
 };
 
+/** The platform's store as one entry host sees it: with the addresses of its relays in place of the servers'. */
+class Rewritten extends store.Store {
+	readonly #inner: store.Store;
+	readonly #addresses: ReadonlyMap<string, string>;
+
+	constructor(inner: store.Store, addresses: ReadonlyMap<string, string>) {
+		super();
+		this.#inner = inner;
+		this.#addresses = addresses;
+	}
+
+	override async read(key: string): Promise<errors.Outcome<store.Entry>> {
+		return Either.map((entry: store.Entry) => this.#rewrite(entry))(await this.#inner.read(key));
+	}
+
+	override async update(key: string, value: string, expectedVersion: number): Promise<errors.Outcome<store.Entry>> {
+		return this.#inner.update(key, value, expectedVersion);
+	}
+
+	override async watch(key: string, afterVersion: number, signal: AbortSignal): Promise<errors.Outcome<store.Entry>> {
+		return Either.map((entry: store.Entry) => this.#rewrite(entry))(await this.#inner.watch(key, afterVersion, signal));
+	}
+
+	#rewrite(entry: store.Entry): store.Entry {
+		const value = entry.value.replaceAll(/(?<=^address = )\S+$/gmv, found => this.#addresses.get(found) ?? found);
+		return {...entry, value};
+	}
+}
+
 /** A running entry host and its ports. */
 export type Entry = {readonly host: host.Host; readonly ports: host.Ports};
 
@@ -91,6 +126,8 @@
 	readonly platform: platform.Platform;
 	readonly entries: Entry[] = [];
 	readonly hub: neighbours.Hub;
+	/** Relays by entry host and server, for example `entry-1/a`. */
+	readonly relays = new Map<string, relay.Relay>();
 	readonly #url: string;
 	readonly #options: Options;
 
@@ -123,11 +160,10 @@
 			throw new Error(errors.describe(parsed.left));
 		}
 
-		const {isLinked, network: links, claim: policy} = this.#options;
-		const api = new http.Store(parsed.right.platform);
-		const entryHost = new host.Host(parsed.right, links ? new Located(api, this.group, place, links) : api, log.create('silent', {}), {
+		const {isLinked, claim: policy} = this.#options;
+		const entryHost = new host.Host(parsed.right, await this.#openStore(name, place, parsed.right.platform), log.create('silent', {}), {
 			peers: isLinked ? new neighbours.Neighbours(this.hub, name, place) : undefined,
-			claim: policy === 'store' ? new claim.Store(api, new clock.System()) : undefined,
+			claim: policy === 'store' ? new claim.Store(new http.Store(parsed.right.platform), new clock.System()) : undefined,
 		});
 		this.hub.join({host: name, place, promotion: service => entryHost.owner.promotion(service)});
 		const entry = {host: entryHost, ports: await entryHost.start()};
@@ -151,9 +187,29 @@
 	/** Stops everything. */
 	async stop(): Promise<void> {
 		await Promise.all(this.entries.map(async entry => entry.host.stop()));
+		for (const link of this.relays.values()) {
+			link.stop();
+		}
+
 		this.platform.stop();
 		this.group.stop();
 	}
+
+	async #openStore(name: string, place: string, options: http.Options): Promise<store.Store> {
+		const addresses = new Map<string, string>();
+		const {linkMs, network: links} = this.#options;
+		if (links) {
+			return new Located(new http.Store(options), this.group, place, links);
+		}
+
+		for (const [server, {port}] of linkMs ? this.group.servers : []) {
+			const link = await relay.Relay.start({host: address, port}, linkMs?.(place, this.group.place(server)));
+			this.relays.set(`${name}/${server}`, link);
+			addresses.set(`${address}:${port}`, `${address}:${link.port}`);
+		}
+
+		return new Rewritten(new http.Store(options), addresses);
+	}
 }
 
 async function waitUntilReady(port: number): Promise<void> {
--- a/src/standin/network.ts
+++ b/src/standin/network.ts
@@ -13,6 +13,9 @@
 	none: {betweenPlacesMs: 0, toCallersMs: 0},
 };
 
+/** `silent`: nothing passes, on new connections neither. `cut`: connections are closed and refused. */
+export type State = 'open' | 'silent' | 'cut';
+
 type Link = {readonly from: string; readonly to: string; readonly relay: relay.Relay};
 
 /** A network of places. */
@@ -37,19 +40,19 @@
 	}
 
 	/** Changes every link from one place to another, in this direction of connecting. */
-	set(from: string, to: string, state: relay.State, direction?: relay.Direction): void {
+	set(from: string, to: string, state: State, direction?: relay.Direction): void {
 		for (const link of this.#links) {
 			if (link.from === from && link.to === to) {
-				link.relay.set(state, direction);
+				change(link.relay, state, direction ? [direction] : relay.directions);
 			}
 		}
 	}
 
 	/** Changes every link between a place and the others. */
-	isolate(place: string, state: relay.State): void {
+	isolate(place: string, state: State): void {
 		for (const link of this.#links) {
 			if (link.from !== link.to && (link.from === place || link.to === place)) {
-				link.relay.set(state);
+				change(link.relay, state, relay.directions);
 			}
 		}
 	}
@@ -61,3 +64,10 @@
 		}
 	}
 }
+
+function change(link: relay.Relay, state: State, concerned: readonly relay.Direction[]): void {
+	link.set({isRefusing: state === 'cut', silent: state === 'silent' ? concerned : []});
+	if (state === 'cut') {
+		link.cut();
+	}
+}
