--- a/src/core/observer.ts
+++ b/src/core/observer.ts
@@ -24,6 +24,9 @@
 /** Longest time in ms for which a question may wait at the server, so that other questions follow soon. */
 const waitStepMs = 20;
 const readPointLimit = 512;
+/** Parts of a stated age after which reads of that age may have the servers asked again, and the least time in ms. */
+const refreshDivisor = 4;
+const refreshFloorMs = 25;
 
 type Waiter = {
 	readonly wanted: position.Position | undefined;
@@ -167,10 +170,13 @@
 export class Group {
 	readonly servers: ReadonlyMap<string, Server>;
 	readonly #clock: clock.Clock;
+	readonly #timing: Timing;
 	#readPoints: ReadPoint[] = [];
+	#refreshedAt = Number.NEGATIVE_INFINITY;
 
 	constructor(servers: readonly backend.Server[], time: clock.Clock, timing: Timing) {
 		this.#clock = time;
+		this.#timing = timing;
 		this.servers = new Map(servers.map(server => [
 			server.name,
 			new Server(server, time, timing, () => {
@@ -235,6 +241,20 @@
 			: errors.fail('not-run', 'observe', this.primary?.status.server ?? '', `no primary confirmed by a majority within ${timeoutMs} ms`);
 	}
 
+	/**
+	Asks every server at once, without waiting, so that the next reads of this age find read points that are young
+	enough. Only reads cause it, so that an idle group costs no more than its probes.
+	*/
+	refresh(maximumAgeMs: number): void {
+		const now = this.#clock.now();
+		if (now - this.#refreshedAt >= Math.max(refreshFloorMs, maximumAgeMs / refreshDivisor)) {
+			this.#refreshedAt = now;
+			for (const server of this.servers.values()) {
+				void server.observe(this.#timing.probeTimeoutMs);
+			}
+		}
+	}
+
 	/**
 	Age in ms of the data that `server` is known to hold: every write acknowledged longer ago is in its log.
 	`Infinity` when nothing is known.
--- a/src/core/read.ts
+++ b/src/core/read.ts
@@ -11,6 +11,11 @@
 /** Time in ms for one attempt at one server, so that a silent connection leaves time for another. */
 const attemptTimeoutMs = 1000;
 const retryPauseMs = 10;
+/**
+Longest time in ms to wait for a replica that is slightly behind. Also the greatest age at which one counts as slightly
+behind: with more lag, reads would wait in vain and then go to the primary.
+*/
+const replicaWaitMs = 100;
 
 /** Counts where reads were served. */
 export type Counts = {replica: number; primary: number; stale: number};
@@ -49,7 +54,7 @@
 
 	async #attempt(request: types.Request, freshness: types.Freshness, deadline: number): Promise<errors.Outcome<types.Answer>> {
 		if (request.maximumAgeMs > 0) {
-			const aged = await this.#atReplica(request, {position: request.position, maximumAgeMs: request.maximumAgeMs}, deadline);
+			const aged = await this.#atAge(request, deadline);
 			if (aged) {
 				return aged;
 			}
@@ -76,16 +81,50 @@
 			return errors.fail('position-lost', 'route', this.#group.name, `position ${position.format(request.position)} is not in the log of the primary; it was lost in a failover`);
 		}
 
-		const wanted = position.latest(request.position, point.right.position);
-		const fresh = await this.#atReplica(request, {position: wanted, maximumAgeMs: undefined}, deadline);
-		return fresh ?? this.#at(point.right.server, request, deadline);
+		// The servers have just been asked, so that one which was too old by its last observation may be young enough now.
+		const aged = request.maximumAgeMs > 0 ? await this.#atAge(request, deadline) : undefined;
+		if (aged) {
+			return aged;
+		}
+
+		const need = {position: position.latest(request.position, point.right.position), maximumAgeMs: undefined};
+		return await this.#atReplica(request, need, deadline)
+			?? await this.#atAwaited(request, need, deadline)
+			?? this.#at(point.right.server, request, deadline);
+	}
+
+	/** A read of a stated age. */
+	async #atAge(request: types.Request, deadline: number): Promise<errors.Outcome<types.Answer> | undefined> {
+		const {position: wanted, maximumAgeMs} = request;
+		if ([...this.#group.observed.servers.keys()].some(server => this.#group.observed.age(server) > maximumAgeMs / 2)) {
+			this.#group.observed.refresh(maximumAgeMs);
+		}
+
+		return this.#atReplica(request, {position: wanted, maximumAgeMs}, deadline);
+	}
+
+	/** A read at a replica that is slightly behind, once it holds the position; `undefined` if it does not soon. */
+	async #atAwaited(request: types.Request, need: routing.Need, deadline: number): Promise<errors.Outcome<types.Answer> | undefined> {
+		const server = this.#policy.awaited(this.#survey(need), this.#group.place, replicaWaitMs);
+		const waitMs = Math.min(replicaWaitMs, (deadline - this.#group.clock.now()) / 2);
+		if (server === undefined || !need.position) {
+			return undefined;
+		}
+
+		const observation = await this.#group.observed.servers.get(server)?.reach(need.position, waitMs);
+		return observation && position.relate(observation.status, need.position) === 'contains'
+			? this.#at(server, request, deadline)
+			: undefined;
+	}
+
+	#survey(need: routing.Need): routing.Candidate[] {
+		return routing.survey(this.#group.observed, need, server => this.#group.load(server))
+			.map(candidate => ({...candidate, isLeaving: this.#group.isLeaving(candidate.name)}));
 	}
 
 	/** A read at the first qualified replica that answers; `undefined` if there is none or its answer came too late. */
 	async #atReplica(request: types.Request, need: routing.Need, deadline: number): Promise<errors.Outcome<types.Answer> | undefined> {
-		const candidates = routing.survey(this.#group.observed, need, server => this.#group.load(server))
-			.map(candidate => ({...candidate, isLeaving: this.#group.isLeaving(candidate.name)}));
-		for (const server of this.#policy.replicas(candidates, need, this.#group.place)) {
+		for (const server of this.#policy.replicas(this.#survey(need), need, this.#group.place)) {
 			const known = this.#group.observed.age(server);
 			const sentAt = this.#group.clock.now();
 			const outcome = await this.#at(server, request, deadline);
--- a/src/core/routing.ts
+++ b/src/core/routing.ts
@@ -30,6 +30,9 @@
 export abstract class Policy {
 	/** Servers to try, best first. The primary, whose answer the caller of this function confirms, is not among them. */
 	abstract replicas(candidates: readonly Candidate[], need: Need, place: string): readonly string[];
+
+	/** The replica to wait for when none is qualified, if one will hold the position within about `limitMs`. */
+	abstract awaited(candidates: readonly Candidate[], place: string, limitMs: number): string | undefined;
 }
 
 /** Everything at the primary. */
@@ -37,6 +40,10 @@
 	override replicas(): readonly string[] {
 		return [];
 	}
+
+	override awaited(): undefined {
+		return undefined;
+	}
 }
 
 /** Every replica whose log contains the position and whose data is young enough, the nearest and least loaded first. */
@@ -56,6 +63,12 @@
 			.map(({name}) => name);
 	}
 
+	override awaited(candidates: readonly Candidate[], place: string, limitMs: number): string | undefined {
+		return candidates
+			.filter(({isPrimary, isLeaving, relation, ageMs}) => !isPrimary && !isLeaving && relation === 'behind' && ageMs <= limitMs)
+			.toSorted((left, right) => distance(left, place) - distance(right, place) || left.ageMs - right.ageMs)[0]?.name;
+	}
+
 	#isQualified(candidate: Candidate, need: Need): boolean {
 		const isContaining = need.position === null || candidate.relation === 'contains';
 		const isYoung = need.maximumAgeMs === undefined || candidate.ageMs + this.#serviceMs <= need.maximumAgeMs;
--- a/src/standin/database.ts
+++ b/src/standin/database.ts
@@ -236,12 +236,10 @@
 			return Either.left(errors.database(this.#options.name, 'no free slot', codeLockTimeout));
 		}
 
-		try {
-			await this.#clock.sleep(this.#faults.serviceMs);
-			return await this.#execute(sql, session);
-		} finally {
-			releaseSlot();
-		}
+		// A statement that waits for a lock occupies no slot, else the holder of the lock could not go on.
+		await this.#clock.sleep(this.#faults.serviceMs);
+		releaseSlot();
+		return this.#execute(sql, session);
 	}
 
 	async #execute(sql: string, session: Session): Promise<errors.Outcome<types.Answer>> {
@@ -554,8 +552,10 @@
 			return;
 		}
 
+		const receivedAt = this.#clock.now();
 		for (const entry of page.entries) {
-			await this.#clock.sleep(this.#faults.lagMs - entry.ageMs, this.#stopped.signal);
+			const ageMs = entry.ageMs + this.#clock.now() - receivedAt;
+			await this.#clock.sleep(this.#faults.lagMs - ageMs, this.#stopped.signal);
 			const release = await this.#writeLock.acquire(lockTimeoutMs);
 			if (!release || !this.#follows(term, source) || entry.index !== this.#log.last.index + 1) {
 				release?.();
