Return a recorded answer only from a server that stayed primary

Cause: fuzzing ( of a run of 90 s) found a repeated request that was answered with success although no log held it. The record was read at a primary that had been replaced, and the read point that should confirm it came from its successor, which did not hold the record.

Ruled out: comparing server names only; a server may lose and regain the role in between, so the term is compared as well.

Change: a record counts if the server that holds it is confirmed as primary of the same term afterwards; else another attempt is made. The same holds for answers without a commit. When an earlier run can't be looked up, the outcome is unknown instead of the duplicate key of our own table. Attempts at settling end after 1 s, so that a silent connection leaves time for another.

--- a/src/core/write.ts
+++ b/src/core/write.ts
@@ -7,6 +7,7 @@
 import type * as backend from './backend.js';
 import * as errors from './errors.js';
 import type * as group from './group.js';
+import type * as observer from './observer.js';
 import * as record from './record.js';
 
 /** MySQL's code with which a server that is not primary refuses a write. */
@@ -14,6 +15,8 @@
 const retryPauseMs = 20;
 /** Time in ms after which a connection that does not even answer BEGIN counts as silent, and a new one is tried. */
 const beginTimeoutMs = 500;
+/** Time in ms for one attempt at settling an outcome, so that a silent connection leaves time for another. */
+const settleTimeoutMs = 1000;
 /** Share of the time left that the statements may take; the rest is for finding out the outcome if they fail. */
 const runShare = 0.7;
 
@@ -29,6 +32,9 @@
 /** The outcome of one attempt: final, or worth another attempt. */
 type Attempt = {readonly kind: 'final' | 'retry'; readonly outcome: errors.Outcome<types.Answer>};
 
+/** Where a record was found: the server, and the term in which it was seen to be primary before. */
+type Place = {readonly server: string; readonly term: number | undefined};
+
 /** Executes writes of one group. */
 export class Writer {
 	readonly #group: group.Group;
@@ -75,12 +81,13 @@
 		}
 
 		const connection = acquired.right;
+		const term = this.#termOf(connection.server);
 		const outcome = await connection.execute(request.sql, this.#left(deadline));
 		await this.#group.release(connection, 'clean');
 		if (Either.isRight(outcome)) {
 			return outcome.right.kind === 'ok' && outcome.right.position
 				? this.#acknowledge(outcome.right, connection.server, mode.policy, deadline)
-				: this.#confirmPrimary(outcome.right, deadline);
+				: this.#confirmPrimary(outcome.right, term, deadline);
 		}
 
 		if (isRefused(outcome.left)) {
@@ -158,9 +165,9 @@
 	An answer without a commit, for example of a locking read or of an update that matched nothing, still comes from a
 	server that may have been replaced. It passes if the server is confirmed as primary afterwards.
 	*/
-	async #confirmPrimary(answer: types.Answer, deadline: number): Promise<Attempt> {
+	async #confirmPrimary(answer: types.Answer, term: number | undefined, deadline: number): Promise<Attempt> {
 		const point = await this.#group.observed.readPoint(this.#left(deadline));
-		if (Either.isRight(point) && point.right.server === answer.server) {
+		if (Either.isRight(point) && isContinuous(point.right, answer.server, term)) {
 			return {kind: 'final', outcome: Either.right(answer)};
 		}
 
@@ -170,15 +177,25 @@
 
 	/** An error of the statement may come from an earlier run of the same request, which its record then shows. */
 	async #explain(failure: errors.Failure, request: types.Request, deadline: number): Promise<Attempt> {
+		const unsettled: Attempt = {
+			kind: 'final',
+			outcome: errors.fail('outcome-unknown', 'settle', this.#group.name, `${failure.message}; whether the request ran before could not be established`),
+		};
 		const acquired = await this.#group.acquirePrimary(deadline);
 		if (Either.isLeft(acquired)) {
-			return {kind: 'final', outcome: Either.left(failure)};
+			return unsettled;
 		}
 
+		const {server} = acquired.right;
+		const term = this.#termOf(server);
 		const found = await record.find(acquired.right, record.id(request), this.#left(deadline));
 		await this.#group.release(acquired.right, 'clean');
-		return Either.isRight(found) && found.right
-			? this.#recall(found.right, request, deadline)
+		if (Either.isLeft(found)) {
+			return unsettled;
+		}
+
+		return found.right
+			? this.#recall(found.right, request, {server, term}, deadline)
 			: {kind: 'final', outcome: Either.left(failure)};
 	}
 
@@ -195,13 +212,17 @@
 			}
 
 			const connection = acquired.right;
-			const cancelled = await record.insert(connection, key, {state: 'cancelled', affectedRows: 0, insertId: 0}, this.#left(deadline));
+			const place = {server: connection.server, term: this.#termOf(connection.server)};
+			const cancelled = await record.insert(connection, key, {state: 'cancelled', affectedRows: 0, insertId: 0}, Math.min(settleTimeoutMs, this.#left(deadline)));
 			const found = Either.isLeft(cancelled) && record.isDuplicate(cancelled.left)
 				? await record.find(connection, key, this.#left(deadline))
 				: undefined;
 			await this.#group.release(connection, 'clean');
 			if (found && Either.isRight(found) && found.right) {
-				return this.#recall(found.right, request, deadline);
+				const recalled = await this.#recall(found.right, request, place, deadline);
+				if (recalled.kind === 'final') {
+					return recalled;
+				}
 			}
 
 			if (Either.isRight(cancelled)) {
@@ -217,9 +238,16 @@
 		return {kind: 'final', outcome: errors.fail('outcome-unknown', 'settle', this.#group.name, 'the connection was lost and the outcome could not be settled in time')};
 	}
 
-	/** The answer that a record stands for, once the record can't be lost any more. */
-	async #recall(found: record.Found, request: types.Request, deadline: number): Promise<Attempt> {
+	/**
+	The answer that a record stands for, once the record can't be lost any more. If the server on which it was found has
+	been replaced meanwhile, the new primary may not hold it, and another attempt has to find out.
+	*/
+	async #recall(found: record.Found, request: types.Request, place: Place, deadline: number): Promise<Attempt> {
 		const point = await this.#group.observed.readPoint(this.#left(deadline));
+		if (Either.isRight(point) && !isContinuous(point.right, place.server, place.term)) {
+			return {kind: 'retry', outcome: errors.fail('outcome-unknown', 'settle', place.server, 'the server that holds the record has been replaced as primary')};
+		}
+
 		const confirmed = Either.isRight(point)
 			? await this.#durable.confirm(this.#group.observed, point.right.server, point.right.position, this.#left(deadline))
 			: point;
@@ -239,11 +267,25 @@
 		};
 	}
 
+	/** The term in which a server was last seen to be primary. */
+	#termOf(server: string): number | undefined {
+		const status = this.#group.observed.servers.get(server)?.latest?.status;
+		return status?.role === 'primary' ? status.term : undefined;
+	}
+
 	#left(deadline: number): number {
 		return Math.max(1, deadline - this.#group.clock.now());
 	}
 }
 
+/**
+Whether a server has been primary without a break since it was seen in `term`, so that its log lost nothing. A server is
+primary of a term once at most, and begins it with an entry of that term.
+*/
+function isContinuous(point: observer.ReadPoint, server: string, term: number | undefined): boolean {
+	return point.server === server && point.position.term === term;
+}
+
 function isUnknown(outcome: errors.Outcome<types.Answer>): boolean {
 	return Either.isLeft(outcome) && outcome.left.kind === 'outcome-unknown';
 }
--- a/src/standin/workload.ts
+++ b/src/standin/workload.ts
@@ -3,6 +3,7 @@
 A command starts its request and does not wait for it, so that the requests of different sessions overlap; the requests
 of one session follow each other.
 */
+import * as performanceHooks from 'node:perf_hooks';
 import type * as fc from 'fast-check';
 import * as Either from 'fp-ts/lib/Either.js';
 import type * as mysql from 'mysql2/promise';
@@ -83,10 +84,13 @@
 	readonly #acknowledged: string[] = [];
 	/** Primary that was replaced without its knowledge. */
 	#isolated = '';
+	/** Delays of this process's event loop, in ns. */
+	readonly #stalls = performanceHooks.monitorEventLoopDelay({resolution: 10});
 	#requests = 0;
 
 	private constructor(running: deployment.Deployment) {
 		this.deployment = running;
+		this.#stalls.enable();
 	}
 
 	/** Adds work to a session, after what it already does. */
@@ -237,6 +241,7 @@
 
 		const faults = oracle.judge(this.reads, this.writes, {
 			final: this.final(),
+			stallMs: this.#stalls.max / 1e6,
 			branches: [...servers.map(({entries}) => entries), ...servers.flatMap(({dropped}) => dropped)],
 			committedAt: entry => committed.get(position.format(entry)) ?? Number.POSITIVE_INFINITY,
 		});
@@ -250,6 +255,7 @@
 	}
 
 	async stop(): Promise<void> {
+		this.#stalls.disable();
 		for (const {connection} of this.#sessions) {
 			connection.destroy();
 		}
