--- a/src/core/observer.ts
+++ b/src/core/observer.ts
@@ -25,6 +25,9 @@
 const readPointLimit = 512;
 /** Pause in ms after a connection that could not be opened. Two refusals make a suspicion, so it is part of the gap. */
 const reconnectPauseMs = 150;
+/** Parts of a stated age after which reads of that age may have the servers asked again, and the least time in ms. */
+const refreshDivisor = 4;
+const refreshFloorMs = 25;
 
 type Waiter = {
 	readonly wanted: position.Position | undefined;
@@ -203,11 +206,14 @@
 export class Group {
 	readonly servers: ReadonlyMap<string, Server>;
 	readonly #clock: clock.Clock;
+	readonly #timing: Timing;
 	#readPoints: ReadPoint[] = [];
+	#refreshedAt = Number.NEGATIVE_INFINITY;
 
 	/** `observed` is called after each observation. */
 	constructor(servers: readonly backend.Server[], time: clock.Clock, timing: Timing, observed?: () => void) {
 		this.#clock = time;
+		this.#timing = timing;
 		this.servers = new Map(servers.map(server => [
 			server.name,
 			new Server(server, time, timing, () => {
@@ -227,6 +233,12 @@
 		return this.#latest().filter(({status}) => status.role === 'primary').toSorted((left, right) => right.status.term - left.status.term)[0];
 	}
 
+	/** The term in which a server was last seen to be primary; `undefined` if it was last seen as a replica. */
+	termOf(server: string): number | undefined {
+		const status = this.servers.get(server)?.latest?.status;
+		return status?.role === 'primary' ? status.term : undefined;
+	}
+
 	/** The highest term that any server reported. */
 	get highestTerm(): number {
 		return Math.max(0, ...this.statuses.map(({term}) => term));
@@ -278,6 +290,20 @@
 			: errors.fail('not-run', 'observe', this.primary?.status.server ?? '', `no primary confirmed by a majority within ${timeoutMs} ms`);
 	}
 
+	/**
+	Asks every server at once, without waiting, so that the next reads of this age find read points that are young
+	enough. Only reads cause it, so that an idle group costs no more than its probes.
+	*/
+	refresh(maximumAgeMs: number): void {
+		const now = this.#clock.now();
+		if (now - this.#refreshedAt >= Math.max(refreshFloorMs, maximumAgeMs / refreshDivisor)) {
+			this.#refreshedAt = now;
+			for (const server of this.servers.values()) {
+				void server.observe(this.#timing.probeTimeoutMs);
+			}
+		}
+	}
+
 	/**
 	Age in ms of the data that `server` is known to hold: every write acknowledged longer ago is in its log.
 	`Infinity` when nothing is known.
--- a/src/core/read.ts
+++ b/src/core/read.ts
@@ -19,6 +19,11 @@
 const hedgeDefaultMs = 250;
 const hedgeLeastMs = 5;
 const hedgeMostMs = 500;
+/**
+Longest time in ms to wait for a replica that is slightly behind. Also the greatest age at which one counts as slightly
+behind: with more lag, reads would wait in vain and then go to the primary.
+*/
+const replicaWaitMs = 100;
 
 /** Counts where reads were served, answers that were too old, and reads sent to a second server. */
 export type Counts = {replica: number; primary: number; stale: number; hedged: number};
@@ -76,16 +81,15 @@
 
 	async #attempt(job: Job, freshness: types.Freshness): Promise<errors.Outcome<types.Answer>> {
 		const {position: seen, maximumAgeMs} = job.request;
-		const isAged = maximumAgeMs > 0;
-		if (isAged || (seen && freshness === 'session')) {
-			const need = {position: seen, maximumAgeMs: isAged ? maximumAgeMs : undefined};
-			const outcome = await this.#race(this.#replicas(need), need, job);
-			if (outcome && isFinal(outcome)) {
-				return outcome;
-			}
+		let outcome: errors.Outcome<types.Answer> | undefined;
+		if (maximumAgeMs > 0) {
+			outcome = await this.#atAge(job);
+		} else if (seen && freshness === 'session') {
+			const need = {position: seen, maximumAgeMs: undefined};
+			outcome = await this.#race(this.#replicas(need), need, job);
 		}
 
-		return this.#atReadPoint(job);
+		return outcome && isFinal(outcome) ? outcome : this.#atReadPoint(job);
 	}
 
 	/** A read at a replica or the primary, whichever contains a position confirmed from now on. */
@@ -102,15 +106,50 @@
 			return errors.fail('position-lost', 'route', this.#group.name, `position ${position.format(request.position)} is not in the log of the primary; it was lost in a failover`);
 		}
 
+		// The servers have just been asked, so that one which was too old by its last observation may be young enough now.
+		const aged = request.maximumAgeMs > 0 ? await this.#atAge(job) : undefined;
+		if (aged && isFinal(aged)) {
+			return aged;
+		}
+
 		const need = {position: position.latest(request.position, point.right.position), maximumAgeMs: undefined};
-		const outcome = await this.#race([...this.#replicas(need), point.right.server], need, job);
+		const replicas = this.#replicas(need);
+		const awaited = replicas.length === 0 ? await this.#awaitReplica(need, job) : [];
+		const outcome = await this.#race([...replicas, ...awaited, point.right.server], need, job);
 		return outcome ?? errors.fail('not-run', 'receive', this.#group.name, 'no server answered in time');
 	}
 
+	/** A read of a stated age; `undefined` if no replica is known to be young enough. */
+	async #atAge(job: Job): Promise<errors.Outcome<types.Answer> | undefined> {
+		const {position: wanted, maximumAgeMs} = job.request;
+		const {observed} = this.#group;
+		if ([...observed.servers.keys()].some(server => observed.age(server) > maximumAgeMs / 2)) {
+			observed.refresh(maximumAgeMs);
+		}
+
+		const need = {position: wanted, maximumAgeMs};
+		return this.#race(this.#replicas(need), need, job);
+	}
+
+	/** A replica that is slightly behind, once it holds the position; none if it does not soon. */
+	async #awaitReplica(need: routing.Need, {deadline}: Job): Promise<string[]> {
+		const server = this.#policy.awaited(this.#survey(need), this.#group.place, replicaWaitMs);
+		if (server === undefined || !need.position) {
+			return [];
+		}
+
+		const waitMs = Math.min(replicaWaitMs, this.#left(deadline) / 2);
+		const observation = await this.#group.observed.servers.get(server)?.reach(need.position, waitMs);
+		return observation && position.relate(observation.status, need.position) === 'contains' ? [server] : [];
+	}
+
 	#replicas(need: routing.Need): readonly string[] {
-		const candidates = routing.survey(this.#group.observed, need, server => this.#group.load(server))
+		return this.#policy.replicas(this.#survey(need), need, this.#group.place);
+	}
+
+	#survey(need: routing.Need): routing.Candidate[] {
+		return routing.survey(this.#group.observed, need, server => this.#group.load(server))
 			.map(candidate => ({...candidate, isLeaving: this.#group.isLeaving(candidate.name)}));
-		return this.#policy.replicas(candidates, need, this.#group.place);
 	}
 
 	/**
--- a/src/core/settlement.ts
+++ b/src/core/settlement.ts
@@ -6,9 +6,15 @@
 import * as acknowledgement from './acknowledgement.js';
 import * as errors from './errors.js';
 import type * as group from './group.js';
+import type * as observer from './observer.js';
 import * as record from './record.js';
 
 const pauseMs = 20;
+/** Time in ms for one attempt at settling an outcome, so that a silent connection leaves time for another. */
+const attemptTimeoutMs = 1000;
+
+/** Where a record was found: a server, and the term in which it was last seen to be primary. */
+export type Holder = {readonly server: string; readonly term: number | undefined};
 
 /** Settles requests of one group. Keys are those of `record.id`; deadlines are times of the clock. */
 export class Settlement {
@@ -43,13 +49,17 @@
 			}
 
 			const connection = acquired.right;
-			const cancelled = await record.insert(connection, key, {state: 'cancelled', affectedRows: 0, insertId: 0}, this.#left(deadline));
+			const holder = this.#holder(connection.server);
+			const cancelled = await record.insert(connection, key, {state: 'cancelled', affectedRows: 0, insertId: 0}, Math.min(attemptTimeoutMs, this.#left(deadline)));
 			const found = Either.isLeft(cancelled) && record.isDuplicate(cancelled.left)
 				? await record.find(connection, key, this.#left(deadline))
 				: undefined;
 			await this.#group.release(connection, 'clean');
-			if (found && Either.isRight(found) && found.right) {
-				return this.#recall(found.right, key, deadline);
+			const recalled = found && Either.isRight(found) && found.right
+				? await this.#recall(found.right, key, holder, deadline)
+				: undefined;
+			if (recalled) {
+				return recalled;
 			}
 
 			if (Either.isRight(cancelled) && await this.#isKept(cancelled.right, deadline)) {
@@ -62,21 +72,40 @@
 		return errors.fail('outcome-unknown', 'settle', this.#group.name, 'the connection was lost and the outcome could not be settled in time');
 	}
 
-	/** An error of a statement may come from an earlier run of the same request, which its record then shows. */
+	/**
+	An error of a statement may come from an earlier run of the same request, which its record then shows.
+
+	Errors: the failure itself if there is no record, else as `settle`.
+	*/
 	async explain(failure: errors.Failure, key: string, deadline: number): Promise<errors.Outcome<types.Answer>> {
+		const unsettled = errors.fail('outcome-unknown', 'settle', this.#group.name, `${failure.message}; whether the request ran before could not be established`);
 		const acquired = await this.#group.acquirePrimary(deadline);
 		if (Either.isLeft(acquired)) {
-			return Either.left(failure);
+			return unsettled;
 		}
 
+		const holder = this.#holder(acquired.right.server);
 		const found = await record.find(acquired.right, key, this.#left(deadline));
 		await this.#group.release(acquired.right, 'clean');
-		return Either.isRight(found) && found.right ? this.#recall(found.right, key, deadline) : Either.left(failure);
+		if (Either.isLeft(found)) {
+			return unsettled;
+		}
+
+		return found.right
+			? await this.#recall(found.right, key, holder, deadline) ?? unsettled
+			: Either.left(failure);
 	}
 
-	/** The answer that a record stands for, once the record can't be lost any more. */
-	async #recall(found: record.Found, key: string, deadline: number): Promise<errors.Outcome<types.Answer>> {
+	/**
+	The answer that a record stands for, once the record can't be lost any more; `undefined` if the server on which it
+	was found has been replaced meanwhile, since the new primary may not hold it.
+	*/
+	async #recall(found: record.Found, key: string, holder: Holder, deadline: number): Promise<errors.Outcome<types.Answer> | undefined> {
 		const point = await this.#group.observed.readPoint(this.#left(deadline));
+		if (Either.isRight(point) && !isContinuous(point.right, holder)) {
+			return undefined;
+		}
+
 		const confirmed = Either.isRight(point)
 			? await this.#policy.confirm(this.#group.observed, point.right.server, point.right.position, this.#left(deadline))
 			: point;
@@ -99,7 +128,24 @@
 			&& Either.isRight(await this.#policy.confirm(this.#group.observed, answer.server, committed, this.#left(deadline)));
 	}
 
+	#holder(server: string): Holder {
+		return {server, term: this.#group.observed.termOf(server)};
+	}
+
 	#left(deadline: number): number {
 		return Math.max(1, deadline - this.#group.clock.now());
 	}
 }
+
+/**
+Whether a server has been primary without a break since it was seen in its term, so that its log lost nothing. A server
+is primary of a term once at most, and begins it with an entry of that term.
+
+@example
+```
+settlement.isContinuous(point, {server: 'a', term: 3});
+```
+*/
+export function isContinuous(point: observer.ReadPoint, {server, term}: Holder): boolean {
+	return point.server === server && point.position.term === term;
+}
--- a/src/core/write.ts
+++ b/src/core/write.ts
@@ -10,7 +10,7 @@
 import type * as group from './group.js';
 import * as record from './record.js';
 import type * as retry from './retry.js';
-import type * as settlement from './settlement.js';
+import * as settlement from './settlement.js';
 
 /** MySQL's code with which a server that is not primary refuses a write. */
 const codeReadOnly = 1290;
@@ -95,6 +95,7 @@
 		}
 
 		const connection = acquired.right;
+		const holder = {server: connection.server, term: this.#group.observed.termOf(connection.server)};
 		const outcome = await connection.execute(request.sql, this.#left(deadline));
 		// Other statements than changes of rows may leave locks or temporary tables.
 		await this.#group.release(connection, mode.isRecordable ? 'clean' : 'dirty');
@@ -102,7 +103,7 @@
 			mode.permit.release();
 			const acknowledged = outcome.right.kind === 'ok' && outcome.right.position
 				? await this.#acknowledge(outcome.right, connection.server, mode.policy, deadline)
-				: await this.#confirmPrimary(outcome.right, deadline);
+				: await this.#confirmPrimary(outcome.right, holder, deadline);
 			return Either.isLeft(acknowledged.outcome) && mode.isIdempotent ? {...acknowledged, kind: 'retry'} : acknowledged;
 		}
 
@@ -187,9 +188,9 @@
 	An answer without a commit, for example of a locking read or of an update that matched nothing, still comes from a
 	server that may have been replaced. It passes if the server is confirmed as primary afterwards.
 	*/
-	async #confirmPrimary(answer: types.Answer, deadline: number): Promise<Attempt> {
+	async #confirmPrimary(answer: types.Answer, holder: settlement.Holder, deadline: number): Promise<Attempt> {
 		const point = await this.#group.observed.readPoint(this.#left(deadline));
-		if (Either.isRight(point) && point.right.server === answer.server) {
+		if (Either.isRight(point) && settlement.isContinuous(point.right, holder)) {
 			return {kind: 'final', outcome: Either.right(answer)};
 		}
 
--- a/src/standin/database.ts
+++ b/src/standin/database.ts
@@ -262,12 +262,10 @@
 			return Either.left(errors.database(this.#options.name, 'no free slot', codeLockTimeout));
 		}
 
-		try {
-			await this.#delay(this.#faults.serviceMs);
-			return await this.#execute(sql, session);
-		} finally {
-			releaseSlot();
-		}
+		// A statement that waits for a lock occupies no slot, else the holder of the lock could not go on.
+		await this.#delay(this.#faults.serviceMs);
+		releaseSlot();
+		return this.#execute(sql, session);
 	}
 
 	async #execute(sql: string, session: Session): Promise<errors.Outcome<types.Answer>> {
@@ -615,8 +613,10 @@
 			return;
 		}
 
+		const receivedAt = this.#clock.now();
 		for (const entry of page.entries) {
-			await this.#delay(this.#faults.lagMs - entry.ageMs);
+			const ageMs = entry.ageMs + this.#clock.now() - receivedAt;
+			await this.#delay(this.#faults.lagMs - ageMs);
 			const release = await this.#writeLock.acquire(lockTimeoutMs);
 			if (!release || !this.#follows(term, source) || entry.index !== this.#log.last.index + 1) {
 				release?.();
