--- a/src/core/directive.ts
+++ b/src/core/directive.ts
@@ -20,7 +20,10 @@
 
 const names = ['class', 'age', 'position', 'request', 'session'];
 const commentPattern = /^\s*\/\*\s*sycamorering\b(?<list>[^*]*)\*\/\s*/v;
-const variablePattern = /^\s*set\s+@sycamorering_(?<name>\w+)\s*:?=\s*(?:'(?<quoted>[^']*)'|(?<plain>[^\s;']+))\s*;?\s*$/iv;
+/** Longest text in which directives are looked for: a search through some MB would overflow its stack. */
+const headLength = 4096;
+/** For trimmed text, since two runs of spaces around an optional semicolon are slow to search. */
+const variablePattern = /^\s*set\s+@sycamorering_(?<name>\w+)\s*:?=\s*(?:'(?<quoted>[^']*)'|(?<plain>[^\s;']+))\s*;?$/iv;
 const anyVariablePattern = /^\s*set\s+@sycamorering_/iv;
 const unitsMs = new Map([['ms', 1], ['s', 1000], ['m', 60_000]]);
 
@@ -36,7 +39,7 @@
 ```
 */
 export function parseComment(sql: string): errors.Outcome<{directives: Directives; sql: string}> {
-	const match = commentPattern.exec(sql);
+	const match = commentPattern.exec(sql.slice(0, headLength));
 	if (!match) {
 		return Either.right({directives: {}, sql});
 	}
@@ -66,13 +69,13 @@
 ```
 */
 export function parseVariable(sql: string): errors.Outcome<Directives> | undefined {
-	const match = variablePattern.exec(sql);
+	const match = variablePattern.exec(sql.length > headLength ? '' : sql.trim());
 	if (match?.groups) {
 		return parse(match.groups.name ?? '', match.groups.quoted ?? match.groups.plain ?? '');
 	}
 
-	return anyVariablePattern.test(sql)
-		? errors.fail('directive', 'parse', '', `"${sql.trim()}" is not of the form SET @sycamorering_name = 'value'`)
+	return anyVariablePattern.test(sql.slice(0, headLength))
+		? errors.fail('directive', 'parse', '', `"${sql.trim().slice(0, 80)}" is not of the form SET @sycamorering_name = 'value'`)
 		: undefined;
 }
 
--- a/src/core/session.ts
+++ b/src/core/session.ts
@@ -21,8 +21,11 @@
 const varString = 253;
 const characterSetUtf8mb4 = 45;
 const columnLength = 1024;
+/** Longest part of a text that is compared with the patterns below. */
+const headLength = 4096;
 
-const positionPattern = /^\s*select\s+@@(?:session\.)?sycamorering_position\s*;?\s*$/iv;
+/** For trimmed text: two runs of spaces around an optional semicolon took 12 s to search in 100 KB of spaces. */
+const positionPattern = /^\s*select\s+@@(?:session\.)?sycamorering_position\s*;?$/iv;
 /** Settings that drivers make when they connect and that change nothing here. */
 const harmlessPattern = /^\s*set\s+(?:names\b|character\s+set\b|(?:@@)?(?:session\s+|session\.)?(?:autocommit\s*=\s*(?:1|on|true)|character_set_results|net_write_timeout|sql_mode|time_zone)\b)/iv;
 const setPattern = /^\s*set\b/iv;
@@ -105,15 +108,16 @@
 			})(variable);
 		}
 
-		if (positionPattern.test(text)) {
+		const head = text.trim().slice(0, headLength);
+		if (positionPattern.test(head)) {
 			return Either.right(this.#describePosition());
 		}
 
-		if (harmlessPattern.test(text)) {
+		if (harmlessPattern.test(head)) {
 			return Either.right(completion);
 		}
 
-		if (setPattern.test(text)) {
+		if (setPattern.test(head)) {
 			return errors.fail('directive', 'parse', this.#account.name, `"${text.trim().slice(0, 80)}" is not supported: variables do not last across pooled connections`);
 		}
 
