Decide ownership, membership and connection shares

Cause: every entry host connected to every backend server, because nothing decided which host owns which group. With 9 hosts and 16 connections a server that does not add up, and it can't at 610 hosts.

Ruled out: counting every known peer as a member at all times. A host that the platform's list does not have yet would own groups in some views and not in others for as long as the list lags. While the list is recent only hosts on it count; an unlisted host forwards. Also ruled out: a settle time without memory of releases, because a notice that arrives before the receiver's own list would be lost; a notice counts if it came at most one settle time before the change.

Change: `ownership.owners` (rendezvous hashing, best host of each place, three in total, filled by rank where there are fewer places), `membership.Members`, `share.Share`. `hello` also carries the version of the host list and the hosts it can't reach; `configuration-query` also asks for the host list, so that a host cut off from the store learns which servers leave.

Broken by hand, each seen by a test and restored: no settle time (share property), one release instead of all, releases kept after a loss (release test), places ignored, ranking by index in the list (ownership properties), group left out of the hash (spread test).

Conclusion: the sum of shares stays within the limit in the model, in which no host skips a version of the list. A host that skips several versions can exceed the reserve for a moment; the backend server's own limit refuses then.

--- a/src/core/group.ts
+++ b/src/core/group.ts
@@ -76,6 +76,18 @@
 		}
 	}
 
+	/** Opens no connections beyond those that are open now. */
+	hold(): void {
+		for (const connections of this.#pools.values()) {
+			connections.resize(connections.open);
+		}
+	}
+
+	/** Connections to a server that are open or being opened, without the control connection. */
+	open(server: string): number {
+		return this.pool(server).open;
+	}
+
 	/** Marks servers that the configuration or the host list calls leaving; they get no new work. */
 	markLeaving(names: readonly string[]): void {
 		this.#left.clear();
--- /dev/null
+++ b/src/core/tests/membership.test.ts
@@ -0,0 +1,73 @@
+import * as assert from 'node:assert/strict';
+import * as test from 'node:test';
+import type * as types from '../../generated/types.js';
+import * as clock from '../clock.js';
+import * as membership from '../membership.js';
+
+function make(): {members: membership.Members; time: clock.Manual} {
+	const time = new clock.Manual();
+	const members = new membership.Members({self: {name: 'self', place: 'a'}, hasSeeds: false, staleMs: 15_000}, time);
+	return {members, time};
+}
+
+function list(...names: string[]): types.HostList {
+	return {
+		entry: names.map(name => ({
+			name, address: '127.0.0.1:1', place: 'a', state: 'live',
+		})),
+		backend: [],
+	};
+}
+
+function hello(host: string, change: Partial<types.Hello> = {}): types.Hello {
+	return {
+		kind: 'hello', host, place: 'a', address: '127.0.0.1:1', configurationVersion: 0, hostsVersion: 0, leaving: false, unreachable: [], ...change,
+	};
+}
+
+const names = (hosts: readonly membership.Member[]): string[] => hosts.map(({name}) => name).toSorted();
+
+test.test('a host alone is the only candidate (guards against a lone host that owns nothing)', () => {
+	const {members} = make();
+	assert.deepEqual(names(members.candidates()), ['self']);
+	assert.equal(members.isAlone, true);
+	members.leave();
+	assert.deepEqual(names(members.candidates()), ['self']);
+});
+
+test.test('leaving wins from a peer\'s word and from the list (guards against ownership of a host that drains)', () => {
+	const {members} = make();
+	members.takeList(list('self', 'x', 'y'), true);
+	members.greet(hello('x', {leaving: true}));
+	assert.deepEqual(names(members.candidates()), ['self', 'y']);
+	members.lose('x');
+	assert.deepEqual(names(members.candidates()), ['self', 'y']);
+	const marked = list('self', 'x', 'y');
+	marked.entry[2].state = 'leaving';
+	members.greet(hello('y'));
+	members.takeList(marked, true);
+	assert.deepEqual(names(members.candidates()), ['self']);
+});
+
+test.test('a listed host is gone only with its link down and the word of two peers (guards against a host cut off from all that takes everything)', () => {
+	const {members} = make();
+	members.takeList(list('self', 'x', 'y', 'z'), true);
+	members.lose('x');
+	members.greet(hello('y', {unreachable: ['x']}));
+	assert.ok(names(members.candidates()).includes('x'));
+	members.greet(hello('z', {unreachable: ['x']}));
+	assert.ok(!names(members.candidates()).includes('x'));
+	members.greet(hello('x'));
+	assert.ok(names(members.candidates()).includes('x'));
+});
+
+test.test('an unlisted peer counts only while the list is stale (guards against views that differ for as long as the list lags)', async () => {
+	const {members, time} = make();
+	members.takeList(list('self', 'x'), true);
+	members.greet(hello('new'));
+	assert.deepEqual(names(members.candidates()), ['self', 'x']);
+	await time.advance(15_001);
+	assert.deepEqual(names(members.candidates()), ['new', 'self', 'x']);
+	members.lose('new');
+	assert.deepEqual(names(members.candidates()), ['self', 'x']);
+});
--- /dev/null
+++ b/src/core/tests/share.test.ts
@@ -0,0 +1,105 @@
+import * as assert from 'node:assert/strict';
+import * as test from 'node:test';
+import * as fc from 'fast-check';
+import * as clock from '../clock.js';
+import * as ownership from '../ownership.js';
+import * as share from '../share.js';
+
+const seed = 20_261_204;
+const settleMs = 3000;
+const stepMs = 100;
+const runMs = 15_000;
+const limit = 16;
+const names = Array.from({length: 9}, (_, index) => `entry-${index}`);
+
+/** A host joins or leaves at a time; `lagsMs` says how much later each host sees that, in the order of `names`. */
+type Event = {readonly at: number; readonly host: number; readonly lagsMs: readonly number[]};
+
+const event = fc.record({
+	at: fc.integer({min: 0, max: runMs - settleMs}),
+	host: fc.nat(names.length - 1),
+	lagsMs: fc.array(fc.integer({min: 0, max: settleMs - (2 * stepMs)}), {minLength: names.length, maxLength: names.length}),
+});
+
+function member(name: string): ownership.Member {
+	return {
+		name, place: `place-${names.indexOf(name) % 3}`, address: '', isLeaving: false,
+	};
+}
+
+/** What a host that sees events `lagMs` late believes at a time. Hosts see events in order. */
+function view(events: readonly Event[], observer: number, now: number): ownership.Member[] {
+	const present = new Set(names.slice(0, 5));
+	let seenAt = 0;
+	for (const {at, host, lagsMs} of events) {
+		seenAt = Math.max(seenAt, at + lagsMs[observer]);
+		if (seenAt <= now && !present.delete(names[host])) {
+			present.add(names[host]);
+		}
+	}
+
+	return [...present].map(name => member(name));
+}
+
+/** The most hosts that hold connections at the same time. */
+async function mostHolders(events: readonly Event[]): Promise<number> {
+	const time = new clock.Manual();
+	const shares = names.map(name => new share.Share(time, name, settleMs));
+	const notices: Array<{readonly at: number; readonly from: string; readonly to: number}> = [];
+	let most = 0;
+	for (let now = 0; now < runMs; now += stepMs) {
+		for (const [index, held] of shares.entries()) {
+			const owners = ownership.owners('ledgers', view(events, index, now)).map(({name}) => name);
+			const before = held.standing;
+			held.update(owners, false);
+			if (before === 'owner' && !owners.includes(names[index])) {
+				notices.push(...owners.map(owner => ({at: now + stepMs, from: names[index], to: names.indexOf(owner)})));
+			}
+		}
+
+		for (const notice of notices.filter(({at}) => at === now)) {
+			shares[notice.to].release(notice.from);
+		}
+
+		most = Math.max(most, shares.filter(({standing}) => standing === 'owner').length);
+		await time.advance(stepMs);
+	}
+
+	return most;
+}
+
+test.test('the shares of all hosts stay within the limit while views lag by less than the settle time (guards against refused connections at each join and leave)', async () => {
+	await fc.assert(fc.asyncProperty(fc.array(event, {maxLength: 8}), async events => {
+		const ordered = events.toSorted((left, right) => left.at - right.at);
+		const most = await mostHolders(ordered);
+		assert.ok(most * share.count(limit) <= limit, `${most} hosts hold ${share.count(limit)} of ${limit} connections`);
+	}), {seed, numRuns: 300});
+});
+
+test.test('a new owner starts at the former owner\'s release, or after the settle time (guards against a gap, and against opening too early)', async () => {
+	const time = new clock.Manual();
+	const held = new share.Share(time, 'd', settleMs);
+	held.update(['a', 'b', 'c'], false);
+	held.update(['d', 'e', 'c'], false);
+	assert.equal(held.standing, 'settling');
+	held.release('b');
+	assert.equal(held.standing, 'settling');
+	held.release('a');
+	assert.equal(held.standing, 'owner');
+	held.update(['a', 'b', 'c'], false);
+	assert.equal(held.standing, 'none');
+	held.update(['d', 'b', 'c'], false);
+	assert.equal(held.standing, 'settling', 'an earlier release does not count again');
+	await time.advance(settleMs);
+	assert.equal(held.standing, 'owner');
+});
+
+test.test('a host with a stale list and no link opens nothing (guards against a cut-off host that takes more than its share)', () => {
+	const knowledge = {
+		listAgeMs: 15_001, staleMs: 15_000, links: 0, isAlone: false,
+	};
+	assert.equal(share.mayOpen(knowledge), false);
+	assert.equal(share.mayOpen({...knowledge, links: 1}), true);
+	assert.equal(share.mayOpen({...knowledge, listAgeMs: 10}), true);
+	assert.equal(share.mayOpen({...knowledge, isAlone: true}), true);
+});
--- a/src/core/transaction.ts
+++ b/src/core/transaction.ts
@@ -22,6 +22,11 @@
 		return this.#open.size;
 	}
 
+	/** Whether the session has an open transaction. */
+	has(session: string): boolean {
+		return this.#open.has(session);
+	}
+
 	/** Opens a transaction for the request's session. An open one is rolled back, though MySQL would commit it. */
 	async begin(request: types.Request): Promise<errors.Outcome<types.Answer>> {
 		await this.end(request.session);
