Open links between entry hosts

Ruled out: giving every frame to the socket at once. After a failure nobody could tell which of them the kernel had, and all would have to fail as outcome-unknown. The link writes one frame at a time, so that frames behind it are surely unwritten. Ruled out as well: refusing the second of two links that two hosts open to each other at once, since a forward may already be on it. Both hosts use the one that the host with the lower name opened, and the opener of the other closes it once nothing depends on it.

--- /dev/null
+++ b/src/peer/link.ts
@@ -0,0 +1,34 @@
+/**
+Links between entry hosts, as interfaces. `socket.ts` implements them; tests use links in memory.
+*/
+import type * as types from '../generated/types.js';
+
+/** What became of a message: still queued here, or given to the socket, so that the peer may have it. */
+export type Delivery = {state: 'queued' | 'written'};
+
+/** One link. Messages arrive complete and in order, or not at all once the link is closed. */
+export abstract class Link {
+	/** Aborts when the link is closed by either side or is silent for too long. */
+	abstract readonly closed: AbortSignal;
+
+	/** Queues a message. */
+	abstract send(message: types.Message): Delivery;
+
+	/** The next message, or `undefined` at the end of the link. */
+	abstract next(): Promise<types.Message | undefined>;
+
+	/** Closes the link at once. A reason is logged; without one the end is ordinary. */
+	abstract close(reason?: string): void;
+}
+
+/** Opens and accepts links. */
+export abstract class Transport {
+	/** Listens on IP:port and gives the address with the real port. */
+	abstract listen(address: string, accept: (link: Link) => void): Promise<string>;
+
+	/** Opens a link to IP:port; `undefined` if that fails. */
+	abstract open(address: string): Promise<Link | undefined>;
+
+	/** Accepts no further links. */
+	abstract close(): void;
+}
--- /dev/null
+++ b/src/peer/socket.ts
@@ -0,0 +1,185 @@
+/**
+Links by WebSocket: each message is one binary frame in MessagePack.
+*/
+import type * as net from 'node:net';
+import * as msgpackr from 'msgpackr';
+import * as ws from 'ws';
+import * as address from '../core/address.js';
+import type * as clock from '../core/clock.js';
+import * as messages from '../generated/messages.js';
+import type * as types from '../generated/types.js';
+import * as link from './link.js';
+
+/** What links need. */
+export type Options = {
+	readonly clock: clock.Clock;
+	/** A link without a pong for this time in ms is closed. */
+	readonly timeoutMs: number;
+	/** Told why a link was closed on this side. */
+	readonly warn: (message: string, fields: Record<string, unknown>) => void;
+};
+
+type Outgoing = {readonly frame: Uint8Array; readonly delivery: link.Delivery};
+
+const pingsPerTimeout = 4;
+
+/** A link over one WebSocket. */
+export class Link extends link.Link {
+	readonly #socket: ws.WebSocket;
+	readonly #options: Options;
+	readonly #closed = new AbortController();
+	readonly #incoming: types.Message[] = [];
+	readonly #outgoing: Outgoing[] = [];
+	#isWriting = false;
+	#heardAt: number;
+	#wake: (() => void) | undefined;
+
+	constructor(socket: ws.WebSocket, options: Options) {
+		super();
+		this.#socket = socket;
+		this.#options = options;
+		this.#heardAt = options.clock.now();
+		socket.on('message', (frame: Uint8Array) => {
+			this.#receive(frame);
+		});
+		socket.on('pong', () => {
+			this.#heardAt = options.clock.now();
+		});
+		socket.on('error', () => {
+			this.#end();
+		});
+		socket.on('close', () => {
+			this.#end();
+		});
+		void this.#watch();
+	}
+
+	override get closed(): AbortSignal {
+		return this.#closed.signal;
+	}
+
+	override send(message: types.Message): link.Delivery {
+		const delivery: link.Delivery = {state: 'queued'};
+		this.#outgoing.push({frame: msgpackr.pack(message), delivery});
+		void this.#write();
+		return delivery;
+	}
+
+	override async next(): Promise<types.Message | undefined> {
+		while (this.#incoming.length === 0 && !this.closed.aborted) {
+			await new Promise<void>(resolve => {
+				this.#wake = resolve;
+			});
+		}
+
+		return this.closed.aborted ? undefined : this.#incoming.shift();
+	}
+
+	override close(reason?: string): void {
+		if (!this.closed.aborted) {
+			if (reason !== undefined) {
+				this.#options.warn('link closed', {reason});
+			}
+
+			this.#socket.terminate();
+			this.#end();
+		}
+	}
+
+	/** One frame at a time, so that frames behind it are surely unwritten when the link fails. */
+	async #write(): Promise<void> {
+		if (this.#isWriting) {
+			return;
+		}
+
+		this.#isWriting = true;
+		for (let entry = this.#outgoing.shift(); entry && !this.closed.aborted; entry = this.#outgoing.shift()) {
+			const {frame, delivery} = entry;
+			delivery.state = 'written';
+			await new Promise<void>(resolve => {
+				this.#socket.send(frame, () => {
+					resolve();
+				});
+			});
+		}
+
+		this.#isWriting = false;
+	}
+
+	async #watch(): Promise<void> {
+		const {clock: time, timeoutMs} = this.#options;
+		while (!this.closed.aborted) {
+			if (time.now() - this.#heardAt > timeoutMs) {
+				this.close(`no pong within ${timeoutMs} ms`);
+			} else {
+				this.#socket.ping();
+				await time.sleep(timeoutMs / pingsPerTimeout, this.closed);
+			}
+		}
+	}
+
+	#receive(frame: Uint8Array): void {
+		const message = decode(frame);
+		if (message) {
+			this.#incoming.push(message);
+			this.#wake?.();
+		} else {
+			this.close('the peer sent an invalid message');
+		}
+	}
+
+	#end(): void {
+		this.#closed.abort();
+		this.#wake?.();
+	}
+}
+
+/** Opens and accepts links over WebSocket. */
+export class Transport extends link.Transport {
+	readonly #options: Options;
+	#server: ws.WebSocketServer | undefined;
+
+	constructor(options: Options) {
+		super();
+		this.#options = options;
+	}
+
+	override async listen(target: string, accept: (accepted: link.Link) => void): Promise<string> {
+		const {host, port} = address.parse(target);
+		const server = new ws.WebSocketServer({host, port});
+		this.#server = server;
+		server.on('connection', socket => {
+			accept(new Link(socket, this.#options));
+		});
+		await new Promise<void>((resolve, reject) => {
+			server.once('listening', resolve);
+			server.once('error', reject);
+		});
+		return target.replace(/:\d+$/v, `:${(server.address() as net.AddressInfo).port}`);
+	}
+
+	override async open(target: string): Promise<link.Link | undefined> {
+		const socket = new ws.WebSocket(`ws://${target}/`, {handshakeTimeout: this.#options.timeoutMs, perMessageDeflate: false});
+		return new Promise(resolve => {
+			socket.once('open', () => {
+				resolve(new Link(socket, this.#options));
+			});
+			socket.once('error', () => {
+				resolve(undefined);
+			});
+		});
+	}
+
+	override close(): void {
+		this.#server?.close();
+	}
+}
+
+function decode(frame: Uint8Array): types.Message | undefined {
+	try {
+		const message: unknown = msgpackr.unpack(frame);
+		return messages.validateMessage(message) ? message : undefined;
+	} catch {
+		return undefined;
+	}
+}
--- /dev/null
+++ b/src/peer/tests/link.test.ts
@@ -0,0 +1,195 @@
+import * as assert from 'node:assert/strict';
+import * as test from 'node:test';
+import * as Either from 'fp-ts/lib/Either.js';
+import * as msgpackr from 'msgpackr';
+import * as ws from 'ws';
+import * as clock from '../../core/clock.js';
+import type * as errors from '../../core/errors.js';
+import type * as types from '../../generated/types.js';
+import * as conversation from '../conversation.js';
+import * as links from '../links.js';
+import * as socket from '../socket.js';
+
+const timeoutMs = 200;
+const request: types.Request = {
+	sql: 'SELECT 1', session: 's', service: 'ledgers', tenant: 'cascade', class: '', kind: 'read', transaction: 'none', position: null, maximumAgeMs: 0, requestId: 'r', deadlineMs: 1000,
+};
+const answer: types.Answer = {
+	kind: 'rows', columns: [], rows: [['1', null, new Uint8Array([1, 2])]], server: 'a',
+};
+
+/** A host that answers after a time and notes what it hears. */
+class Host extends conversation.Handler {
+	readonly heard: string[] = [];
+	leaving = false;
+	readonly #name: string;
+	readonly #answerMs: number;
+
+	constructor(name: string, answerMs: number) {
+		super();
+		this.#name = name;
+		this.#answerMs = answerMs;
+	}
+
+	override hello(): types.Hello {
+		return {
+			kind: 'hello', host: this.#name, place: 'a', address: this.#name, configurationVersion: 1, hostsVersion: 0, leaving: this.leaving, unreachable: [],
+		};
+	}
+
+	override greeted(_peer: conversation.Conversation, hello: types.Hello): void {
+		this.heard.push(`hello ${hello.host} ${hello.leaving}`);
+	}
+
+	override async execute(): Promise<errors.Outcome<types.Answer>> {
+		this.heard.push('forward');
+		await new clock.System().sleep(this.#answerMs);
+		return Either.right(answer);
+	}
+
+	override endSession(_peer: conversation.Conversation, session: string): void {
+		this.heard.push(`end ${session}`);
+	}
+
+	override suspects(): errors.Outcome<boolean> {
+		return Either.right(true);
+	}
+
+	override report(object: types.SharedObject): {version: number; text: string} {
+		return {version: 7, text: object};
+	}
+
+	override noticePrimary(): void {
+		this.heard.push('primary');
+	}
+
+	override noticeRelease(): void {
+		this.heard.push('release');
+	}
+
+	override lost(peer: conversation.Conversation): void {
+		this.heard.push(`lost ${peer.host}`);
+	}
+
+	override unreachable(host: string): void {
+		this.heard.push(`unreachable ${host}`);
+	}
+}
+
+function open(host: string, handler: Host, warnings: string[] = []): links.Links {
+	const time = new clock.System();
+	const transport = new socket.Transport({
+		clock: time,
+		timeoutMs,
+		warn(_message, {reason}) {
+			warnings.push(String(reason));
+		},
+	});
+	return new links.Links({
+		host, clock: time, transport, handler, timeoutMs,
+	});
+}
+
+async function pair(answerMs: number): Promise<{first: links.Links; second: links.Links; handlers: [Host, Host]; peer: conversation.Conversation}> {
+	const handlers: [Host, Host] = [new Host('first', 0), new Host('second', answerMs)];
+	const [first, second] = [open('first', handlers[0]), open('second', handlers[1])];
+	const address = await second.listen('127.0.0.1:0');
+	const peer = await first.reach({address});
+	assert.ok(peer);
+	return {
+		first, second, handlers, peer,
+	};
+}
+
+/** A peer that greets correctly and then does what the test says. */
+async function impostor(serve: (accepted: ws.WebSocket) => void): Promise<{address: string; server: ws.WebSocketServer}> {
+	const server = new ws.WebSocketServer({port: 0, host: '127.0.0.1', autoPong: false});
+	server.on('connection', accepted => {
+		accepted.send(msgpackr.pack(new Host('impostor', 0).hello()));
+		serve(accepted);
+	});
+	await new Promise(resolve => {
+		server.once('listening', resolve);
+	});
+	const bound = server.address();
+	return {address: `127.0.0.1:${typeof bound === 'object' && bound ? bound.port : 0}`, server};
+}
+
+test.test('a forward is answered whole, and a greeting is repeated only when it changes (guards against lost cells and needless traffic)', async () => {
+	const {first, second, handlers, peer} = await pair(0);
+	const outcome = await peer.ask({kind: 'forward', request}, 1000);
+	assert.ok(Either.isRight(outcome) && outcome.right.kind === 'answered');
+	assert.deepEqual(structuredClone(outcome.right.answer), answer);
+	first.greet();
+	handlers[0].leaving = true;
+	first.greet();
+	await peer.ask({kind: 'configuration-query', object: 'hosts'}, 1000);
+	assert.deepEqual(handlers[1].heard.filter(text => text.startsWith('hello')), ['hello first false', 'hello first true']);
+	first.stop();
+	second.stop();
+});
+
+test.test('a lost link fails what was written as outcome-unknown and the rest as not-run (guards against a second run, and against needless doubt)', async () => {
+	const {first, second, handlers, peer} = await pair(1000);
+	const written = peer.ask({kind: 'forward', request}, 5000);
+	await new clock.System().sleep(50);
+	// The second frame waits for the first to be written, which the socket reports later than the link is closed.
+	const long = peer.ask({kind: 'forward', request: {...request, sql: 'x'.repeat(50_000_000)}}, 5000);
+	const unwritten = peer.ask({kind: 'forward', request}, 5000);
+	peer.close();
+	const kinds = await Promise.all([written, long, unwritten].map(async asked => {
+		const outcome = await asked;
+		return Either.isLeft(outcome) ? outcome.left.kind : 'answered';
+	}));
+	assert.deepEqual(kinds, ['outcome-unknown', 'outcome-unknown', 'not-run']);
+	const late = await peer.ask({kind: 'forward', request}, 5000);
+	assert.ok(Either.isLeft(late) && late.left.kind === 'not-run');
+	assert.ok(handlers[0].heard.includes('lost second'));
+	first.stop();
+	second.stop();
+});
+
+test.test('a peer without pongs is dropped in time (guards against requests that wait at a link gone silent)', async () => {
+	const {address, server} = await impostor(() => undefined);
+	const warnings: string[] = [];
+	const opened = open('first', new Host('first', 0), warnings);
+	const peer = await opened.reach({address});
+	assert.ok(peer);
+	const started = performance.now();
+	const outcome = await peer.ask({kind: 'forward', request}, 5000);
+	assert.ok(Either.isLeft(outcome) && outcome.left.kind === 'outcome-unknown');
+	assert.ok(performance.now() - started < 3 * timeoutMs);
+	assert.deepEqual(warnings, [`no pong within ${timeoutMs} ms`]);
+	opened.stop();
+	server.close();
+});
+
+test.test('an invalid message closes the link and is logged (guards against acting on what another version or a stranger sends)', async () => {
+	const {address, server} = await impostor(accepted => {
+		accepted.once('message', () => {
+			accepted.send(msgpackr.pack({kind: 'forward', id: 'one'}));
+		});
+	});
+	const warnings: string[] = [];
+	const handler = new Host('first', 0);
+	const opened = open('first', handler, warnings);
+	await opened.reach({address});
+	await new clock.System().sleep(timeoutMs / 2);
+	assert.deepEqual(warnings, ['the peer sent an invalid message']);
+	assert.ok(handler.heard.includes('lost impostor'));
+	opened.stop();
+	server.close();
+});
+
+test.test('two hosts that open links to each other at once end up with one (guards against twice the pings)', async () => {
+	const handlers: [Host, Host] = [new Host('first', 0), new Host('second', 0)];
+	const [first, second] = [open('first', handlers[0]), open('second', handlers[1])];
+	const addresses = [await first.listen('127.0.0.1:0'), await second.listen('127.0.0.1:0')];
+	await Promise.all([first.reach({address: addresses[1]}), second.reach({address: addresses[0]})]);
+	await new clock.System().sleep(3 * timeoutMs);
+	assert.deepEqual(handlers[0].heard.filter(text => text.startsWith('lost')), ['lost second']);
+	assert.ok(first.find('second')?.isOpener);
+	assert.equal(second.find('first')?.isOpener, false);
+	first.stop();
+	second.stop();
+});
