Let a statement that waits for the lock take no slot in the stand-in

Cause: three sessions that insert at the same time stopped a stand-in with two slots for 5 s at a time. Two of them held the slots while they waited for the write lock, and its holder got no slot for its commit.

Ruled out: a fault of forwarding. The same statements through one owner use the same three connections.

Change: a write takes the lock first and then a slot.

Conclusion: the stand-in was at fault, not the proxy.

--- a/src/standin/database.ts
+++ b/src/standin/database.ts
@@ -220,8 +220,18 @@
 			return this.#call(call.groups.name ?? '', call.groups.list ?? '', closed);
 		}
 
+		// A statement that waits for the lock takes no slot, because the lock's holder needs one for its commit.
+		const locked = writePattern.test(sql) ? await this.#lockWrites(session) : Either.right(undefined);
+		if (Either.isLeft(locked)) {
+			return locked;
+		}
+
 		const releaseSlot = await this.#slots.acquire(lockTimeoutMs);
 		if (!releaseSlot) {
+			if (!session.isInTransaction) {
+				this.#rollback(session);
+			}
+
 			return Either.left(errors.database(this.#options.name, 'no free slot', codeLockTimeout));
 		}
 
@@ -272,13 +282,8 @@
 	}
 
 	async #write(sql: string, session: Session): Promise<errors.Outcome<types.Answer>> {
-		if (!session.isInTransaction) {
-			session.term = this.#term;
-		}
-
-		const locked = await this.#lockWrites(session);
-		if (Either.isLeft(locked)) {
-			return locked;
+		if (!this.#canWrite(session)) {
+			return this.#refuseWrite(session);
 		}
 
 		const outcome = this.#engine.execute(sql);
@@ -300,6 +305,10 @@
 	}
 
 	async #lockWrites(session: Session): Promise<errors.Outcome<void>> {
+		if (!session.isInTransaction) {
+			session.term = this.#term;
+		}
+
 		if (!session.release) {
 			session.release = await this.#writeLock.acquire(lockTimeoutMs);
 			if (!session.release) {
