Send the last answer before a caller's connection closes

Cause: at a drain the connection was destroyed right after its last answer was written, which drops what the socket has not sent yet. Seen by reading; no test shows it, because small answers reach the kernel at once.

Change: the end of a connection's task destroys the socket only after its data is sent (`destroySoon`).

--- a/src/mysql/server.ts
+++ b/src/mysql/server.ts
@@ -119,7 +119,13 @@
 		});
 	}
 
-	/** Closes the connection. */
+	/** Closes the connection once everything that was written has been sent. */
+	finish(): void {
+		this.#wire.stream.destroySoon();
+		this.#end();
+	}
+
+	/** Closes the connection at once; what has not been sent is dropped. */
 	close(): void {
 		this.#wire.stream.destroy();
 		this.#end();
@@ -341,7 +347,8 @@
 		try {
 			await task;
 		} finally {
-			connection.close();
+			// The last answer may still be on its way, for example at a drain.
+			connection.finish();
 			this.#tasks.delete(task);
 		}
 	}
