Share ownership between entry hosts and forward requests

Cause: each entry host owned every service, followed the configuration alone, and cut its peers off when it stopped.

Ruled out: passing a `not-run` or `database` failure of a repetition to the caller after an attempt whose answer was lost. The repetition may have failed on the locks of the first attempt, which then commits. Only an answer or a record settles both; anything else stays outcome-unknown. Ruled out: closing the pools at the loss of ownership, because requests in progress would wait for a connection until their deadline; idle connections close, one a server remains until they end.

Change: `dispatcher` (local, own place, rank), `answers` (what peers ask), `owner` (standing, standby of the host next in rank, release with notice), `replica` with `configuration` and `hosts` (store watch, peers, seeds), drain, `/status`. A refused configuration no longer makes the watch return at once again and again.

Broken by hand, each seen by a test and restored: no repetition after a lost answer, sessions kept after a lost link, no session-end, drain without leaving, drain that does not wait, release at once, one seed instead of a majority, peers not heard, host list ignored for servers, older versions taken, unwritten frames failed as written, no pong check, no validation. Two of them (drain) passed unnoticed at first, since recorded writes are repeated; the test now runs transactions.

Conclusion: owner death, drain and a store outage lose and double nothing in these tests. No test covers the standby of the host next in rank, `suspicion-query` between processes, or a large answer at a drain.

--- /dev/null
+++ b/src/host/tests/peers.test.ts
@@ -0,0 +1,167 @@
+import * as assert from 'node:assert/strict';
+import * as test from 'node:test';
+import type * as mysql from 'mysql2/promise';
+import * as clock from '../../core/clock.js';
+import * as deployment from '../../standin/deployment.js';
+
+const time = new clock.System();
+const places = ['puget-a', 'willamette-a', 'inland-a'];
+const options: deployment.Options = {
+	places,
+	hosts: [...places, 'puget-a'],
+	schema: ['CREATE TABLE ledger (id INTEGER PRIMARY KEY, fund VARCHAR(64), cents INTEGER)'],
+	timing: 'ownerSettleMs = 300\nlinkTimeoutMs = 500\nprobeIntervalMs = 50\nstoreReturnMs = 200\ndrainLimitMs = 5000\nmemberStaleMs = 2000',
+	isListed: true,
+};
+const all = [0, 1, 2, 3];
+
+/** A deployment of four listed hosts, three of which own the service. */
+async function start(change: Partial<deployment.Options> = {}): Promise<{site: deployment.Deployment; outsider: number; sibling: number}> {
+	const site = await deployment.Deployment.start({...options, ...change});
+	await site.until(statuses => statuses.filter(({services}) => services.ledgers?.standing === 'owner').length === 3
+		&& statuses.every(({members}) => members.length === all.length), all);
+	const statuses = await Promise.all(all.map(async index => site.status(index)));
+	const outsider = statuses.findIndex(({services}) => services.ledgers?.standing === 'none');
+	// The other host of the outsider's place, which it forwards to first.
+	return {site, outsider, sibling: outsider === 0 ? 3 : 0};
+}
+
+/** Inserts `count` rows, each once, and notes the answers. */
+async function insertRows(connection: mysql.Connection, prefix: string, count: number): Promise<string[]> {
+	const failures: string[] = [];
+	for (let index = 0; index < count; index++) {
+		try {
+			await connection.query(`/* sycamorering request=${prefix}-${index} */ INSERT INTO ledger (fund, cents) VALUES ('${prefix}-${index}', 1)`);
+		} catch (error) {
+			failures.push(String(error));
+		}
+	}
+
+	return failures;
+}
+
+test.test('a host that owns nothing forwards, and a transaction stays with its owner to the end (guards against connections of every host to every server)', async () => {
+	const {site, outsider, sibling} = await start();
+	const [far, near] = [await site.connect(outsider), await site.connect(sibling)];
+	await far.query('INSERT INTO ledger (fund, cents) VALUES (\'bus\', 5)');
+	await far.query('BEGIN');
+	await far.query('UPDATE ledger SET cents = 6');
+	const [outside] = await near.query('SELECT cents FROM ledger');
+	await far.query('COMMIT');
+	const [after] = await far.query('SELECT cents FROM ledger');
+	assert.deepEqual([outside, after], [[{cents: '5'}], [{cents: '6'}]]);
+	const {services} = await site.status(outsider);
+	assert.deepEqual(services.ledgers?.servers, []);
+	await Promise.all([far.end(), near.end()]);
+	await site.stop();
+});
+
+for (const end of ['caller', 'link'] as const) {
+	test.test(`a forwarded transaction ends with its ${end} (guards against locks that nobody releases)`, async () => {
+		const {site, outsider, sibling} = await start();
+		const [far, near] = [await site.connect(outsider), await site.connect(sibling)];
+		await far.query('BEGIN');
+		await far.query('INSERT INTO ledger (fund, cents) VALUES (\'lost\', 1)');
+		if (end === 'caller') {
+			far.destroy();
+		} else {
+			far.on('error', () => undefined);
+			await site.entries[outsider].host.stop();
+		}
+
+		const started = time.now();
+		await near.query('INSERT INTO ledger (fund, cents) VALUES (\'kept\', 1)');
+		assert.ok(time.now() - started < 2000);
+		const [rows] = await near.query('SELECT fund FROM ledger');
+		assert.deepEqual(rows, [{fund: 'kept'}]);
+		far.destroy();
+		await near.end();
+		await site.stop();
+	});
+}
+
+test.test('requests go on when the owner that executes them dies, and each runs once (guards against lost and double reimbursements)', async () => {
+	const {site, outsider, sibling} = await start({serviceMs: 2});
+	const connections = await Promise.all(['a', 'b', 'c'].map(async () => site.connect(outsider)));
+	const running = Promise.all(connections.map(async (connection, index) => insertRows(connection, `c${index}`, 40)));
+	await time.sleep(150);
+	await site.entries[sibling].host.stop();
+	const failures = await running;
+	assert.deepEqual(failures.flat(), []);
+	const writes = site.writes('a');
+	assert.equal(writes.length, 120);
+	assert.equal(new Set(writes).size, 120);
+	await Promise.all(connections.map(async connection => connection.end()));
+	await site.stop();
+});
+
+/** Runs transactions of two rows each, and notes the failures. */
+async function runTransactions(connection: mysql.Connection, prefix: string, count: number): Promise<string[]> {
+	const failures: string[] = [];
+	for (let index = 0; index < count; index++) {
+		try {
+			await connection.query('BEGIN');
+			await connection.query(`INSERT INTO ledger (fund, cents) VALUES ('${prefix}-${index}', 1)`);
+			await connection.query(`INSERT INTO ledger (fund, cents) VALUES ('${prefix}-${index}', 2)`);
+			await connection.query('COMMIT');
+		} catch (error) {
+			failures.push(String(error));
+		}
+	}
+
+	return failures;
+}
+
+for (const kind of ['owner', 'forwarder'] as const) {
+	test.test(`the drain of the ${kind} cuts no request and no transaction (guards against failures at each restart)`, {timeout: 30_000}, async () => {
+		const {site, outsider, sibling} = await start();
+		const drained = kind === 'owner' ? sibling : outsider;
+		const [inside, ...others] = await Promise.all([drained, ...all.filter(index => index !== drained)].map(async index => site.connect(index)));
+		const running = Promise.all(others.map(async (connection, index) => runTransactions(connection, `c${index}`, 40)));
+		await inside.query('BEGIN');
+		const {host, ports} = site.entries[drained];
+		const done = host.drain();
+		const response = await fetch(`http://127.0.0.1:${ports.http}/ready`);
+		assert.equal(response.status, 503);
+		await time.sleep(300);
+		await inside.query('INSERT INTO ledger (fund, cents) VALUES (\'last\', 1)');
+		await inside.query('COMMIT');
+		await done;
+		const failures = await running;
+		assert.deepEqual(failures.flat(), []);
+		assert.equal(site.writes('a').length, 241);
+		await site.until(statuses => statuses.filter(({services}) => services.ledgers?.standing === 'owner').length === 3, all.filter(index => index !== drained));
+		inside.destroy();
+		await Promise.all(others.map(async connection => connection.end()));
+		await site.stop();
+	});
+}
+
+test.test('an owner cut off from the store hears of leaving servers and of new configurations from peers (guards against new work on a server that leaves)', async () => {
+	const {site, sibling} = await start();
+	site.entries[sibling].store.cut();
+	site.listLeavingServer('b');
+	site.platform.put('configuration', site.configuration());
+	const started = time.now();
+	await site.until(([status]) => status.configurationVersion === 2
+		&& (status.services.ledgers?.servers.find(({name}) => name === 'b')?.isLeaving ?? false), [sibling]);
+	assert.ok(time.now() - started < 3000);
+	await site.stop();
+});
+
+test.test('a host that starts in a store outage waits for a majority of its seeds (guards against a return to the configuration of an old peer)', async () => {
+	const site = await deployment.Deployment.start({
+		...options, hosts: places.slice(0, 2), seeds: 3, isListed: false,
+	});
+	const [old, second] = site.entries;
+	await second.host.stop();
+	old.store.cut();
+	site.platform.put('configuration', site.configuration());
+	await site.startHost('entry-3', 'inland-a', true);
+	await time.sleep(1500);
+	const {isReady, configurationVersion} = await site.status(2);
+	assert.deepEqual([isReady, configurationVersion], [false, 0], 'one of two seeds is no majority');
+	await site.startHost('entry-2', 'willamette-a');
+	await site.until(statuses => statuses.every(status => status.isReady && status.configurationVersion === 2), [0, 1, 2]);
+	await site.stop();
+});
--- a/src/peer/conversation.ts
+++ b/src/peer/conversation.ts
@@ -159,6 +159,11 @@
 		return outcome ?? errors.fail('outcome-unknown', 'forward', this.host, `no answer within ${Math.round(timeoutMs)} ms`);
 	}
 
+	/** Closes the link once the peer has everything that was sent. */
+	async finish(): Promise<void> {
+		await this.#link.finish();
+	}
+
 	/** Closes the link at once. A reason is logged; without one the end is ordinary. */
 	close(reason?: string): void {
 		this.#link.close(reason);
--- a/src/peer/link.ts
+++ b/src/peer/link.ts
@@ -17,6 +17,9 @@
 	/** The next message, or `undefined` at the end of the link. */
 	abstract next(): Promise<types.Message | undefined>;
 
+	/** Closes the link once the peer has everything that was sent. */
+	abstract finish(): Promise<void>;
+
 	/** Closes the link at once. A reason is logged; without one the end is ordinary. */
 	abstract close(reason?: string): void;
 }
--- a/src/peer/links.ts
+++ b/src/peer/links.ts
@@ -67,7 +67,14 @@
 		}
 	}
 
-	/** Closes every link. */
+	/** Closes every link once its peer has everything that was sent. */
+	async finish(): Promise<void> {
+		this.#isStopped = true;
+		this.#parts.transport.close();
+		await Promise.all([...this.#open].map(async peer => peer.finish()));
+	}
+
+	/** Closes every link at once. */
 	stop(): void {
 		this.#isStopped = true;
 		this.#parts.transport.close();
--- a/src/peer/socket.ts
+++ b/src/peer/socket.ts
@@ -22,6 +22,7 @@
 type Outgoing = {readonly frame: Uint8Array; readonly delivery: link.Delivery};
 
 const pingsPerTimeout = 4;
+const flushPollMs = 5;
 
 /** A link over one WebSocket. */
 export class Link extends link.Link {
@@ -75,6 +76,17 @@
 		return this.closed.aborted ? undefined : this.#incoming.shift();
 	}
 
+	override async finish(): Promise<void> {
+		while (this.#isWriting && !this.closed.aborted) {
+			await this.#options.clock.sleep(flushPollMs, this.closed);
+		}
+
+		// The peer closes its side once it has read all; `close` would drop what is on its way.
+		this.#socket.close();
+		await this.#options.clock.sleep(this.#options.timeoutMs, this.closed);
+		this.close();
+	}
+
 	override close(reason?: string): void {
 		if (!this.closed.aborted) {
 			if (reason !== undefined) {
--- a/src/platform/http.ts
+++ b/src/platform/http.ts
@@ -28,9 +28,9 @@
 		return this.#call(key, {expected: expectedVersion}, {timeoutMs: this.#options.timeoutMs, value});
 	}
 
-	override async watch(key: string, afterVersion: number, signal: AbortSignal): Promise<errors.Outcome<store.Entry>> {
-		const {timeoutMs, watchMs} = this.#options;
-		return this.#call(key, {after: afterVersion, wait: watchMs}, {timeoutMs: timeoutMs + watchMs, signal});
+	override async watch(key: string, afterVersion: number, signal: AbortSignal, waitMs = this.#options.watchMs): Promise<errors.Outcome<store.Entry>> {
+		const wait = Math.min(waitMs, this.#options.watchMs);
+		return this.#call(key, {after: afterVersion, wait}, {timeoutMs: this.#options.timeoutMs + wait, signal});
 	}
 
 	async #call(
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -20,6 +20,9 @@
 	*/
 	abstract update(key: string, value: string, expectedVersion: number): Promise<errors.Outcome<Entry>>;
 
-	/** Waits until the object's version is above `afterVersion`; gives the present entry at the watch's time limit. */
-	abstract watch(key: string, afterVersion: number, signal: AbortSignal): Promise<errors.Outcome<Entry>>;
+	/**
+	Waits until the object's version is above `afterVersion`; gives the present entry at the watch's time limit, or
+	after `waitMs` if that is less.
+	*/
+	abstract watch(key: string, afterVersion: number, signal: AbortSignal, waitMs?: number): Promise<errors.Outcome<Entry>>;
 }
--- a/src/standin/deployment.ts
+++ b/src/standin/deployment.ts
@@ -1,11 +1,13 @@
 /**
 A whole deployment in one process, for tests and measurements: platform and database group stand-ins, and entry hosts.
 */
+import * as net from 'node:net';
 import * as Either from 'fp-ts/lib/Either.js';
 import * as mysql from 'mysql2/promise';
 import * as clock from '../core/clock.js';
 import * as errors from '../core/errors.js';
 import * as settings from '../core/settings.js';
+import type * as types from '../generated/types.js';
 import * as host from '../host/host.js';
 import * as log from '../host/log.js';
 import * as server from '../mysql/server.js';
@@ -21,10 +23,24 @@
 	readonly classes?: string;
 	/** The `timing` section of each entry host, as INI text. */
 	readonly timing?: string;
+	/** What entry hosts log. */
+	readonly level?: types.Level;
+	/** Whether entry hosts stand on the platform's host list as soon as they run. */
+	readonly isListed?: boolean;
+	/** How many entry hosts are seeds: the first ones, also those that are added later. */
+	readonly seeds?: number;
 };
 
 /** A running entry host and its ports. */
-export type Entry = {readonly host: host.Host; readonly ports: host.Ports};
+export type Entry = {readonly name: string; readonly place: string; readonly host: host.Host; readonly ports: host.Ports; readonly store: Store};
+
+/** What an entry host says of itself at `/status`, as far as tests look at it. */
+export type Status = {
+	readonly isReady: boolean;
+	readonly configurationVersion: number;
+	readonly members: ReadonlyArray<{name: string; isLeaving: boolean; isLinked: boolean}>;
+	readonly services: Readonly<Record<string, {owners: string[]; standing: string; servers: Array<{name: string; isLeaving: boolean; connections: number; busy: number}>}>>;
+};
 
 const address = '127.0.0.1';
 const user = 'secretary';
@@ -32,37 +48,70 @@
 const readyPollMs = 10;
 const readyLimitMs = 10_000;
 
+/** The platform's store as one entry host reaches it, or not while it is cut off. */
+export class Store extends http.Store {
+	readonly #cut = new AbortController();
+
+	/** Cuts the host off from the store for good; calls that wait fail at once. */
+	cut(): void {
+		this.#cut.abort();
+	}
+
+	override async watch(key: string, afterVersion: number, signal: AbortSignal, waitMs?: number): Promise<errors.Outcome<types.Entry>> {
+		return super.watch(key, afterVersion, AbortSignal.any([signal, this.#cut.signal]), waitMs);
+	}
+}
+
 /** A deployment with one service, `ledgers`, and one account. */
 export class Deployment {
 	static async start(options: Options): Promise<Deployment> {
 		const servers = await group.Group.start(options);
 		const store = new platform.Platform();
 		const url = await store.start(address, 0);
-		const account = `[account.${user}]\nservice = ledgers\ntenant = cascade\npasswordHash = ${server.hashPassword(password)}\n`;
-		store.put('configuration', `${servers.configuration('ledgers', options.classes)}\n${account}`);
-		const deployment = new Deployment(servers, store, url, options.timing ?? '');
-		for (const [index, place] of options.hosts.entries()) {
-			await deployment.addHost(`entry-${index + 1}`, place);
-		}
-
+		const seeds = await Promise.all(Array.from({length: options.seeds ?? 0}, async () => freeAddress()));
+		const deployment = new Deployment(servers, {store, url}, options, seeds);
+		store.put('configuration', deployment.configuration());
+		await Promise.all(options.hosts.map(async (place, index) => deployment.addHost(`entry-${index + 1}`, place)));
 		return deployment;
 	}
 
 	readonly group: group.Group;
 	readonly platform: platform.Platform;
-	readonly entries: Entry[] = [];
+	readonly #entries = new Map<number, Entry>();
 	readonly #url: string;
-	readonly #timing: string;
+	readonly #options: Options;
+	readonly #seeds: readonly string[];
+	readonly #list: {entry: types.ListedHost[]; backend: types.ListedHost[]} = {entry: [], backend: []};
 
-	private constructor(servers: group.Group, store: platform.Platform, url: string, timing: string) {
+	private constructor(servers: group.Group, {store, url}: {store: platform.Platform; url: string}, options: Options, seeds: readonly string[]) {
 		this.group = servers;
 		this.platform = store;
 		this.#url = url;
-		this.#timing = timing;
+		this.#options = options;
+		this.#seeds = seeds;
 	}
 
-	/** Starts an entry host and waits until it is ready. */
+	/** Entry hosts that were started, in the order of their numbers. */
+	get entries(): Entry[] {
+		return [...this.#entries].toSorted(([left], [right]) => left - right).map(([, entry]) => entry);
+	}
+
+	/** The configuration as INI text. */
+	configuration(): string {
+		const account = `[account.${user}]\nservice = ledgers\ntenant = cascade\npasswordHash = ${server.hashPassword(password)}\n`;
+		return `${this.group.configuration('ledgers', this.#options.classes)}\n${account}`;
+	}
+
+	/** Starts an entry host, named `entry-` and its number, and waits until it is ready. */
 	async addHost(name: string, place: string): Promise<Entry> {
+		const entry = await this.startHost(name, place);
+		await waitUntilReady(entry.ports.http);
+		return entry;
+	}
+
+	/** Starts an entry host, cut off from the store if `isCut`. */
+	async startHost(name: string, place: string, isCut = false): Promise<Entry> {
+		const number = Number(name.replace('entry-', ''));
 		const parsed = settings.parseSettings([
 			'[host]',
 			`name = ${name}`,
@@ -70,25 +119,81 @@
 			`region = ${place}`,
 			'[listen]',
 			`caller = ${address}:0`,
-			`peer = ${address}:0`,
+			`peer = ${this.#seeds[number - 1] ?? `${address}:0`}`,
 			`http = ${address}:0`,
 			'[platform]',
 			`url = ${this.#url}`,
 			'watchMs = 500',
+			'[peers]',
+			`seeds = ${this.#seeds.join(',')}`,
 			'[timing]',
-			this.#timing,
+			this.#options.timing ?? '',
 		].join('\n'), `${name}.ini`);
 		if (Either.isLeft(parsed)) {
 			throw new Error(errors.describe(parsed.left));
 		}
 
-		const entryHost = new host.Host(parsed.right, new http.Store(parsed.right.platform), log.create('silent', {}));
-		const entry = {host: entryHost, ports: await entryHost.start()};
-		this.entries.push(entry);
-		await waitUntilReady(entry.ports.http);
+		const store = new Store(parsed.right.platform);
+		if (isCut) {
+			store.cut();
+		}
+
+		const entryHost = new host.Host(parsed.right, store, log.create(this.#options.level ?? 'silent', {host: name}));
+		const entry = {
+			name, place, host: entryHost, ports: await entryHost.start(), store,
+		};
+		this.#entries.set(number, entry);
+		if (this.#options.isListed) {
+			this.list(name, 'live');
+		}
+
 		return entry;
 	}
 
+	/** Puts an entry host on the platform's host list, or takes it off. */
+	list(name: string, state: types.HostState | 'gone'): void {
+		const entry = this.entries.find(candidate => candidate.name === name);
+		this.#list.entry = this.#list.entry.filter(listed => listed.name !== name);
+		if (entry && state !== 'gone') {
+			this.#list.entry.push({
+				name, address: `${address}:${entry.ports.peer}`, place: entry.place, state,
+			});
+		}
+
+		this.platform.put('hosts', JSON.stringify(this.#list));
+	}
+
+	/** Marks a backend server as leaving on the platform's host list. */
+	listLeavingServer(name: string): void {
+		this.#list.backend.push({
+			name, address: `${address}:${this.group.server(name).port}`, place: 'any', state: 'leaving',
+		});
+		this.platform.put('hosts', JSON.stringify(this.#list));
+	}
+
+	/** What the entry host with this index says of itself. */
+	async status(index: number): Promise<Status> {
+		const response = await fetch(`http://${address}:${this.entries[index]?.ports.http ?? 0}/status`);
+		return await response.json() as Status;
+	}
+
+	/** Waits until the entry hosts agree with `isReached`; fails after some seconds. */
+	async until(isReached: (statuses: readonly Status[]) => boolean, indices: readonly number[]): Promise<void> {
+		const time = new clock.System();
+		const end = time.now() + readyLimitMs;
+		let statuses: Status[] = [];
+		while (time.now() < end) {
+			statuses = await Promise.all(indices.map(async index => this.status(index)));
+			if (isReached(statuses)) {
+				return;
+			}
+
+			await time.sleep(readyPollMs);
+		}
+
+		throw new Error(`the entry hosts did not reach the wanted state: ${JSON.stringify(statuses)}`);
+	}
+
 	/** Connects a stock client to the entry host with this index. */
 	async connect(index: number): Promise<mysql.Connection> {
 		return mysql.createConnection({
@@ -109,6 +214,19 @@
 	}
 }
 
+/** An address that nothing listens on at present. */
+async function freeAddress(): Promise<string> {
+	const listener = net.createServer();
+	await new Promise<void>(resolve => {
+		listener.listen(0, address, resolve);
+	});
+	const {port} = listener.address() as net.AddressInfo;
+	await new Promise(resolve => {
+		listener.close(resolve);
+	});
+	return `${address}:${port}`;
+}
+
 async function waitUntilReady(port: number): Promise<void> {
 	const time = new clock.System();
 	const end = time.now() + readyLimitMs;
