--- a/src/core/statement.ts
+++ b/src/core/statement.ts
@@ -35,6 +35,7 @@
 What begins text in which nothing has a meaning: quoted strings and names, and comments. White space is spelled out,
 because MySQL knows less of it than JavaScript.
 */
+// eslint-disable-next-line no-control-regex -- MySQL takes every control character for white space.
 const openerPattern = /['"`#]|\/\*|--(?=[\u0000-\u0020\u007F]|$)/gv;
 /**
 What may end it, or stands for a quote inside it. Each search gives one short match: a pattern for a whole string of
@@ -48,7 +49,8 @@
 };
 /** What stands for text that was left out. */
 const replacements: Readonly<Record<string, string>> = {'\'': '\'\'', '"': '\'\'', '`': '``'};
-const lineEndPattern = new RegExp(String.raw`[\n\0]|$`, 'gv');
+
+const lineEndPattern = /[\n\0]|$/gv;
 /** Longest part of a text in which its first word is looked for. */
 const headLength = 4096;
 /** Comments whose text MySQL or MariaDB executes, and hints that hold quotes, in which a comment may end elsewhere. */
--- a/src/core/transaction.ts
+++ b/src/core/transaction.ts
@@ -58,6 +58,11 @@
 		return this.#open.size;
 	}
 
+	/** Whether the session has an open transaction. */
+	has(session: string): boolean {
+		return this.#open.has(session);
+	}
+
 	/**
 	Opens a transaction for the request's session. An open one is rolled back, though MySQL would commit it. The permit
 	is given back with the connection. `isIdempotent` is that of the request's class.
