Measure the failover gap and keep requests off a replaced primary

Cause: node dist/bench/failover.js showed callers that were stuck for 5 s and more although the group had a new primary after about 1.2 s. In the database stand-in, statements that waited for the write lock held the execution slots that the lock's holder needed. In the pool, whoever waited for a connection to the old primary went on waiting after it had been replaced, and a connection that closed as it opened left its waiter without another. The platform stand-in ended its process when a caller hung up during a slow call.

The steps of a change are exported as sycamorering_primary_change_seconds. src/bench/failover.ts; three tests on whole deployments (frozen primary with the store down, primary cut off and still writing, answers of 300 ms).

Ruled out: a lower suspectAfterMs. Answers of 300 ms give up to 800 ms of silence with the default probe interval.

Some writes at the entry host beside a primary that dies still end as outcome-unknown at their deadline; the cause is not found.

--- /dev/null
+++ b/src/bench/failover.ts
@@ -0,0 +1,237 @@
+/**
+Measures the failover gap on stand-ins in one process: `node dist/bench/failover.js`. A caller writes continuously while
+the primary freezes or dies again and again. Prints a table and writes `out/failover.json`.
+*/
+import * as fs from 'node:fs/promises';
+import process from 'node:process';
+import * as hdr from 'hdr-histogram-js';
+import type * as mysql from 'mysql2/promise';
+import * as clock from '../core/clock.js';
+import type * as promotion from '../core/promotion.js';
+import * as random from '../core/random.js';
+import * as deployment from '../standin/deployment.js';
+import * as network from '../standin/network.js';
+
+type Store = 'well' | 'slow' | 'down';
+type Case = {readonly user: 'cascade' | 'samlag'; readonly policy: 'ballot' | 'store'; readonly store: Store};
+type Distribution = {readonly p50: number; readonly p90: number; readonly max: number};
+type Result = Case & {
+	readonly failovers: number;
+	readonly gapMs: Distribution;
+	readonly parts: Readonly<Record<promotion.Part, Distribution>>;
+	/** Links alone: corroboration, claim and replication to a majority, and the caller's round trip. */
+	readonly leastMs: number;
+	readonly acknowledged: number;
+	readonly lost: number;
+	readonly doubled: number;
+};
+
+const failoversPerCase = 20;
+const lanes = 4;
+/** Between two writes of a lane; without it, the process itself and not the links limited the steps. */
+const pauseMs = 20;
+const slowStoreMs = 500;
+/** With claims through the store nothing can be promoted while it is down, so it returns after this time. */
+const outageMs = 3000;
+const failoverLimitMs = 15_000;
+const settleLimitMs = 10_000;
+/** No trial begins after this time, so that the whole command ends within 4 minutes. */
+const budgetMs = 180_000;
+const slowPrimaryMs = 20_000;
+const parts = ['detection', 'corroboration', 'claim', 'promotion', 'announcement'] as const;
+const places = ['place-a', 'place-b', 'place-c'];
+const servers = ['a', 'b', 'c'];
+const schema = ['CREATE TABLE job (id INTEGER PRIMARY KEY, name VARCHAR(64))'];
+const time = new clock.System();
+const source = new random.Seeded(20_260);
+
+/** Writes in several lanes, each over connections of its own, and notes when each write was acknowledged. */
+class Caller {
+	readonly acknowledged = new Map<string, number>();
+	#isStopped = false;
+	readonly #tasks: Array<Promise<void>>;
+
+	constructor(readonly site: deployment.Deployment) {
+		this.#tasks = Array.from({length: lanes}, async (_, lane) => this.#run(lane));
+	}
+
+	async stop(): Promise<void> {
+		this.#isStopped = true;
+		await Promise.all(this.#tasks);
+	}
+
+	/** Time of the first acknowledgement of a write after `since`. */
+	first(since: number): number | undefined {
+		return [...this.acknowledged.values()].find(at => at > since);
+	}
+
+	async #run(lane: number): Promise<void> {
+		const connection = await this.site.connect(lane % places.length);
+		for (let count = 0; !this.#isStopped; count++) {
+			await this.#write(connection, `${lane}-${count}`);
+			await time.sleep(pauseMs);
+		}
+
+		connection.destroy();
+	}
+
+	async #write(connection: mysql.Connection, id: string): Promise<void> {
+		try {
+			await connection.query(`/* sycamorering request=r${id} */ INSERT INTO job (name) VALUES ('${id}')`);
+			this.acknowledged.set(id, time.now());
+		} catch {
+			await time.sleep(5);
+		}
+	}
+}
+
+function primaryOf(site: deployment.Deployment): string | undefined {
+	const statuses = [...site.group.servers.values()].map(({status}) => status);
+	const highest = Math.max(...statuses.map(({term}) => term));
+	return statuses.find(({role, term}) => role === 'primary' && term === highest)?.server;
+}
+
+async function waitFor(condition: () => boolean, limitMs: number): Promise<boolean> {
+	const end = time.now() + limitMs;
+	while (!condition() && time.now() < end) {
+		await time.sleep(2);
+	}
+
+	return condition();
+}
+
+/** Whether every server follows the primary. */
+function isSettled(site: deployment.Deployment): boolean {
+	const primary = primaryOf(site);
+	return primary !== undefined && servers.every(name => name === primary || site.group.server(name).status.following === primary);
+}
+
+/** One failover; the gap in ms and the change as its promoter timed it. */
+async function fail(site: deployment.Deployment, links: network.Network, caller: Caller, trial: Case & {readonly index: number}) {
+	await waitFor(() => isSettled(site), settleLimitMs);
+	await time.sleep(200 + source.integer(0, 500));
+	const primary = primaryOf(site) ?? 'a';
+	const place = places[servers.indexOf(primary)] ?? '';
+	const isFrozen = trial.index % 2 === 0;
+	const failedAt = time.now();
+	site.platform.faults.isDown = trial.store === 'down';
+	if (isFrozen) {
+		site.group.server(primary).set({isFrozen: true});
+	} else {
+		links.reach(place, 'cut');
+	}
+
+	if (trial.store === 'down' && trial.policy === 'store') {
+		await time.sleep(outageMs);
+		site.platform.faults.isDown = false;
+	}
+
+	// A write that the old primary had answered just before may still be acknowledged; it is not counted.
+	await waitFor(() => ![undefined, primary].includes(primaryOf(site)), failoverLimitMs);
+	const promotedAt = time.now();
+	await waitFor(() => caller.first(promotedAt) !== undefined, failoverLimitMs);
+	const gapMs = (caller.first(promotedAt) ?? Number.POSITIVE_INFINITY) - failedAt;
+	site.group.server(primary).set({isFrozen: false});
+	links.reach(place, 'open');
+	const changes = site.entries.flatMap(({host}) => host.owner.promotion('ledgers')?.last ?? []);
+	return {gapMs, change: changes.toSorted((left, right) => right.term - left.term)[0]};
+}
+
+async function measure(one: Case, endsAt: number): Promise<Result> {
+	const links = new network.Network(network.delays[one.user]);
+	const site = await deployment.Deployment.start({
+		places, hosts: places, schema, network: links, isLinked: true, claim: one.policy, lagMs: 1, connectMs: one.user === 'samlag' ? 30 : 12,
+	});
+	site.platform.faults.delayMs = one.store === 'slow' ? slowStoreMs : 0;
+	const caller = new Caller(site);
+	const gaps: number[] = [];
+	const changes: promotion.Change[] = [];
+	for (let index = 0; index < failoversPerCase && time.now() < endsAt; index++) {
+		const {gapMs, change} = await fail(site, links, caller, {...one, index});
+		gaps.push(gapMs);
+		changes.push(...change ? [change] : []);
+	}
+
+	await waitFor(() => isSettled(site), settleLimitMs);
+	await caller.stop();
+	const log = site.writes(primaryOf(site) ?? 'a').map(sql => /'(?<id>[\d\-]+)'/v.exec(sql)?.groups?.id ?? '');
+	const {betweenPlacesMs, toCallersMs} = links.delays;
+	const result: Result = {
+		...one,
+		failovers: gaps.length,
+		gapMs: distribute(gaps),
+		parts: Object.fromEntries(parts.map(part => [part, distribute(changes.map(({durations}) => durations[part]))])) as Result['parts'],
+		leastMs: (3 * 2 * betweenPlacesMs) + (2 * toCallersMs),
+		acknowledged: caller.acknowledged.size,
+		lost: [...caller.acknowledged.keys()].filter(id => !log.includes(id)).length,
+		doubled: log.length - new Set(log).size,
+	};
+	await site.stop();
+	links.stop();
+	return result;
+}
+
+/** Promotions while every answer over a link takes 300 ms; there must be none. */
+async function measureSlowPrimary(): Promise<number> {
+	const links = new network.Network({betweenPlacesMs: 150, toCallersMs: 0});
+	const site = await deployment.Deployment.start({
+		places, hosts: places, schema, network: links, isLinked: true,
+	});
+	const caller = new Caller(site);
+	await time.sleep(slowPrimaryMs);
+	const promotions = Math.max(...servers.map(name => site.group.server(name).status.term)) - 1;
+	await caller.stop();
+	await site.stop();
+	links.stop();
+	return promotions;
+}
+
+function distribute(values: readonly number[]): Distribution {
+	const histogram = hdr.build({highestTrackableValue: 60_000_000, numberOfSignificantValueDigits: 3});
+	for (const value of values) {
+		histogram.recordValue(Math.min(60_000_000, Math.round(value * 1000)));
+	}
+
+	const at = (percentile: number): number => Math.round(histogram.getValueAtPercentile(percentile) / 100) / 10;
+	return {p50: at(50), p90: at(90), max: at(100)};
+}
+
+function format({p50, p90, max}: Distribution): string {
+	return `${Math.round(p50)}/${Math.round(p90)}/${Math.round(max)}`;
+}
+
+function print(results: readonly Result[], slowPromotions: number): void {
+	console.log('p50/p90/max in ms');
+	console.table(results.map(result => ({
+		user: result.user,
+		policy: result.policy,
+		store: result.store,
+		failovers: result.failovers,
+		gap: format(result.gapMs),
+		...Object.fromEntries(parts.map(part => [part, format(result.parts[part])])),
+		least: result.leastMs,
+		acknowledged: result.acknowledged,
+		lost: result.lost,
+		doubled: result.doubled,
+	})));
+	console.log(`promotions while answers take 300 ms, in ${slowPrimaryMs / 1000} s: ${slowPromotions}`);
+}
+
+async function run(): Promise<void> {
+	const endsAt = time.now() + budgetMs;
+	const results: Result[] = [];
+	const stores: readonly Store[] = ['well', 'slow', 'down'];
+	for (const policy of ['ballot', 'store'] as const) {
+		const cases = (['cascade', 'samlag'] as const).flatMap(user => stores.map(store => ({user, policy, store})));
+		results.push(...await Promise.all(cases.map(async one => measure(one, endsAt))));
+	}
+
+	const slowPromotions = await measureSlowPrimary();
+	print(results, slowPromotions);
+	await fs.mkdir('out', {recursive: true});
+	await fs.writeFile('out/failover.json', JSON.stringify({results, slowPromotions}, undefined, '\t'));
+	const isFaulty = slowPromotions > 0 || results.some(({lost, doubled}) => lost + doubled > 0);
+	process.exitCode = isFaulty ? 1 : 0;
+}
+
+await run();
--- a/src/core/pool.ts
+++ b/src/core/pool.ts
@@ -101,8 +101,12 @@
 		this.#fill();
 	}
 
-	/** Closes every connection, so that calls which wait for a server that has been replaced fail at once. */
+	/** Closes every connection and fails whoever waits for one, since the server has been replaced. */
 	interrupt(): void {
+		for (const waiter of this.#waiters) {
+			waiter(errors.fail('not-run', 'connect', this.server.name, 'the server has been replaced'));
+		}
+
 		for (const connection of [...this.#held, ...this.#idle.map(idle => idle.connection)]) {
 			connection.close();
 		}
@@ -166,12 +170,14 @@
 		this.#opening++;
 		const outcome = await this.server.connect(this.#limits.connectTimeoutMs);
 		this.#opening--;
-		if (Either.isRight(outcome)) {
+		if (Either.isRight(outcome) && outcome.right.isOpen) {
 			this.#offer(outcome.right);
 		} else {
 			// Whoever waits longest learns of it and can try another server.
-			this.#waiters[0]?.(outcome);
+			this.#waiters[0]?.(Either.isLeft(outcome) ? outcome : errors.fail('not-run', 'connect', this.server.name, 'the connection was closed as it opened'));
 		}
+
+		this.#fill();
 	}
 
 	#offer(connection: backend.Connection): void {
--- a/src/core/promotion.ts
+++ b/src/core/promotion.ts
@@ -96,6 +96,7 @@
 	#leaderless: {term: number; since: number} | undefined;
 	#highestTerm = 0;
 	#nextMoveAt = 0;
+	#last: Change | undefined;
 	#isChanging = false;
 
 	constructor(parts: Parts) {
@@ -104,6 +105,11 @@
 		this.#resumedAt = parts.group.clock.now();
 	}
 
+	/** The last change of primary that this owner completed. */
+	get last(): Change | undefined {
+		return this.#last;
+	}
+
 	/** The task. */
 	async run(signal: AbortSignal): Promise<void> {
 		while (!signal.aborted) {
@@ -342,6 +348,7 @@
 				announcement: this.#now() - promotedAt,
 			},
 		};
+		this.#last = change;
 		this.#record({kind: 'changed', change});
 		void this.#publish(change);
 		return change;
--- a/src/core/tests/observer.test.ts
+++ b/src/core/tests/observer.test.ts
@@ -84,18 +84,22 @@
 	await site.stop();
 });
 
-// Guards against requests that stay at a frozen primary until their deadline after it has been replaced.
-test.test('connections to a replaced primary are closed', async () => {
+// Guards against requests that stay at a frozen primary, or wait for a connection to it, until their deadline after it
+// has been replaced.
+test.test('connections to a replaced primary are closed, and who waits for one gets the new primary', async () => {
 	const site = new fake.Site(1);
 	await site.clock.advance(200);
 	const {group} = site.owner(0);
-	const held = group.acquirePrimary(1000);
+	const held = Array.from({length: 4}, async () => group.acquirePrimary(5000));
 	await site.clock.advance(50);
-	const outcome = await held;
+	const [outcome] = await Promise.all(held);
+	const waiting = group.acquirePrimary(5000);
 	assert.ok(Either.isRight(outcome) && outcome.right.server === 'a' && outcome.right.isOpen);
 	site.machine('b').adopt(2, 'x');
 	site.machine('b').promote(2, 'x');
 	await site.clock.advance(100);
 	assert.equal(outcome.right.isOpen, false);
+	const next = await waiting;
+	assert.ok(Either.isRight(next) && next.right.server === 'b');
 	await site.stop();
 });
--- a/src/host/changes.ts
+++ b/src/host/changes.ts
@@ -1,16 +1,19 @@
 /**
-Changes of primary in the log of the host.
+Changes of primary in the log and the metrics of the host.
 */
 import * as promotion from '../core/promotion.js';
 import type * as log from './log.js';
+import type * as metrics from './metrics.js';
 
-/** Logs what the promotion tasks do. */
+/** Logs what the promotion tasks do, and counts the time of each step. */
 export class Log extends promotion.Recorder {
 	readonly #logger: log.Logger;
+	readonly #metrics: metrics.Metrics;
 
-	constructor(logger: log.Logger) {
+	constructor(logger: log.Logger, measured: metrics.Metrics) {
 		super();
 		this.#logger = logger;
+		this.#metrics = measured;
 	}
 
 	override record(event: promotion.Event): void {
@@ -32,6 +35,10 @@
 
 			case 'changed': {
 				this.#logger.info('primary changed', event);
+				for (const [part, durationMs] of Object.entries(event.change.durations)) {
+					this.#metrics.recordChange(event.change.cause, part, durationMs);
+				}
+
 				break;
 			}
 
--- a/src/host/host.ts
+++ b/src/host/host.ts
@@ -17,6 +17,7 @@
 import * as server from '../mysql/server.js';
 import type * as store from '../platform/store.js';
 import * as callers from './callers.js';
+import * as changes from './changes.js';
 import type * as log from './log.js';
 import * as metrics from './metrics.js';
 import * as owner from './owner.js';
@@ -77,6 +78,7 @@
 			peers: replaced.peers ?? new peers.Alone(),
 			store: platform,
 			claim: replaced.claim ?? new claim.Ballot(this.#clock),
+			recorder: new changes.Log(logger, this.#metrics),
 		});
 		this.#callers = new callers.Callers({
 			clock: this.#clock,
--- a/src/host/metrics.ts
+++ b/src/host/metrics.ts
@@ -6,6 +6,8 @@
 import type * as types from '../generated/types.js';
 
 const quantiles = [50, 90, 99, 99.9];
+/** In seconds; the bound of a whole change is 15. */
+const changeBuckets = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 15];
 const highestLatencyUs = 60_000_000;
 
 /** How a request ended: with an answer, or the kind of its failure. */
@@ -16,6 +18,7 @@
 	readonly #registry = new prometheus.Registry();
 	readonly #requests: prometheus.Counter;
 	readonly #latency: prometheus.Gauge;
+	readonly #changes: prometheus.Histogram;
 	readonly #histograms = new Map<string, {tenant: string; class: string; histogram: hdr.Histogram}>();
 
 	constructor() {
@@ -25,6 +28,13 @@
 			labelNames: ['tenant', 'class', 'result'],
 			registers: [this.#registry],
 		});
+		this.#changes = new prometheus.Histogram({
+			name: 'sycamorering_primary_change_seconds',
+			help: 'Duration of the steps of changes of primary that this host completed',
+			labelNames: ['cause', 'part'],
+			buckets: changeBuckets,
+			registers: [this.#registry],
+		});
 		this.#latency = new prometheus.Gauge({
 			name: 'sycamorering_request_seconds',
 			help: 'Quantiles of the request latency by tenant and class',
@@ -36,6 +46,11 @@
 		});
 	}
 
+	/** Adds one step of a change of primary. */
+	recordChange(cause: string, part: string, durationMs: number): void {
+		this.#changes.observe({cause, part}, durationMs / 1000);
+	}
+
 	/** Adds a request that took `latencyMs`. */
 	record(request: {readonly tenant: string; readonly class: string}, result: Result, latencyMs: number): void {
 		this.#requests.inc({tenant: request.tenant, class: request.class, result});
--- a/src/host/owner.ts
+++ b/src/host/owner.ts
@@ -14,7 +14,6 @@
 import type * as types from '../generated/types.js';
 import * as client from '../mysql/client.js';
 import type * as store from '../platform/store.js';
-import * as changes from './changes.js';
 import type * as log from './log.js';
 
 /** Time in ms that a replica is expected to take for an answer. */
@@ -34,6 +33,7 @@
 	readonly peers: peers.Peers;
 	readonly store: store.Store;
 	readonly claim: claim.Policy;
+	readonly recorder: promotion.Recorder;
 };
 
 type Owned = {readonly service: service.Service; readonly promotion: promotion.Promotion; readonly servers: string; readonly stop: AbortController; task: Promise<void>};
@@ -126,9 +126,9 @@
 	}
 
 	#makePromotion(owned: group.Group): promotion.Promotion {
-		const {name, timing, random: source, claim: policy, peers: others, store: platform, logger} = this.#parts;
+		const {name, timing, random: source, claim: policy, peers: others, store: platform, recorder} = this.#parts;
 		return new promotion.Promotion({
-			group: owned, host: name, timing, random: source, policy, peers: others, store: platform, recorder: new changes.Log(logger),
+			group: owned, host: name, timing, random: source, policy, peers: others, store: platform, recorder,
 		});
 	}
 
--- a/src/standin/database.ts
+++ b/src/standin/database.ts
@@ -235,8 +235,15 @@
 			return this.#call(call.groups.name ?? '', call.groups.list ?? '', closed);
 		}
 
+		// A statement that waits for the write lock takes no slot, which the holder of the lock needs to go on.
+		const locked = writePattern.test(sql) ? await this.#lockWrites(session) : Either.right(undefined);
+		if (Either.isLeft(locked)) {
+			return locked;
+		}
+
 		const releaseSlot = await this.#slots.acquire(lockTimeoutMs);
 		if (!releaseSlot) {
+			this.#rollback(session);
 			return Either.left(errors.database(this.#options.name, 'no free slot', codeLockTimeout));
 		}
 
@@ -291,10 +298,6 @@
 	}
 
 	async #write(sql: string, session: Session): Promise<errors.Outcome<types.Answer>> {
-		if (!session.isInTransaction) {
-			session.term = this.#term;
-		}
-
 		const locked = await this.#lockWrites(session);
 		if (Either.isLeft(locked)) {
 			return locked;
@@ -319,7 +322,8 @@
 	}
 
 	async #lockWrites(session: Session): Promise<errors.Outcome<void>> {
-		if (!session.release) {
+		if (!session.release && !session.isEnded) {
+			session.term = session.isInTransaction ? session.term : this.#term;
 			session.release = await this.#writeLock.acquire(lockTimeoutMs);
 			if (!session.release) {
 				return Either.left(errors.database(this.#options.name, 'Lock wait timeout exceeded', codeLockTimeout));
@@ -332,7 +336,7 @@
 	}
 
 	#canWrite(session: Session): boolean {
-		return this.#role === 'primary' && session.term === this.#term;
+		return this.#role === 'primary' && session.term === this.#term && !session.isEnded;
 	}
 
 	#refuseWrite(session: Session): errors.Outcome<never> {
--- a/src/standin/network.ts
+++ b/src/standin/network.ts
@@ -45,6 +45,13 @@
 		}
 	}
 
+	/** Changes every link to a place, also those from within it. With `cut`, its server refuses connections. */
+	reach(place: string, state: relay.State): void {
+		for (const link of this.#links.filter(({to}) => to === place)) {
+			link.relay.set(state);
+		}
+	}
+
 	/** Changes every link between a place and the others. */
 	isolate(place: string, state: relay.State): void {
 		for (const link of this.#links) {
--- a/src/standin/platform.ts
+++ b/src/standin/platform.ts
@@ -25,7 +25,7 @@
 	readonly #changed = new notifier.Notifier();
 	readonly #clock = new clock.System();
 	readonly #server = http.createServer((request, response) => {
-		void this.#serve(request, response);
+		void this.#guard(request, response);
 	});
 
 	/** Listens and gives the base URL. */
@@ -54,6 +54,15 @@
 		return this.#objects.get(key) ?? {key, version: 0, value: ''};
 	}
 
+	/** A caller may hang up while its request is read; that ends this call only. */
+	async #guard(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+		try {
+			await this.#serve(request, response);
+		} catch {
+			response.destroy();
+		}
+	}
+
 	async #serve(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
 		const {pathname, searchParams} = new URL(request.url ?? '/', 'http://platform');
 		if (pathname === '/faults') {
--- a/src/standin/tests/database.test.ts
+++ b/src/standin/tests/database.test.ts
@@ -36,6 +36,21 @@
 	servers.stop();
 });
 
+// Guards against a lock holder that can't go on because those who wait for its lock use up the slots.
+test.test('transactions that wait for the write lock leave the slots to its holder', async () => {
+	const {servers, connect} = await start();
+	const callers = await Promise.all(Array.from({length: 5}, async () => connect('a')));
+	const startedAt = performance.now();
+	await Promise.all(callers.map(async (caller, index) => {
+		await caller.execute('BEGIN', 5000);
+		await caller.execute(`INSERT INTO t VALUES (${index})`, 5000);
+		assert.ok(Either.isRight(await caller.execute('COMMIT', 5000)));
+		caller.close();
+	}));
+	assert.ok(performance.now() - startedAt < 2000);
+	servers.stop();
+});
+
 // Guards against a first entry of a term that is appended twice when the answer to a promotion was lost.
 test.test('a repeated promotion changes nothing, also while the first one waits', async () => {
 	const {servers, connect} = await start();
