--- a/src/core/pool.ts
+++ b/src/core/pool.ts
@@ -121,8 +121,12 @@
 		this.#fill();
 	}
 
-	/** Closes every connection, so that calls which wait for a server that has been replaced fail at once. */
+	/** Closes every connection and fails whoever waits for one, since the server has been replaced. */
 	interrupt(): void {
+		for (const waiter of this.#waiters) {
+			waiter.settle(this.#refuse('the server has been replaced'));
+		}
+
 		for (const connection of [...this.#held, ...this.#idle.map(idle => idle.connection)]) {
 			connection.close();
 		}
--- a/src/host/host.ts
+++ b/src/host/host.ts
@@ -20,6 +20,7 @@
 import type * as store from '../platform/store.js';
 import * as answers from './answers.js';
 import * as callers from './callers.js';
+import * as changes from './changes.js';
 import * as configuration from './configuration.js';
 import * as dispatcher from './dispatcher.js';
 import * as hosts from './hosts.js';
@@ -84,6 +85,7 @@
 			peers: () => replaced.peers ?? this.#peers,
 			store: platform,
 			claim: replaced.claim ?? new claim.Ballot(this.#clock),
+			recorder: new changes.Log(logger, this.#metrics),
 			released: service => {
 				void this.#announceRelease(service);
 			},
--- a/src/host/owner.ts
+++ b/src/host/owner.ts
@@ -16,7 +16,6 @@
 import type * as types from '../generated/types.js';
 import * as client from '../mysql/client.js';
 import type * as store from '../platform/store.js';
-import * as changes from './changes.js';
 import type * as log from './log.js';
 
 /** Time in ms that a replica is expected to take for an answer. */
@@ -37,6 +36,7 @@
 	readonly peers: () => peers.Peers;
 	readonly store: store.Store;
 	readonly claim: claim.Policy;
+	readonly recorder: promotion.Recorder;
 	/** Called when every connection of a service that is no longer owned is closed. */
 	readonly released: (service: string) => void;
 };
@@ -242,9 +242,9 @@
 	}
 
 	#makePromotion(owned: group.Group): promotion.Promotion {
-		const {host, timing, random: source, claim: policy, peers: others, store: platform, logger} = this.#parts;
+		const {host, timing, random: source, claim: policy, peers: others, store: platform, recorder} = this.#parts;
 		return new promotion.Promotion({
-			group: owned, host, timing, random: source, policy, peers: others(), store: platform, recorder: new changes.Log(logger),
+			group: owned, host, timing, random: source, policy, peers: others(), store: platform, recorder,
 		});
 	}
 
--- a/src/standin/database.ts
+++ b/src/standin/database.ts
@@ -353,7 +353,7 @@
 			session.term = this.#term;
 		}
 
-		if (!session.release) {
+		if (!session.release && !session.isEnded) {
 			session.release = await this.#writeLock.acquire(lockTimeoutMs);
 			if (!session.release) {
 				return Either.left(errors.database(this.#options.name, 'Lock wait timeout exceeded', codeLockTimeout));
@@ -366,7 +366,7 @@
 	}
 
 	#canWrite(session: Session): boolean {
-		return this.#role === 'primary' && session.term === this.#term;
+		return this.#role === 'primary' && session.term === this.#term && !session.isEnded;
 	}
 
 	#refuseWrite(session: Session): errors.Outcome<never> {
--- a/src/standin/network.ts
+++ b/src/standin/network.ts
@@ -48,6 +48,13 @@
 		}
 	}
 
+	/** Changes every link to a place, also those from within it. With `cut`, its server refuses connections. */
+	reach(place: string, state: State): void {
+		for (const link of this.#links.filter(({to}) => to === place)) {
+			change(link.relay, state, relay.directions);
+		}
+	}
+
 	/** Changes every link between a place and the others. */
 	isolate(place: string, state: State): void {
 		for (const link of this.#links) {
