Try again when an error came from a primary that has been replaced

Cause: the trace replaced-primary failed once in five runs under load: a duplicate record at the old primary was looked up at the new one, not found, and the duplicate key of our own table was passed to the caller.

Change: an error of a server that is not primary any more leads to another attempt, which the record keeps from running twice.

--- a/src/core/write.ts
+++ b/src/core/write.ts
@@ -194,9 +194,12 @@
 			return unsettled;
 		}
 
-		return found.right
-			? this.#recall(found.right, request, {server, term}, deadline)
-			: {kind: 'final', outcome: Either.left(failure)};
+		if (found.right) {
+			return this.#recall(found.right, request, {server, term}, deadline);
+		}
+
+		// An error of a server that has been replaced since says nothing about the new primary.
+		return server === failure.peer ? {kind: 'final', outcome: Either.left(failure)} : {...unsettled, kind: 'retry'};
 	}
 
 	/**
