--- a/src/core/settlement.ts
+++ b/src/core/settlement.ts
@@ -75,9 +75,10 @@
 	/**
 	An error of a statement may come from an earlier run of the same request, which its record then shows.
 
-	Errors: the failure itself if there is no record, else as `settle`.
+	Errors: the failure itself if there is no record, else as `settle`. Gives `undefined` when the server that failed has
+	been replaced since: its error says nothing about the new primary, which has to be tried.
 	*/
-	async explain(failure: errors.Failure, key: string, deadline: number): Promise<errors.Outcome<types.Answer>> {
+	async explain(failure: errors.Failure, key: string, deadline: number): Promise<errors.Outcome<types.Answer> | undefined> {
 		const unsettled = errors.fail('outcome-unknown', 'settle', this.#group.name, `${failure.message}; whether the request ran before could not be established`);
 		const acquired = await this.#group.acquirePrimary(deadline);
 		if (Either.isLeft(acquired)) {
@@ -91,9 +92,11 @@
 			return unsettled;
 		}
 
-		return found.right
-			? await this.#recall(found.right, key, holder, deadline) ?? unsettled
-			: Either.left(failure);
+		if (found.right) {
+			return await this.#recall(found.right, key, holder, deadline) ?? unsettled;
+		}
+
+		return holder.server === failure.peer ? Either.left(failure) : undefined;
 	}
 
 	/**
--- a/src/core/transaction.ts
+++ b/src/core/transaction.ts
@@ -142,7 +142,7 @@
 			if (Either.isLeft(recorded)) {
 				await this.#close(open, 'dirty');
 				return record.isDuplicate(recorded.left)
-					? this.#settlement.explain(recorded.left, key, deadline)
+					? await this.#settlement.explain(recorded.left, key, deadline) ?? errors.fail('outcome-unknown', 'settle', recorded.left.peer, 'the server that holds the record has been replaced as primary')
 					: notRun({...recorded.left, message: `${recorded.left.message}; the transaction was rolled back`});
 			}
 		}
--- a/src/core/write.ts
+++ b/src/core/write.ts
@@ -148,12 +148,12 @@
 			return {kind: 'final', outcome: await this.#settlement.settle(record.id(request), deadline)};
 		}
 
-		return {
-			kind: 'final',
-			outcome: outcome.left.kind === 'database'
-				? await this.#settlement.explain(outcome.left, record.id(request), deadline)
-				: outcome,
-		};
+		const explained = outcome.left.kind === 'database'
+			? await this.#settlement.explain(outcome.left, record.id(request), deadline)
+			: outcome;
+		return explained
+			? {kind: 'final', outcome: explained}
+			: {kind: 'retry', outcome: refuse(outcome.left)};
 	}
 
 	async #executeRecorded(connection: backend.Connection, request: types.Request, deadline: number): Promise<errors.Outcome<types.Answer>> {
