Confirm the primary at BEGIN and let traces wait for events

Cause: reads inside a transaction went to a server that nobody confirmed as primary, so a replaced one could serve them from its old log. A host that was stopped kept its callers' connections, whose requests then failed only at their deadline. Three traces named real-time offsets that a busy machine missed (lost-answers got its cut before COMMIT, and a hedged read answered late-answers in time).

Ruled out: a read point before BEGIN, which would cost another round trip; wider offsets in the traces, which only move the limit.

Change: BEGIN and the read point run together, and the transaction opens only on the server that stayed primary; stop closes the callers' connections; a trace step can wait for a statement to begin on a server (when) or for another session (after), with the same expectations.

Conclusion: the traces no longer depend on the machine's speed at the steps that they guard.

--- a/src/core/transaction.ts
+++ b/src/core/transaction.ts
@@ -10,8 +10,9 @@
 import type * as group from './group.js';
 import type * as pool from './pool.js';
 import * as random from './random.js';
+import * as position from './position.js';
 import * as record from './record.js';
-import type * as settlement from './settlement.js';
+import * as settlement from './settlement.js';
 import * as statement from './statement.js';
 
 /**
@@ -86,10 +87,10 @@
 			isBusy: false,
 			usedAt: this.#group.clock.now(),
 		};
-		const outcome = await this.#execute(open, request.sql, deadline);
+		const outcome = await this.#beginConfirmed(open, request, deadline);
 		if (Either.isLeft(outcome)) {
 			await this.#close(open, 'dirty');
-			return notRun(outcome.left);
+			return outcome.left.kind === 'position-lost' ? outcome : notRun(outcome.left);
 		}
 
 		// Another transaction of the session can be there if its caller came back meanwhile.
@@ -142,7 +143,8 @@
 			if (Either.isLeft(recorded)) {
 				await this.#close(open, 'dirty');
 				return record.isDuplicate(recorded.left)
-					? await this.#settlement.explain(recorded.left, key, deadline) ?? errors.fail('outcome-unknown', 'settle', recorded.left.peer, 'the server that holds the record has been replaced as primary')
+					? await this.#settlement.explain(recorded.left, key, deadline)
+					?? errors.fail('outcome-unknown', 'settle', recorded.left.peer, 'the server that holds the record has been replaced as primary')
 					: notRun({...recorded.left, message: `${recorded.left.message}; the transaction was rolled back`});
 			}
 		}
@@ -181,6 +183,32 @@
 		return record.id({...request, requestId: given === '' ? this.#random.name() : given});
 	}
 
+	/**
+	Begins on the server while it is confirmed as primary, so that reads of the transaction see what was acknowledged
+	before it. A replaced primary would serve them from its old log.
+	*/
+	async #beginConfirmed(open: Open, request: types.Request, deadline: number): Promise<errors.Outcome<types.Answer>> {
+		const {server} = open.connection;
+		const {observed} = this.#group;
+		const holder = {server, term: observed.termOf(server)};
+		const [outcome, point] = await Promise.all([
+			this.#execute(open, request.sql, deadline),
+			observed.readPoint(Math.max(1, deadline - this.#group.clock.now())),
+		]);
+		if (Either.isLeft(outcome) || Either.isLeft(point)) {
+			return Either.isLeft(point) ? point : outcome;
+		}
+
+		if (!settlement.isContinuous(point.right, holder)) {
+			return errors.fail('not-run', 'route', server, 'the server has been replaced as primary');
+		}
+
+		const status = observed.servers.get(server)?.latest?.status;
+		return request.position && status && position.relate(status, request.position) !== 'contains'
+			? errors.fail('position-lost', 'route', this.#group.name, `position ${position.format(request.position)} is not in the log of the primary; it was lost in a failover`)
+			: outcome;
+	}
+
 	async #execute(open: Open, sql: string, deadline: number): Promise<errors.Outcome<types.Answer>> {
 		open.isBusy = true;
 		const outcome = await open.connection.execute(sql, Math.max(1, deadline - this.#group.clock.now()));
--- a/src/host/host.ts
+++ b/src/host/host.ts
@@ -208,7 +208,7 @@
 	async stop(): Promise<void> {
 		this.#stopped.abort();
 		this.#changed.abort();
-		this.#listener.close();
+		this.#listener.stop();
 		this.#http.close();
 		this.#http.closeAllConnections();
 		this.#links.stop();
--- a/src/host/tests/trace.test.ts
+++ b/src/host/tests/trace.test.ts
@@ -5,8 +5,12 @@
 import * as clock from '../../core/clock.js';
 import * as workload from '../../standin/workload.js';
 
-/** A step at its time after the start. Steps of one session on one host follow each other. */
-type Step = {readonly atMs: number} & (
+/**
+A step at its time after the start. Steps of one session on one host follow each other. `when` waits until a server
+begins a statement that starts with this text, and `after` for the steps of another session so far, so that a slow
+machine does not change what a trace is about.
+*/
+type Step = {readonly atMs: number; readonly when?: {readonly server: string; readonly sql: string}; readonly after?: string} & (
 	| {readonly session: string; readonly host: number; readonly class: string; readonly sql: string; readonly expect: Expected}
 	| {readonly fault: workload.Fault}
 	| {readonly replace: 'isolating' | 'told'}
@@ -34,7 +38,10 @@
 
 	async run(trace: Trace): Promise<void> {
 		await Promise.all(trace.steps.map(async step => {
+			const begun = step.when && this.#site.deployment.group.server(step.when.server).whenExecuting(step.when.sql);
 			await time.sleep(this.#started + step.atMs - time.now());
+			await begun;
+			await this.#tails.get(step.after ?? '');
 			await this.#step(step);
 		}));
 	}
--- a/src/mysql/server.ts
+++ b/src/mysql/server.ts
@@ -264,7 +264,7 @@
 	readonly #server: ReturnType<typeof mysql.createServer>;
 	readonly #handler: Handler<Account>;
 	readonly #version: string;
-	readonly #tasks = new Set<Promise<void>>();
+	readonly #connections = new Map<Connection, Promise<void>>();
 	#lastConnectionId = 0;
 
 	constructor(handler: Handler<Account>, version: string) {
@@ -293,9 +293,17 @@
 		this.#listener().close();
 	}
 
+	/** Closes the listener and every connection at once. */
+	stop(): void {
+		this.close();
+		for (const connection of this.#connections.keys()) {
+			connection.close();
+		}
+	}
+
 	/** Resolves when every connection has ended. */
 	async finish(): Promise<void> {
-		await Promise.all(this.#tasks);
+		await Promise.all(this.#connections.values());
 	}
 
 	#listener(): net.Server {
@@ -344,13 +352,13 @@
 
 	async #serve(connection: Connection, account: Account): Promise<void> {
 		const task = this.#handler.serve(connection, account);
-		this.#tasks.add(task);
+		this.#connections.set(connection, task);
 		try {
 			await task;
 		} finally {
 			// The last answer may still be on its way, for example at a drain.
 			connection.finish();
-			this.#tasks.delete(task);
+			this.#connections.delete(connection);
 		}
 	}
 }
--- a/src/standin/database.ts
+++ b/src/standin/database.ts
@@ -87,6 +87,7 @@
 	readonly #appended = new notifier.Notifier();
 	readonly #arrivals = new Map<number, number>();
 	readonly #dropped: log.Entry[][] = [];
+	#expected: Array<{readonly text: string; readonly begin: () => void}> = [];
 	#role: types.Role;
 	#term: number;
 	#claimant = '';
@@ -159,6 +160,13 @@
 		this.disconnect();
 	}
 
+	/** Resolves when the server next begins a statement that starts with `text`. */
+	async whenExecuting(text: string): Promise<void> {
+		return new Promise(resolve => {
+			this.#expected.push({text, begin: resolve});
+		});
+	}
+
 	/** Closes every open connection. */
 	disconnect(): void {
 		for (const connection of this.#connections) {
@@ -251,12 +259,21 @@
 		}
 	}
 
+	#announce(sql: string): void {
+		const begun = this.#expected.filter(({text}) => sql.startsWith(text));
+		this.#expected = this.#expected.filter(expected => !begun.includes(expected));
+		for (const {begin} of begun) {
+			begin();
+		}
+	}
+
 	async #query(sql: string, session: Session, closed: AbortSignal): Promise<errors.Outcome<types.Answer>> {
 		const call = callPattern.exec(sql);
 		if (call?.groups) {
 			return this.#call(call.groups.name ?? '', call.groups.list ?? '', closed);
 		}
 
+		this.#announce(sql);
 		// A statement that waits for the lock takes no slot, because the lock's holder needs one for its commit.
 		const locked = writePattern.test(sql) ? await this.#lockWrites(session) : Either.right(undefined);
 		if (Either.isLeft(locked)) {
--- a/src/standin/workload.ts
+++ b/src/standin/workload.ts
@@ -419,7 +419,8 @@
 	| {readonly kind: 'cut-after'; readonly host: number; readonly server: string; readonly direction: relay.Direction; readonly bytes: number}
 	| {readonly kind: 'delay'; readonly host: number; readonly server: string; readonly ms: number}
 	| {readonly kind: 'lag'; readonly server: string; readonly ms: number}
-	| {readonly kind: 'service'; readonly server: string; readonly ms: number};
+	| {readonly kind: 'service'; readonly server: string; readonly ms: number}
+	| {readonly kind: 'leaving'; readonly server: string};
 
 /** One or two faults at once. */
 export class Faults extends Command {
@@ -445,6 +446,11 @@
 		return;
 	}
 
+	if (fault.kind === 'leaving') {
+		running.group.server(fault.server).set({isLeaving: true});
+		return;
+	}
+
 	const link = running.relays.get(`entry-${fault.host + 1}/${fault.server}`)!;
 	switch (fault.kind) {
 		case 'silence': {
