Ping unused links seldom, and show reads, admission and connections

Cause: every link was pinged four times per timeout from both sides, so hundreds of unused links would take a growing share of a core. The counts of the reader, the admission and the retry budget stood in no metric. The client expected one result set from a procedure, while a MySQL server answers with a result set and an OK packet.

Ruled out: closing unused links, since membership learns from them that a host is gone.

Change: pings every five timeouts on a link without traffic, at once when something is sent; gauges of owned services; the answer of a procedure is read in both forms; the capacity measurement has links.

--- a/src/bench/capacity.ts
+++ b/src/bench/capacity.ts
@@ -1,6 +1,6 @@
 /**
-Measures the slopes on which docs/CAPACITY.md rests: what one observed backend server, one caller's connection and one
-service of the configuration cost an entry host. Run with `node --expose-gc dist/bench/capacity.js`.
+Measures the slopes on which docs/CAPACITY.md rests: what one observed backend server, one link, one caller's connection
+and one service of the configuration cost an entry host. Run with `node --expose-gc dist/bench/capacity.js`.
 */
 import * as childProcess from 'node:child_process';
 import * as fs from 'node:fs/promises';
@@ -11,8 +11,10 @@
 import * as group from '../core/group.js';
 import * as settings from '../core/settings.js';
 import * as client from '../mysql/client.js';
+import * as socket from '../peer/socket.js';
 import * as deployment from '../standin/deployment.js';
 import type * as callerProcess from './callers.js';
+import type * as peers from './peers.js';
 import type * as servers from './servers.js';
 import * as usage from './usage.js';
 
@@ -78,6 +80,29 @@
 	return row;
 }
 
+/** Holds `count` links to other entry hosts on which nothing is sent. */
+async function measureLinks(count: number): Promise<Row> {
+	const {child, message} = await fork<peers.Listening>('./peers.js');
+	const transport = new socket.Transport({
+		clock: time, timeoutMs: 2000, warn(text) {
+			console.error(text);
+		},
+	});
+	const meter = new usage.Meter(time);
+	meter.start();
+	const links = await Promise.all(Array.from({length: count}, async () => transport.open(message.address)));
+	await time.sleep(settleMs * 2);
+	meter.begin();
+	await time.sleep(spanMs);
+	const row = {subject: 'idle links', count, ...meter.end()};
+	for (const link of links) {
+		link?.close();
+	}
+
+	child.disconnect();
+	return row;
+}
+
 /** Size of the configuration of `count` services, and the time to read it. */
 function measureConfiguration(count: number): {services: number; bytes: number; gzipBytes: number; parseMs: number} {
 	const sections = Array.from({length: count}, (_, index) => [
@@ -102,6 +127,10 @@
 	rows.push(await measureProbes(count));
 }
 
+for (const count of [5, 20, 80]) {
+	rows.push(await measureLinks(count));
+}
+
 for (const count of [500, 2000, 5000]) {
 	rows.push(await measureCallers(count));
 }
--- a/src/host/host.ts
+++ b/src/host/host.ts
@@ -23,6 +23,7 @@
 import * as changes from './changes.js';
 import * as configuration from './configuration.js';
 import * as dispatcher from './dispatcher.js';
+import * as gauges from './gauges.js';
 import * as hosts from './hosts.js';
 import type * as log from './log.js';
 import * as metrics from './metrics.js';
@@ -90,6 +91,7 @@
 				void this.#announceRelease(service);
 			},
 		});
+		gauges.register(this.#metrics, this.#owner);
 		this.#answers = new answers.Answers({
 			host: name,
 			place,
--- a/src/host/metrics.ts
+++ b/src/host/metrics.ts
@@ -13,6 +13,9 @@
 /** How a request ended: with an answer, or the kind of its failure. */
 export type Result = 'answered' | types.FailureKind;
 
+/** One value and its labels. */
+export type Sample<Label extends string> = {readonly labels: Record<Label, string>; readonly value: number};
+
 /** Metrics of one host. */
 export class Metrics {
 	readonly #registry = new prometheus.Registry();
@@ -57,14 +60,17 @@
 		this.#histogram(request.tenant, request.class).recordValue(Math.min(highestLatencyUs, Math.round(latencyMs * 1000)));
 	}
 
-	/** Adds a gauge whose value is read when metrics are read. */
-	gauge(name: string, help: string, read: () => number): void {
+	/** Adds gauges of one name whose values are read when metrics are read. */
+	observe<Label extends string>(name: string, help: string, labels: readonly Label[], read: () => ReadonlyArray<Sample<Label>>): void {
 		const registers = [this.#registry];
 		// The registry keeps it.
 		// eslint-disable-next-line no-new
 		new prometheus.Gauge({
-			name: `sycamorering_${name}`, help, registers, collect() {
-				this.set(read());
+			name: `sycamorering_${name}`, help, labelNames: labels, registers, collect() {
+				this.reset();
+				for (const sample of read()) {
+					this.set(sample.labels, sample.value);
+				}
 			},
 		});
 	}
--- a/src/host/tests/path.test.ts
+++ b/src/host/tests/path.test.ts
@@ -15,6 +15,8 @@
 	assert.deepEqual(rows, [{fund: 'bus', cents: '1250'}]);
 	await second.query(insert);
 	assert.equal(site.writes('a').length, 1);
+	const metrics = await fetch(`http://127.0.0.1:${site.entries[1]?.ports.http ?? 0}/metrics`);
+	assert.match(await metrics.text(), /sycamorering_reads\{service="ledgers",kind="replica"\} \d/v);
 	await Promise.all([first.end(), second.end()]);
 	await site.stop();
 });
--- a/src/mysql/client.ts
+++ b/src/mysql/client.ts
@@ -191,6 +191,12 @@
 	}
 
 	#read(content: unknown, fields: Field[] | undefined): types.Answer {
+		if (Array.isArray(fields?.[0])) {
+			// A procedure answers with its result set and an OK packet, which the library gives as two results.
+			const [rows] = content as unknown[];
+			return this.#read(rows, fields[0] as Field[]);
+		}
+
 		if (fields) {
 			return {
 				kind: 'rows', columns: fields.map(field => readColumn(field)), rows: content as types.Rows['rows'], server: this.server,
--- /dev/null
+++ b/src/mysql/tests/call.test.ts
@@ -0,0 +1,29 @@
+import * as assert from 'node:assert/strict';
+import * as events from 'node:events';
+import * as test from 'node:test';
+import * as Either from 'fp-ts/lib/Either.js';
+import type * as mysql from 'mysql2';
+import * as client from '../client.js';
+
+const status = {
+	server: 'a', role: 'primary', term: 1, claimant: '', last: {term: 1, index: 2}, history: [{term: 1, start: 1}], following: '', connections: 1, connectionLimit: 16, leaving: false,
+};
+const field = {
+	name: 'status', columnType: 253, characterSet: 45, columnLength: 1024, flags: 0, decimals: 0,
+};
+
+/** The library's connection, as far as the client uses it, with the answer of a stored procedure. */
+class Procedure extends events.EventEmitter {
+	query(_options: unknown, done: (error: undefined, content: unknown, fields: unknown) => void): void {
+		done(undefined, [[[JSON.stringify(status)]], {affectedRows: 0, insertId: 0}], [[field], undefined]);
+	}
+
+	destroy(): void {
+		this.removeAllListeners();
+	}
+}
+
+test.test('the status of a server whose procedure answers with a result set and an OK packet is read', async () => {
+	const connection = new client.Connection('a', new Procedure() as unknown as mysql.Connection);
+	assert.deepEqual(await connection.status(1000), Either.right(status));
+});
--- a/src/peer/socket.ts
+++ b/src/peer/socket.ts
@@ -22,6 +22,11 @@
 type Outgoing = {readonly frame: Uint8Array; readonly delivery: link.Delivery};
 
 const pingsPerTimeout = 4;
+/**
+Pause between pings on a link that is not in use, as a multiple of the timeout. A message wakes the pings at once, so
+only the loss of an unused link is noticed later.
+*/
+const idleTimeouts = 5;
 const flushPollMs = 5;
 
 /** A link over one WebSocket. */
@@ -32,19 +37,23 @@
 	readonly #incoming: types.Message[] = [];
 	readonly #outgoing: Outgoing[] = [];
 	#isWriting = false;
-	#heardAt: number;
+	/** Time of the first ping without a pong. */
+	#unansweredSince: number | undefined;
+	#usedAt: number;
+	#rest = new AbortController();
 	#wake: (() => void) | undefined;
 
 	constructor(socket: ws.WebSocket, options: Options) {
 		super();
 		this.#socket = socket;
 		this.#options = options;
-		this.#heardAt = options.clock.now();
+		this.#usedAt = options.clock.now();
 		socket.on('message', (frame: Uint8Array) => {
+			this.#usedAt = options.clock.now();
 			this.#receive(frame);
 		});
 		socket.on('pong', () => {
-			this.#heardAt = options.clock.now();
+			this.#unansweredSince = undefined;
 		});
 		socket.on('error', () => {
 			this.#end();
@@ -62,6 +71,8 @@
 	override send(message: types.Message): link.Delivery {
 		const delivery: link.Delivery = {state: 'queued'};
 		this.#outgoing.push({frame: msgpackr.pack(message), delivery});
+		this.#usedAt = this.#options.clock.now();
+		this.#rest.abort();
 		void this.#write();
 		return delivery;
 	}
@@ -118,18 +129,28 @@
 		this.#isWriting = false;
 	}
 
+	/** Pings often while the link is in use or a pong is due, and seldom otherwise: a host may have hundreds of links. */
 	async #watch(): Promise<void> {
 		const {clock: time, timeoutMs} = this.#options;
 		while (!this.closed.aborted) {
-			if (time.now() - this.#heardAt > timeoutMs) {
+			this.#unansweredSince ??= time.now();
+			this.#socket.ping();
+			await time.sleep(timeoutMs / pingsPerTimeout, this.closed);
+			const overdueMs = this.#overdueMs();
+			if (overdueMs > timeoutMs) {
 				this.close(`no pong within ${timeoutMs} ms`);
-			} else {
-				this.#socket.ping();
-				await time.sleep(timeoutMs / pingsPerTimeout, this.closed);
+			} else if (overdueMs === 0 && time.now() - this.#usedAt > timeoutMs) {
+				this.#rest = new AbortController();
+				await time.sleep(timeoutMs * idleTimeouts, AbortSignal.any([this.#rest.signal, this.closed]));
 			}
 		}
 	}
 
+	/** Time in ms for which the oldest ping has had no pong; 0 if none is due. */
+	#overdueMs(): number {
+		return this.#unansweredSince === undefined ? 0 : this.#options.clock.now() - this.#unansweredSince;
+	}
+
 	#receive(frame: Uint8Array): void {
 		const message = decode(frame);
 		if (message) {
