Name the fakes for what they stand for, and two methods plainly

Cause: fake.ts and fakes.ts said nothing of the difference; strays and tend were figures of speech.

Change: fake-group.ts and fake-server.ts; repairsDue and maintain. Behaviour is unchanged.

--- a/src/core/promotion.ts
+++ b/src/core/promotion.ts
@@ -91,7 +91,7 @@
 	readonly #parts: Parts;
 	readonly #group: group.Group;
 	/** Servers that don't follow the primary, and when they are told to. */
-	readonly #strays = new Map<string, number>();
+	readonly #repairsDue = new Map<string, number>();
 	#resumedAt: number;
 	#leaderless: {term: number; since: number} | undefined;
 	#highestTerm = 0;
@@ -115,7 +115,7 @@
 		while (!signal.aborted) {
 			const suspicion = this.#suspect();
 			if (!this.#isChanging) {
-				await (suspicion ? this.#replace(suspicion, signal) : this.#tend(signal));
+				await (suspicion ? this.#replace(suspicion, signal) : this.#maintain(signal));
 			}
 
 			await this.#sleep(pollMs, signal);
@@ -405,8 +405,8 @@
 		await claim.write(this.#parts.store, this.#group.name, {term, claimant, primary: to}, present => present.term <= term);
 	}
 
-	/** Work while the primary is well: makes strays follow it, and moves it off a server that is leaving. */
-	async #tend(signal: AbortSignal): Promise<void> {
+	/** Work while the primary is well: makes servers follow it, and moves it off a server that is leaving. */
+	async #maintain(signal: AbortSignal): Promise<void> {
 		const leader = this.#leader();
 		if (leader.server === '' || this.#isLost(leader.server)) {
 			return;
@@ -439,14 +439,14 @@
 		for (const {server, term, following} of this.#group.observed.statuses) {
 			const isFollowing = server === leader.server || (term === leader.term && following === leader.server);
 			if (isFollowing || this.#isLost(server)) {
-				this.#strays.delete(server);
+				this.#repairsDue.delete(server);
 				continue;
 			}
 
-			const dueAt = this.#strays.get(server) ?? this.#now() + this.#parts.random.integer(backoffLowMs, backoffHighMs);
-			this.#strays.set(server, dueAt);
+			const dueAt = this.#repairsDue.get(server) ?? this.#now() + this.#parts.random.integer(backoffLowMs, backoffHighMs);
+			this.#repairsDue.set(server, dueAt);
 			if (this.#now() >= dueAt) {
-				this.#strays.delete(server);
+				this.#repairsDue.delete(server);
 				await this.#instruct(server, leader);
 			}
 		}
--- a/src/core/tests/observer.test.ts
+++ b/src/core/tests/observer.test.ts
@@ -6,7 +6,7 @@
 import * as clock from '../clock.js';
 import * as errors from '../errors.js';
 import * as observer from '../observer.js';
-import * as fake from './fake.js';
+import * as fake from './fake-group.js';
 
 class Full extends fake.Unreachable {
 	override async connect(): Promise<errors.Outcome<backend.Connection>> {
--- a/src/core/tests/pool.test.ts
+++ b/src/core/tests/pool.test.ts
@@ -5,7 +5,7 @@
 import type * as backend from '../backend.js';
 import * as clock from '../clock.js';
 import * as pool from '../pool.js';
-import * as fakes from './fakes.js';
+import * as fakes from './fake-server.js';
 
 const limits = {
 	connections: 2, connectTimeoutMs: 500, hedgeAfterMs: 100, trustMs: 1000, idleLimitMs: 10_000, resetTimeoutMs: 200,
--- a/src/core/tests/promotion.test.ts
+++ b/src/core/tests/promotion.test.ts
@@ -5,7 +5,7 @@
 import * as test from 'node:test';
 import * as fc from 'fast-check';
 import * as acknowledgement from '../acknowledgement.js';
-import * as fake from './fake.js';
+import * as fake from './fake-group.js';
 
 const seed = 20_260;
 
--- a/src/core/tests/read.test.ts
+++ b/src/core/tests/read.test.ts
@@ -7,7 +7,7 @@
 import * as read from '../read.js';
 import * as retry from '../retry.js';
 import * as routing from '../routing.js';
-import * as fakes from './fakes.js';
+import * as fakes from './fake-server.js';
 
 type Site = {
 	readonly time: clock.Manual;
--- a/src/core/tests/transaction.test.ts
+++ b/src/core/tests/transaction.test.ts
@@ -9,7 +9,7 @@
 import * as routing from '../routing.js';
 import * as service from '../service.js';
 import * as statement from '../statement.js';
-import * as fakes from './fakes.js';
+import * as fakes from './fake-server.js';
 
 /** Where the connection of a commit is lost. */
 type Loss = 'none' | 'record' | 'before-commit' | 'after-commit' | 'late-commit';
