Serve a read whose replica answer was too old without retry budget

Cause: an answer older than a read accepts counted as a failed attempt, so the way to the confirmed primary position took retry budget.

Ruled out: no budget at all for aged reads; failing servers would again be asked without limit.

Change: the first answer that is too old ends the search among replicas and makes the next attempt free, once for each read.

--- a/src/core/read.ts
+++ b/src/core/read.ts
@@ -29,7 +29,13 @@
 export type Counts = {replica: number; primary: number; stale: number; hedged: number};
 
 /** One read: what it needs and when it must end, a time of the clock. */
-type Job = {readonly request: types.Request; readonly deadline: number; readonly attempts: retry.Attempts};
+type Job = {
+	readonly request: types.Request;
+	readonly deadline: number;
+	readonly attempts: retry.Attempts;
+	/** Whether an answer was too old. The read then goes to the confirmed primary position, once and without budget. */
+	isStale: boolean;
+};
 
 type Result = {readonly server: string; readonly outcome: errors.Outcome<types.Answer>};
 
@@ -58,7 +64,9 @@
 	*/
 	async execute(request: types.Request, freshness: types.Freshness): Promise<errors.Outcome<types.Answer>> {
 		const deadline = this.#group.clock.now() + request.deadlineMs;
-		const job = {request, deadline, attempts: this.#retries.open()};
+		const job = {
+			request, deadline, attempts: this.#retries.open(), isStale: false,
+		};
 		let outcome: errors.Outcome<types.Answer> = errors.fail('not-run', 'route', this.#group.name, 'the deadline passed');
 		while (this.#left(deadline) > 0) {
 			outcome = await this.#attempt(job, freshness);
@@ -107,7 +115,7 @@
 		}
 
 		// The servers have just been asked, so that one which was too old by its last observation may be young enough now.
-		const aged = request.maximumAgeMs > 0 ? await this.#atAge(job) : undefined;
+		const aged = request.maximumAgeMs > 0 && !job.isStale ? await this.#atAge(job) : undefined;
 		if (aged && isFinal(aged)) {
 			return aged;
 		}
@@ -162,6 +170,10 @@
 		const running = new Map<string, Promise<Result>>();
 		let outcome: errors.Outcome<types.Answer> | undefined;
 		for (const server of servers) {
+			if (job.isStale && need.maximumAgeMs !== undefined) {
+				break;
+			}
+
 			if (!job.attempts.next()) {
 				outcome = errors.fail('not-run', 'admit', this.#group.name, 'a server did not answer and the retry budget is spent');
 				break;
@@ -213,6 +225,11 @@
 		}
 
 		this.counts.stale++;
+		if (!job.isStale) {
+			job.isStale = true;
+			job.attempts.excuse();
+		}
+
 		return {server, outcome: errors.fail('not-run', 'receive', server, 'the answer was older than the read accepts')};
 	}
 
--- a/src/core/retry.ts
+++ b/src/core/retry.ts
@@ -35,10 +35,10 @@
 	}
 }
 
-/** The attempts of one request. The first is free. */
+/** The attempts of one request. The first is free, and so is one after an answer that could not be used. */
 export class Attempts {
 	readonly #budget: Budget;
-	#isFirst = true;
+	#isFree = true;
 
 	constructor(budget: Budget) {
 		this.#budget = budget;
@@ -54,8 +54,13 @@
 	```
 	*/
 	next(): boolean {
-		const isFree = this.#isFirst;
-		this.#isFirst = false;
+		const isFree = this.#isFree;
+		this.#isFree = false;
 		return isFree || this.#budget.withdraw();
 	}
+
+	/** Makes the next attempt free. For an answer that arrived but can't be used: its server has not failed. */
+	excuse(): void {
+		this.#isFree = true;
+	}
 }
--- a/src/core/tests/read.test.ts
+++ b/src/core/tests/read.test.ts
@@ -81,6 +81,26 @@
 	stop.abort();
 });
 
+test.test('guards against an answer older than the read accepts, and against a read refused because its answer was too old', async () => {
+	const {time, servers, reader, retries, stop} = await start();
+	for (const server of servers.slice(1)) {
+		let isSlow = true;
+		server.answering = async () => {
+			await time.sleep(isSlow ? 200 : 1);
+			isSlow = false;
+			return Either.right(fakes.completion(server.name));
+		};
+	}
+
+	spendBudget(retries);
+	const answer = time.limit(reader.execute(fakes.request({maximumAgeMs: 150}), 'strict'), 1000);
+	await time.advance(1000);
+	const outcome = await answer;
+	assert.ok(outcome && Either.isRight(outcome), JSON.stringify(outcome));
+	assert.deepEqual([reader.counts.stale, servers.flatMap(({executed}) => executed).length], [1, 2]);
+	stop.abort();
+});
+
 test.test('guards against foreign answers, overlapping statements, overrun deadlines and retry storms under random faults', async () => {
 	const behaviour = fc.record({delayMs: fc.integer({min: 0, max: 1200}), isLost: fc.boolean()});
 	await fc.assert(fc.asyncProperty(
