Give aborted waits a reason, which spares an exception object

Cause: in a processor profile of aged reads, creating the exception of an abort without a reason and its signal took about 12% of the time.

Ruled out: dropping the signals; they end timers and waiters.

Change: the aborts on the path of each read pass a reason.

--- a/src/core/clock.ts
+++ b/src/core/clock.ts
@@ -18,7 +18,7 @@
 		try {
 			return await Promise.race([promise, this.#expire(ms, settled.signal)]);
 		} finally {
-			settled.abort();
+			settled.abort('settled');
 		}
 	}
 
--- a/src/core/observer.ts
+++ b/src/core/observer.ts
@@ -104,13 +104,13 @@
 		const stopped = new AbortController();
 		signal.addEventListener('abort', () => {
 			stopped.abort();
-			this.#rest.abort();
+			this.#rest.abort('awaited');
 		});
 		while (!signal.aborted) {
 			const connection = await this.#connect();
 			if (connection) {
 				connection.whenClosed(() => {
-					this.#rest.abort();
+					this.#rest.abort('awaited');
 				});
 				const answeredAt = this.#lastAnswerAt;
 				await this.#converse(connection, signal);
@@ -129,7 +129,7 @@
 			this.#waiters.push({
 				wanted, highestTerm, expiresAt: this.#clock.now() + timeoutMs, resolve,
 			});
-			this.#rest.abort();
+			this.#rest.abort('awaited');
 		});
 		return this.#clock.limit(observed, timeoutMs);
 	}
--- a/src/core/pool.ts
+++ b/src/core/pool.ts
@@ -158,7 +158,7 @@
 				settle: outcome => {
 					this.#waiters = this.#waiters.filter(other => other !== waiter);
 					signal?.removeEventListener('abort', leave);
-					settled.abort();
+					settled.abort('settled');
 					resolve(outcome);
 				},
 			};
@@ -229,7 +229,7 @@
 		}
 
 		const outcome = await obtain();
-		ended.abort();
+		ended.abort('ended');
 		this.#pending--;
 		this.#hedges -= order === 'hedge' ? 1 : 0;
 		if (Either.isLeft(outcome)) {
--- a/src/core/read.ts
+++ b/src/core/read.ts
@@ -189,7 +189,8 @@
 
 		const isAnswered = outcome !== undefined && isFinal(outcome) && !isDenied(outcome);
 		const last = isAnswered ? undefined : await this.#first(running, this.#left(job.deadline));
-		decided.abort();
+		// With a reason the platform makes no exception object, which took a tenth of the time of a read.
+		decided.abort('decided');
 		return last ?? outcome;
 	}
 
--- a/src/peer/socket.ts
+++ b/src/peer/socket.ts
@@ -72,7 +72,7 @@
 		const delivery: link.Delivery = {state: 'queued'};
 		this.#outgoing.push({frame: msgpackr.pack(message), delivery});
 		this.#usedAt = this.#options.clock.now();
-		this.#rest.abort();
+		this.#rest.abort('used');
 		void this.#write();
 		return delivery;
 	}
