Call the place of a forwarded transaction its location

Cause: seat was a figure of speech.

Change: Location and locations in the dispatcher, forwarded in the conversation. Behaviour is unchanged.

--- a/src/host/dispatcher.ts
+++ b/src/host/dispatcher.ts
@@ -26,7 +26,7 @@
 };
 
 /** Where the transaction of a session is: at this host or over a link. */
-type Seat = conversation.Conversation | 'here';
+type Location = conversation.Conversation | 'here';
 
 /** Time in ms that an owner's answer may take beyond the request's own deadline. */
 const answerMarginMs = 100;
@@ -36,7 +36,7 @@
 /** Dispatches requests and remembers which owner has the transaction of each session. */
 export class Dispatcher extends dispatch.Dispatcher {
 	readonly #parts: Parts;
-	readonly #seats = new Map<string, Seat>();
+	readonly #locations = new Map<string, Location>();
 
 	constructor(parts: Parts) {
 		super();
@@ -45,7 +45,7 @@
 
 	/** Open transactions of this host's callers. */
 	get transactions(): number {
-		return this.#seats.size;
+		return this.#locations.size;
 	}
 
 	override async execute(request: types.Request): Promise<errors.Outcome<types.Answer>> {
@@ -55,33 +55,33 @@
 	}
 
 	override async endSession(_service: string, session: string): Promise<void> {
-		const seat = this.#leave(session);
-		if (seat === 'here') {
+		const location = this.#leave(session);
+		if (location === 'here') {
 			await this.#parts.owner.endSession(session);
 		} else {
-			seat?.tell({kind: 'session-end', session});
+			location?.tell({kind: 'session-end', session});
 		}
 	}
 
 	/** Forgets where a session's transaction is. */
-	#leave(session: string): Seat | undefined {
-		const seat = this.#seats.get(session);
-		this.#seats.delete(session);
-		if (seat !== 'here') {
-			seat?.seats.delete(session);
+	#leave(session: string): Location | undefined {
+		const location = this.#locations.get(session);
+		this.#locations.delete(session);
+		if (location !== 'here') {
+			location?.forwarded.delete(session);
 		}
 
-		return seat;
+		return location;
 	}
 
 	/** A statement of an open transaction: it can only go where the transaction is. */
 	async #continue(request: types.Request): Promise<errors.Outcome<types.Answer>> {
-		const seat = this.#seats.get(request.session);
-		if (!seat) {
+		const location = this.#locations.get(request.session);
+		if (!location) {
 			return errors.fail('not-run', 'route', request.service, 'the transaction has ended and was rolled back');
 		}
 
-		const outcome = await this.#executeAt(seat, request);
+		const outcome = await this.#executeAt(location, request);
 		const isEnd = request.transaction === 'commit' || request.transaction === 'rollback';
 		if (isEnd && Either.isRight(outcome)) {
 			this.#leave(request.session);
@@ -122,8 +122,8 @@
 
 	async #attempt(member: ownership.Member, request: types.Request): Promise<errors.Outcome<types.Answer>> {
 		const started = this.#parts.clock.now();
-		const seat = member.name === this.#parts.host ? 'here' : await this.#parts.links.reach(member);
-		if (!seat) {
+		const location = member.name === this.#parts.host ? 'here' : await this.#parts.links.reach(member);
+		if (!location) {
 			return errors.fail('not-run', 'forward', member.name, 'no link to the owner could be opened');
 		}
 
@@ -132,33 +132,33 @@
 			return errors.fail('not-run', 'forward', member.name, 'the deadline passed before a link to the owner was open');
 		}
 
-		const outcome = await this.#executeAt(seat, {...request, deadlineMs});
+		const outcome = await this.#executeAt(location, {...request, deadlineMs});
 		if (request.transaction !== 'begin') {
 			return request.kind === 'read' ? Either.mapLeft(asNotRun)(outcome) : outcome;
 		}
 
 		if (Either.isRight(outcome)) {
-			this.#seats.set(request.session, seat);
-			if (seat !== 'here') {
-				seat.seats.add(request.session);
+			this.#locations.set(request.session, location);
+			if (location !== 'here') {
+				location.forwarded.add(request.session);
 			}
-		} else if (seat !== 'here') {
+		} else if (location !== 'here') {
 			// The owner may have begun one whose answer was lost.
-			seat.tell({kind: 'session-end', session: request.session});
+			location.tell({kind: 'session-end', session: request.session});
 		}
 
 		return Either.mapLeft(asNotRun)(outcome);
 	}
 
-	async #executeAt(seat: Seat, request: types.Request): Promise<errors.Outcome<types.Answer>> {
-		if (seat === 'here') {
+	async #executeAt(location: Location, request: types.Request): Promise<errors.Outcome<types.Answer>> {
+		if (location === 'here') {
 			return this.#parts.owner.execute(request);
 		}
 
-		const outcome = await seat.ask({kind: 'forward', request}, request.deadlineMs + answerMarginMs);
+		const outcome = await location.ask({kind: 'forward', request}, request.deadlineMs + answerMarginMs);
 		return Either.flatMap((reply: conversation.Reply): errors.Outcome<types.Answer> => reply.kind === 'answered'
 			? Either.right(reply.answer)
-			: errors.fail('outcome-unknown', 'forward', seat.host, `unexpected answer ${reply.kind}`))(outcome);
+			: errors.fail('outcome-unknown', 'forward', location.host, `unexpected answer ${reply.kind}`))(outcome);
 	}
 
 	/** Owners to try: this host if it has the service open, then its place, then by rank. */
--- a/src/peer/conversation.ts
+++ b/src/peer/conversation.ts
@@ -54,7 +54,7 @@
 	/** Service of each session whose transaction this host executes for the peer. */
 	readonly sessions = new Map<string, string>();
 	/** Sessions of this host whose transaction the peer executes. */
-	readonly seats = new Set<string>();
+	readonly forwarded = new Set<string>();
 	/** Whether this host opened the link. */
 	readonly isOpener: boolean;
 	readonly #link: link.Link;
@@ -90,7 +90,7 @@
 
 	/** Whether nothing depends on the link: no question, request or transaction in either direction. */
 	get isIdle(): boolean {
-		return this.#pending.size + this.#executing + this.sessions.size + this.seats.size === 0;
+		return this.#pending.size + this.#executing + this.sessions.size + this.forwarded.size === 0;
 	}
 
 	/** The task of the link: greets, then takes messages to the end of the link. */
