End a watch of the platform stand-in with its caller

Ruled out: ending the process by force, which would hide the watches that callers abandon while it runs.

Change: a watch also waits for the end of its response.

--- a/src/standin/platform.ts
+++ b/src/standin/platform.ts
@@ -107,8 +107,12 @@
 		this.counts.reads++;
 		const end = this.#clock.now() + Number(query.get('wait') ?? 0);
 		const after = Number(query.get('after') ?? -1);
+		// A watch whose caller is gone ends at once; its timer would hold a stopped process for up to a minute.
+		const closed = new Promise<void>(resolve => {
+			response.once('close', resolve);
+		});
 		while (this.#get(key).version <= after && this.#clock.now() < end && !response.destroyed) {
-			await this.#clock.limit(this.#changed.next(), end - this.#clock.now());
+			await this.#clock.limit(Promise.race([this.#changed.next(), closed]), end - this.#clock.now());
 		}
 
 		if (this.faults.isDown) {
--- a/src/standin/tests/platform.test.ts
+++ b/src/standin/tests/platform.test.ts
@@ -1,4 +1,6 @@
 import * as assert from 'node:assert/strict';
+import * as http from 'node:http';
+import process from 'node:process';
 import * as test from 'node:test';
 import * as clock from '../../core/clock.js';
 import * as platform from '../platform.js';
@@ -15,3 +17,27 @@
 	assert.equal(response.status, 200);
 	standin.stop();
 });
+
+function countTimers(): number {
+	return process.getActiveResourcesInfo().filter(kind => kind === 'Timeout').length;
+}
+
+// Guards against a stopped stand-in that keeps its process alive until its longest watch would have ended.
+test.test('a stopped store leaves no timer of a watch behind', async () => {
+	const standin = new platform.Platform();
+	const url = await standin.start('127.0.0.1', 0);
+	const before = countTimers();
+	const watch = http.get(`${url}objects/x?after=0&wait=60000`);
+	const ended = new Promise<void>(resolve => {
+		watch.once('error', () => {
+			resolve();
+		});
+	});
+	const time = new clock.System();
+	await time.sleep(100);
+	assert.ok(countTimers() > before, 'the watch waits');
+	standin.stop();
+	await ended;
+	await time.sleep(50);
+	assert.equal(countTimers(), before);
+});
