Share the check of a session's position and the term at an index

Cause: the reader and the transactions each compared the request's position with the confirmed primary and made the same failure; the log of the stand-in repeated how a history gives the term at an index.

Change: Group.checkPosition and position.termAt serve both sides. Behaviour is unchanged.

--- a/src/core/group.ts
+++ b/src/core/group.ts
@@ -7,6 +7,7 @@
 import * as errors from './errors.js';
 import * as observer from './observer.js';
 import * as pool from './pool.js';
+import * as position from './position.js';
 
 /** Limits of a group, the same for each server. */
 export type Options = {
@@ -120,6 +121,19 @@
 		return this.#left.has(server) || (this.observed.servers.get(server)?.latest?.status.leaving ?? false);
 	}
 
+	/**
+	Checks that a server which was confirmed as primary after a request arrived holds the request's position. A position
+	that it has not reached was never acknowledged.
+
+	Errors: `position-lost`.
+	*/
+	checkPosition(server: string, wanted: position.Position | null): errors.Outcome<void> {
+		const status = this.observed.servers.get(server)?.latest?.status;
+		return wanted && status && position.relate(status, wanted) !== 'contains'
+			? errors.fail('position-lost', 'route', this.name, `position ${position.format(wanted)} is not in the log of the primary; it was lost in a failover`)
+			: Either.right(undefined);
+	}
+
 	/**
 	A connection to the server that was last seen to be primary; waits for one to appear.
 
--- a/src/core/position.ts
+++ b/src/core/position.ts
@@ -65,7 +65,15 @@
 	return termAt(log.history, wanted.index) === wanted.term ? 'contains' : 'behind';
 }
 
-function termAt(history: History, index: number): number {
+/**
+The term whose entry stands at an index; 0 before the first entry.
+
+@example
+```
+position.termAt([{term: 1, start: 1}, {term: 3, start: 5}], 4); //=> 1
+```
+*/
+export function termAt(history: History, index: number): number {
 	return history.findLast(({start}) => start <= index)?.term ?? 0;
 }
 
--- a/src/core/read.ts
+++ b/src/core/read.ts
@@ -108,10 +108,9 @@
 			return point;
 		}
 
-		const primary = this.#group.observed.servers.get(point.right.server)?.latest;
-		// The primary answered after the request arrived, so a position that it has not reached was never acknowledged.
-		if (request.position && primary && position.relate(primary.status, request.position) !== 'contains') {
-			return errors.fail('position-lost', 'route', this.#group.name, `position ${position.format(request.position)} is not in the log of the primary; it was lost in a failover`);
+		const checked = this.#group.checkPosition(point.right.server, request.position);
+		if (Either.isLeft(checked)) {
+			return checked;
 		}
 
 		// The servers have just been asked, so that one which was too old by its last observation may be young enough now.
--- a/src/core/transaction.ts
+++ b/src/core/transaction.ts
@@ -10,7 +10,6 @@
 import type * as group from './group.js';
 import type * as pool from './pool.js';
 import * as random from './random.js';
-import * as position from './position.js';
 import * as record from './record.js';
 import * as settlement from './settlement.js';
 import * as statement from './statement.js';
@@ -203,10 +202,8 @@
 			return errors.fail('not-run', 'route', server, 'the server has been replaced as primary');
 		}
 
-		const status = observed.servers.get(server)?.latest?.status;
-		return request.position && status && position.relate(status, request.position) !== 'contains'
-			? errors.fail('position-lost', 'route', this.#group.name, `position ${position.format(request.position)} is not in the log of the primary; it was lost in a failover`)
-			: outcome;
+		const checked = this.#group.checkPosition(server, request.position);
+		return Either.isLeft(checked) ? checked : outcome;
 	}
 
 	async #execute(open: Open, sql: string, deadline: number): Promise<errors.Outcome<types.Answer>> {
--- a/src/standin/log.ts
+++ b/src/standin/log.ts
@@ -1,7 +1,7 @@
 /**
 The replicated log of a stand-in server: entries with their terms, in order.
 */
-import type * as position from '../core/position.js';
+import * as position from '../core/position.js';
 
 /** One committed transaction. Index 1 is the first entry. */
 export type Entry = {readonly term: number; readonly index: number; readonly writes: readonly string[]};
@@ -51,14 +51,10 @@
 	/** The greatest index at which this log and one with `other` history agree. */
 	commonIndex(other: position.History, otherLast: number): number {
 		let index = Math.min(this.last.index, otherLast);
-		while (index > 0 && termAt(this.#history, index) !== termAt(other, index)) {
+		while (index > 0 && position.termAt(this.#history, index) !== position.termAt(other, index)) {
 			index--;
 		}
 
 		return index;
 	}
 }
-
-function termAt(history: position.History, index: number): number {
-	return history.findLast(({start}) => start <= index)?.term ?? 0;
-}
