--- a/src/cli/host.ts
+++ b/src/cli/host.ts
@@ -9,7 +9,7 @@
 import * as entryHost from '../host/host.js';
 import * as log from '../host/log.js';
 import type * as types from '../generated/types.js';
-import * as http from '../platform/http.js';
+import * as http from '../store/http.js';
 import * as exit from './exit.js';
 import * as input from './input.js';
 
--- a/src/cli/platform.ts
+++ b/src/cli/platform.ts
@@ -1,7 +1,7 @@
 /**
 The options with which commands reach the platform.
 */
-import * as http from '../platform/http.js';
+import * as http from '../store/http.js';
 
 /** The options of every command that uses the platform's store. */
 export type Arguments = {platform: string; json: boolean};
--- a/src/core/claim.ts
+++ b/src/core/claim.ts
@@ -5,7 +5,7 @@
 import * as Either from 'fp-ts/lib/Either.js';
 import type * as types from '../generated/types.js';
 import * as messages from '../generated/messages.js';
-import type * as store from '../platform/store.js';
+import type * as store from '../store/store.js';
 import type * as backend from './backend.js';
 import type * as clock from './clock.js';
 import type * as control from './control.js';
--- a/src/core/promotion.ts
+++ b/src/core/promotion.ts
@@ -6,7 +6,7 @@
 */
 import * as Either from 'fp-ts/lib/Either.js';
 import type * as types from '../generated/types.js';
-import type * as store from '../platform/store.js';
+import type * as store from '../store/store.js';
 import type * as backend from './backend.js';
 import * as claim from './claim.js';
 import * as control from './control.js';
--- a/src/core/tests/fake-group.ts
+++ b/src/core/tests/fake-group.ts
@@ -4,7 +4,7 @@
 */
 import * as Either from 'fp-ts/lib/Either.js';
 import type * as types from '../../generated/types.js';
-import * as store from '../../platform/store.js';
+import * as store from '../../store/store.js';
 import type * as acknowledgement from '../acknowledgement.js';
 import * as backend from '../backend.js';
 import * as claim from '../claim.js';
--- a/src/host/configuration.ts
+++ b/src/host/configuration.ts
@@ -4,7 +4,7 @@
 import * as Either from 'fp-ts/lib/Either.js';
 import * as settings from '../core/settings.js';
 import type * as types from '../generated/types.js';
-import type * as store from '../platform/store.js';
+import type * as store from '../store/store.js';
 import * as replica from './replica.js';
 
 /** Follows the object `configuration`. */
--- a/src/host/host.ts
+++ b/src/host/host.ts
@@ -17,7 +17,7 @@
 import * as links from '../peer/links.js';
 import * as owners from '../peer/owners.js';
 import * as socket from '../peer/socket.js';
-import type * as store from '../platform/store.js';
+import type * as store from '../store/store.js';
 import * as answers from './answers.js';
 import * as callers from './callers.js';
 import * as changes from './changes.js';
--- a/src/host/hosts.ts
+++ b/src/host/hosts.ts
@@ -3,7 +3,7 @@
 */
 import type * as membership from '../core/membership.js';
 import * as messages from '../generated/messages.js';
-import type * as store from '../platform/store.js';
+import type * as store from '../store/store.js';
 import * as replica from './replica.js';
 
 /** Watches within the time after which the list is stale. */
--- a/src/host/owner.ts
+++ b/src/host/owner.ts
@@ -15,7 +15,7 @@
 import * as share from '../core/share.js';
 import type * as types from '../generated/types.js';
 import * as client from '../mysql/client.js';
-import type * as store from '../platform/store.js';
+import type * as store from '../store/store.js';
 import type * as log from './log.js';
 
 /** Time in ms that a replica is expected to take for an answer. */
--- a/src/host/replica.ts
+++ b/src/host/replica.ts
@@ -7,7 +7,7 @@
 import type * as types from '../generated/types.js';
 import type * as conversation from '../peer/conversation.js';
 import type * as links from '../peer/links.js';
-import type * as store from '../platform/store.js';
+import type * as store from '../store/store.js';
 import type * as log from './log.js';
 
 /** What following an object needs. */
--- a/src/host/tests/configuration.test.ts
+++ b/src/host/tests/configuration.test.ts
@@ -6,7 +6,7 @@
 import * as errors from '../../core/errors.js';
 import * as random from '../../core/random.js';
 import type * as types from '../../generated/types.js';
-import * as store from '../../platform/store.js';
+import * as store from '../../store/store.js';
 import * as configuration from '../configuration.js';
 import * as log from '../log.js';
 import type * as replica from '../replica.js';
--- a/src/operator/publish.ts
+++ b/src/operator/publish.ts
@@ -6,7 +6,7 @@
 import * as errors from '../core/errors.js';
 import * as settings from '../core/settings.js';
 import type * as types from '../generated/types.js';
-import type * as store from '../platform/store.js';
+import type * as store from '../store/store.js';
 
 /** An applied configuration: its version, and how the store's answer was had. */
 export type Applied = {readonly version: number; readonly confirmation: 'answer' | 'read-back'};
--- a/src/operator/tests/operator.test.ts
+++ b/src/operator/tests/operator.test.ts
@@ -5,7 +5,7 @@
 import * as clock from '../../core/clock.js';
 import type * as errors from '../../core/errors.js';
 import * as settings from '../../core/settings.js';
-import * as http from '../../platform/http.js';
+import * as http from '../../store/http.js';
 import * as platform from '../../standin/platform.js';
 import * as operator from '../operator.js';
 
