--- a/scripts/generate.js
+++ b/scripts/generate.js
@@ -19,12 +19,21 @@
 const validated = [
 	{name: 'Settings', coerced: true},
 	{name: 'Configuration', coerced: true},
+	{name: 'EntrySettings', coerced: true},
 	{name: 'Status', coerced: false},
 	{name: 'Grant', coerced: false},
 	{name: 'Message', coerced: false},
 	{name: 'Entry', coerced: false},
 	{name: 'HostList', coerced: false},
 	{name: 'GroupStatus', coerced: false},
+	{name: 'Announcement', coerced: false},
+	{name: 'PromotionClaim', coerced: false},
+	{name: 'Deployment', coerced: false},
+	{name: 'StoredConfiguration', coerced: false},
+	{name: 'StoredServer', coerced: false},
+	{name: 'StoredObject', coerced: false},
+	{name: 'StoredPage', coerced: false},
+	{name: 'StoredEvents', coerced: false},
 ];
 
 /** Merges the definitions of all schema files; names are unique over all files. */
@@ -76,7 +85,7 @@
 	const parts = [];
 	for (const coerced of [true, false]) {
 		const ajv = new Ajv({
-			allErrors: coerced, coerceTypes: coerced, useDefaults: coerced, strict: false, code: {source: true, esm: true, lines: true},
+			allErrors: coerced, coerceTypes: coerced, useDefaults: true, strict: false, code: {source: true, esm: true, lines: true},
 		});
 		const exported = {};
 		for (const {name, coerced: wanted} of validated) {
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -4,32 +4,35 @@
 */
 import process from 'node:process';
 import yargs from 'yargs';
+import type * as types from 'yargs';
 import * as helpers from 'yargs/helpers';
-import * as apply from './apply.js';
-import * as check from './check.js';
-import * as diff from './diff.js';
-import * as drain from './drain.js';
 import * as exit from './exit.js';
-import * as host from './host.js';
-import * as load from './load.js';
-import * as show from './show.js';
-import * as standin from './standin.js';
-import * as status from './status.js';
 
 const helpWidth = 120;
 
-await yargs(helpers.hideBin(process.argv))
+/** The commands. Only the module of the one that is named is loaded, since a host starts on a fraction of a core. */
+const modules = {
+	host: async () => import('./host.js'),
+	entry: async () => import('./entry.js'),
+	check: async () => import('./check.js'),
+	diff: async () => import('./diff.js'),
+	apply: async () => import('./apply.js'),
+	show: async () => import('./show.js'),
+	status: async () => import('./status.js'),
+	drain: async () => import('./drain.js'),
+	load: async () => import('./load.js'),
+	standin: async () => import('./standin.js'),
+};
+
+const words = helpers.hideBin(process.argv);
+const named = Object.entries(modules).filter(([name]) => name === words[0]);
+const wanted = named.length > 0 ? named : Object.entries(modules);
+const commands = await Promise.all(wanted.map(async ([, load]) => load()));
+
+await yargs(words)
 	.scriptName('sycamorering')
 	.usage('$0 <command> [options]')
-	.command(host.command)
-	.command(check.command)
-	.command(diff.command)
-	.command(apply.command)
-	.command(show.command)
-	.command(status.command)
-	.command(drain.command)
-	.command(load.command)
-	.command(standin.command)
+	.command(commands.map(({command}) => command as types.CommandModule))
 	.demandCommand(1, 'Name a command.')
 	.recommendCommands()
 	.strict()
--- a/src/core/backend.ts
+++ b/src/core/backend.ts
@@ -2,6 +2,7 @@
 Backend servers, as interfaces. `src/mysql` implements them by the MySQL protocol; tests use fakes.
 */
 import type * as types from '../generated/types.js';
+import * as connection from './connection.js';
 import type * as errors from './errors.js';
 import type * as position from './position.js';
 
@@ -16,17 +17,12 @@
 the connection was lost or the timeout passed after that. After `outcome-unknown` the connection is closed, so that a
 late answer can't reach anybody.
 */
-export abstract class Connection {
-	/** Name of the server. */
-	abstract readonly server: string;
-
+export abstract class Connection extends connection.Connection {
 	/** Has `ended` called once the connection closes, where the implementation learns of it. */
 	whenClosed(_ended: () => void): void {
 		// Without this, the owner learns of a closed connection at its next call.
 	}
 
-	abstract get isOpen(): boolean;
-
 	/** Executes one statement. */
 	abstract execute(sql: string, timeoutMs: number): Promise<errors.Outcome<Answer>>;
 
@@ -44,19 +40,7 @@
 
 	/** Calls `group_wait`: the status once the log contains the position, or when `waitMs` have passed. */
 	abstract wait(wanted: position.Position, waitMs: number, timeoutMs: number): Promise<errors.Outcome<Status>>;
-
-	/** Ends the session's transaction and state, so that another session may use the connection. */
-	abstract reset(timeoutMs: number): Promise<errors.Outcome<void>>;
-
-	/** Closes the connection at once. What it still owes is dropped, and a call that waits fails with `outcome-unknown`. */
-	abstract close(): void;
 }
 
 /** A backend server to which connections can be opened. */
-export abstract class Server {
-	abstract readonly name: string;
-	abstract readonly place: string;
-
-	/** Opens a connection. Failures: `not-run`, since no statement was sent. */
-	abstract connect(timeoutMs: number): Promise<errors.Outcome<Connection>>;
-}
+export abstract class Server extends connection.Server<Connection> {}
--- a/src/core/clock.ts
+++ b/src/core/clock.ts
@@ -3,8 +3,29 @@
 */
 import * as timers from 'node:timers/promises';
 
+/** A moment by two clocks: a monotonic one, and the time of day. */
+export type Mark = {readonly monotonicMs: number; readonly wallMs: number};
+
+/**
+Time in ms between two moments, never too short by a suspension of the host or by a time of day that was set back, unless
+both fall together. The monotonic clock stands still while the host is suspended, and the time of day may be set.
+
+@example
+```
+const ageMs = clock.between(floor.at, time.mark());
+```
+*/
+export function between(from: Mark, to: Mark): number {
+	return Math.max(to.monotonicMs - from.monotonicMs, to.wallMs - from.wallMs);
+}
+
 /** A monotonic clock. Times are in ms and mean nothing outside this process. */
 export abstract class Clock {
+	/** The present moment. */
+	mark(): Mark {
+		return {monotonicMs: this.now(), wallMs: this.wallTime()};
+	}
+
 	/**
 	Waits for `promise` for at most `ms`; gives `undefined` at the timeout.
 
@@ -25,6 +46,11 @@
 	/** Monotonic time in ms. */
 	abstract now(): number;
 
+	/** Time of day in Unix ms; a clock without one gives its monotonic time. */
+	protected wallTime(): number {
+		return this.now();
+	}
+
 	/**
 	Waits for `ms`, or until `signal` aborts. It never rejects.
 
@@ -47,6 +73,10 @@
 		return performance.now();
 	}
 
+	protected override wallTime(): number {
+		return Date.now();
+	}
+
 	/**
 	As the base class has it, with a bare timer: ending a sleep by an abort signal builds an `AbortError` with its stack
 	for each call, which took a fifth of the processor time of an entry host under load.
@@ -92,6 +122,7 @@
 		return this.#now;
 	}
 
+
 	override async sleep(ms: number, signal?: AbortSignal): Promise<void> {
 		if (signal?.aborted) {
 			return;
--- a/src/core/group.ts
+++ b/src/core/group.ts
@@ -35,7 +35,7 @@
 	readonly clock: clock.Clock;
 	readonly observed: observer.Group;
 	readonly servers: ReadonlyMap<string, backend.Server>;
-	readonly #pools: ReadonlyMap<string, pool.Pool>;
+	readonly #pools: ReadonlyMap<string, pool.Pool<backend.Connection>>;
 	readonly #left = new Set<string>();
 	#share: number;
 	#primary: string | undefined;
@@ -73,7 +73,7 @@
 	}
 
 	/** The pool of a server of this group. */
-	pool(server: string): pool.Pool {
+	pool(server: string): pool.Pool<backend.Connection> {
 		const found = this.#pools.get(server);
 		if (!found) {
 			throw new Error(`group ${this.name} has no server ${server}`);
--- a/src/core/pool.ts
+++ b/src/core/pool.ts
@@ -2,8 +2,8 @@
 Connections to one backend server, bounded by the owner's share. A connection serves one holder at a time.
 */
 import * as Either from 'fp-ts/lib/Either.js';
-import type * as backend from './backend.js';
 import type * as clock from './clock.js';
+import type * as connections from './connection.js';
 import * as errors from './errors.js';
 
 /** Limits of a pool. Times in ms. */
@@ -23,17 +23,22 @@
 /** What a holder leaves on a connection: nothing, or state that must be reset. */
 export type Residue = 'clean' | 'dirty';
 
-type Idle = {readonly connection: backend.Connection; readonly since: number};
-type Waiter = {readonly since: number; readonly settle: (outcome: errors.Outcome<backend.Connection>) => void};
+type Idle<C> = {readonly connection: C; readonly since: number};
+type Waiter<C> = {
+	readonly since: number;
+	/** Which idle connection the waiter would rather have. */
+	readonly prefers: ((connection: C) => boolean) | undefined;
+	readonly settle: (outcome: errors.Outcome<C>) => void;
+};
 
 /** A pool of connections to one server. */
-export class Pool {
-	readonly server: backend.Server;
+export class Pool<C extends connections.Connection> {
+	readonly server: connections.Server<C>;
 	readonly #clock: clock.Clock;
 	readonly #limits: Limits;
-	readonly #held = new Set<backend.Connection>();
-	#idle: Idle[] = [];
-	#waiters: Waiter[] = [];
+	readonly #held = new Set<C>();
+	#idle: Array<Idle<C>> = [];
+	#waiters: Array<Waiter<C>> = [];
 	/** Connections being opened or checked. They count towards the limit until the attempt has ended. */
 	#pending = 0;
 	/** Those of `#pending` that were started beside a slow one. */
@@ -41,7 +46,7 @@
 	#connections: number;
 	#isClosed = false;
 
-	constructor(server: backend.Server, time: clock.Clock, limits: Limits) {
+	constructor(server: connections.Server<C>, time: clock.Clock, limits: Limits) {
 		this.server = server;
 		this.#clock = time;
 		this.#limits = limits;
@@ -70,7 +75,7 @@
 
 	/**
 	Takes a connection, opening one if the limit allows, else waiting for one. The holder must give it to `release`.
-	An abort of `signal` ends the wait.
+	An abort of `signal` ends the wait. Of the idle connections, one that `prefers` accepts goes first.
 
 	Errors: `not-run`, when none could be had.
 
@@ -79,7 +84,7 @@
 	const outcome = await pool.acquire(500);
 	```
 	*/
-	async acquire(timeoutMs: number, signal?: AbortSignal): Promise<errors.Outcome<backend.Connection>> {
+	async acquire(timeoutMs: number, signal?: AbortSignal, prefers?: (connection: C) => boolean): Promise<errors.Outcome<C>> {
 		if (this.#isClosed) {
 			return this.#refuse('the pool is closed');
 		}
@@ -88,14 +93,14 @@
 			return this.#refuse('the connection is not needed any more');
 		}
 
-		return this.#wait(timeoutMs, signal);
+		return this.#wait(timeoutMs, signal, prefers);
 	}
 
 	/**
 	Gives a connection back. One that is dirty is reset before anybody else gets it. A holder calls it once; a
 	connection that nobody holds is left alone, so that it isn't listed as idle twice.
 	*/
-	async release(connection: backend.Connection, residue: Residue): Promise<void> {
+	async release(connection: C, residue: Residue): Promise<void> {
 		if (!this.#held.has(connection)) {
 			return;
 		}
@@ -145,7 +150,7 @@
 		}
 	}
 
-	async #wait(timeoutMs: number, signal?: AbortSignal): Promise<errors.Outcome<backend.Connection>> {
+	async #wait(timeoutMs: number, signal?: AbortSignal, prefers?: (connection: C) => boolean): Promise<errors.Outcome<C>> {
 		const settled = new AbortController();
 		return new Promise(resolve => {
 			const leave = (): void => {
@@ -153,8 +158,9 @@
 			};
 
 			// A settled waiter is no longer in the list, so no connection is handed to it after its timeout.
-			const waiter: Waiter = {
+			const waiter: Waiter<C> = {
 				since: this.#clock.now(),
+				prefers,
 				settle: outcome => {
 					this.#waiters = this.#waiters.filter(other => other !== waiter);
 					signal?.removeEventListener('abort', leave);
@@ -190,19 +196,34 @@
 		}
 	}
 
-	/** The connection that was idle for the shortest time, if somebody waits whom no attempt under way will serve. */
-	#nextIdle(): Idle | undefined {
-		const idle = this.#idle.at(-1);
-		const isWanted = this.#waiters.length > 0 && idle && (this.#isTrusted(idle) || this.#waiters.length > this.#expected);
-		return isWanted && !this.#isClosed ? this.#idle.pop() : undefined;
+	/**
+	The connection that the first waiter prefers, else the one that was idle for the shortest time, if somebody waits whom
+	no attempt under way will serve.
+	*/
+	#nextIdle(): Idle<C> | undefined {
+		const [waiter] = this.#waiters;
+		const latest = this.#idle.at(-1);
+		if (!waiter || !latest || this.#isClosed) {
+			return undefined;
+		}
+
+		const {prefers} = waiter;
+		const preferred = prefers && this.#idle.findLast(idle => this.#isTrusted(idle) && prefers(idle.connection));
+		const idle = preferred ?? latest;
+		if (!this.#isTrusted(idle) && this.#waiters.length <= this.#expected) {
+			return undefined;
+		}
+
+		this.#idle.splice(this.#idle.indexOf(idle), 1);
+		return idle;
 	}
 
-	#isTrusted({since}: Idle): boolean {
+	#isTrusted({since}: Idle<C>): boolean {
 		return this.#clock.now() - since <= this.#limits.trustMs;
 	}
 
 	/** Hands an idle connection over, checks it first, or closes it, by the time that it was idle. */
-	#use(idle: Idle): void {
+	#use(idle: Idle<C>): void {
 		const {connection, since} = idle;
 		const isOld = this.#clock.now() - since > this.#limits.idleLimitMs;
 		if (!connection.isOpen || isOld || this.open >= this.#connections) {
@@ -219,7 +240,7 @@
 	}
 
 	/** Obtains one connection for those who wait, and a second one when the first is slow. */
-	async #supply(obtain: () => Promise<errors.Outcome<backend.Connection>>, order: 'first' | 'hedge'): Promise<void> {
+	async #supply(obtain: () => Promise<errors.Outcome<C>>, order: 'first' | 'hedge'): Promise<void> {
 		const startedAt = this.#clock.now();
 		const ended = new AbortController();
 		this.#pending++;
@@ -263,12 +284,12 @@
 		this.#fill();
 	}
 
-	async #connect(): Promise<errors.Outcome<backend.Connection>> {
+	async #connect(): Promise<errors.Outcome<C>> {
 		return this.server.connect(this.#limits.connectTimeoutMs);
 	}
 
 	/** Resets a connection that was idle for long; a new one replaces it if it does not answer. */
-	async #check(connection: backend.Connection): Promise<errors.Outcome<backend.Connection>> {
+	async #check(connection: C): Promise<errors.Outcome<C>> {
 		const outcome = await connection.reset(this.#limits.connectTimeoutMs);
 		if (Either.isRight(outcome) && connection.isOpen) {
 			return Either.right(connection);
@@ -278,7 +299,7 @@
 		return this.#connect();
 	}
 
-	#offer(connection: backend.Connection): void {
+	#offer(connection: C): void {
 		if (!connection.isOpen || this.#isClosed || this.open >= this.#connections) {
 			connection.close();
 		} else if (this.#waiters.length > 0) {
@@ -290,7 +311,7 @@
 		this.#fill();
 	}
 
-	#hand(connection: backend.Connection): void {
+	#hand(connection: C): void {
 		this.#held.add(connection);
 		this.#waiters[0]?.settle(Either.right(connection));
 	}
--- a/src/core/settings.ts
+++ b/src/core/settings.ts
@@ -39,6 +39,23 @@
 	]);
 }
 
+/**
+Reads the settings of an entry host on the users' platform.
+
+Errors: `settings`, with file, line, section and key of each fault.
+
+@example
+```
+const outcome = settings.parseEntrySettings(text, 'entry.ini');
+```
+*/
+export function parseEntrySettings(text: string, file: string): errors.Outcome<types.EntrySettings> {
+	return parse(text, file, inputs.validateEntrySettings, ({listen, endpoints}) => [
+		...Object.entries<string>({...listen}).flatMap(([key, value]) => judgeAddress(['listen', key], value, 0)),
+		...Object.entries<string>({...endpoints}).flatMap(([key, value]) => judgeAddress(['endpoints', key], value, 1)),
+	]);
+}
+
 /**
 Reads the configuration and checks that accounts name services that exist.
 
--- a/src/core/tests/pool.test.ts
+++ b/src/core/tests/pool.test.ts
@@ -11,7 +11,7 @@
 	connections: 2, connectTimeoutMs: 500, hedgeAfterMs: 100, trustMs: 1000, idleLimitMs: 10_000, resetTimeoutMs: 200,
 };
 
-function make(change: Partial<pool.Limits> = {}): {time: clock.Manual; server: fakes.Server; connections: pool.Pool} {
+function make(change: Partial<pool.Limits> = {}): {time: clock.Manual; server: fakes.Server; connections: pool.Pool<backend.Connection>} {
 	const time = new clock.Manual();
 	const server = new fakes.Server('a', time);
 	return {time, server, connections: new pool.Pool(server, time, {...limits, ...change})};
--- /dev/null
+++ b/src/entry/job.ts
@@ -0,0 +1,64 @@
+/**
+One piece of work for a group: a statement outside a transaction, or the opening of one.
+*/
+import type * as types from '../generated/types.js';
+import type * as clock from '../core/clock.js';
+import type * as decisions from './decisions.js';
+import type * as group from './group.js';
+import type * as lease from './lease.js';
+import type * as states from './state.js';
+import * as statement from './statement.js';
+
+/** What all work of a host shares. */
+export type Context = {
+	readonly clock: clock.Clock;
+	readonly place: string;
+	readonly decisions: decisions.Decisions;
+};
+
+/** One piece of work. */
+export type Job = {
+	readonly id: string;
+	readonly route: types.Route;
+	readonly group: group.Group;
+	readonly state: states.State;
+	/** End of the log after the session's last commit, if it was made under the present leader. */
+	readonly own: statement.Position | null;
+	readonly arrivedAt: clock.Mark;
+	/** Time of the clock by which it must have been answered. */
+	readonly deadline: number;
+};
+
+/** A job that runs one statement. */
+export type Run = Job & {readonly work: lease.Work};
+
+/**
+Share of a route's latency objective for which a request may wait for a server that can run it. A request that is held
+for longer costs its caller more than one that is refused at once and comes back.
+*/
+const waitShare = 0.24;
+/** When a refused caller is told to come back, in ms: about the rest of a change of primary. */
+const comeBackMs = 400;
+
+/** Time in ms that is left to a job. */
+export function left(context: Context, {deadline}: Job): number {
+	return Math.max(1, deadline - context.clock.now());
+}
+
+/** Time in ms that a job may still wait for a server that can run it. */
+export function patience(context: Context, job: Job): number {
+	const spentMs = context.clock.now() - job.arrivedAt.monotonicMs;
+	return Math.max(0, Math.min((job.route.targetMs * waitShare) - spentMs, left(context, job)));
+}
+
+/** Refuses a job that has not run, and says when to come back. */
+export function refuse(context: Context, job: Job, reason: string): statement.Reply {
+	context.decisions.request('refused', job.id, {
+		service: job.group.name,
+		route: job.route.name,
+		reason,
+		waitedMs: Math.round(context.clock.now() - job.arrivedAt.monotonicMs),
+		leader: job.group.leader?.id ?? '',
+	});
+	return statement.refuse('busy', `not run: ${reason}; retry after ${comeBackMs} ms`, 'none');
+}
--- /dev/null
+++ b/src/entry/member.ts
@@ -0,0 +1,125 @@
+/**
+One backend server of a group: its registration, the connections to it, and how it has answered.
+*/
+import type * as types from '../generated/types.js';
+import type * as clock from '../core/clock.js';
+import * as pool from '../core/pool.js';
+import type * as backend from './backend.js';
+
+/** A connection that was idle for longer is checked before use: silent ones are then found before a write is lost on them. */
+const trustMs = 2000;
+/** Below the 60 s after which servers close idle connections. */
+const idleLimitMs = 30_000;
+/** Several times what opening a connection takes across regions. */
+const hedgeAfterMs = 300;
+const resetTimeoutMs = 500;
+/** Time in ms for opening a connection. */
+export const connectTimeoutMs = 600;
+/** Weight of the newest latency in the moving average. */
+const latencyWeight = 0.1;
+/** Latency in ms that is assumed of a server that has not answered yet. */
+const unknownLatencyMs = 20;
+/** Time in ms for which reads rather go to another server after a failure. */
+const avoidMs = 1000;
+
+/** One server. */
+export class Member {
+	readonly pool: pool.Pool<backend.Connection>;
+	readonly server: backend.Server;
+	/** Time of the clock at which the registration was first missing; `undefined` while it is there. */
+	missingSince: number | undefined;
+	readonly #clock: clock.Clock;
+	#registration: types.Registration;
+	#latencyMs = unknownLatencyMs;
+	#heardAt = Number.NEGATIVE_INFINITY;
+	#failingSince: number | undefined;
+	#failedAt = Number.NEGATIVE_INFINITY;
+	readonly #commits = new Set<number>();
+	#lostCommitAt: number | undefined;
+
+	constructor(registration: types.Registration, server: backend.Server, time: clock.Clock, share: number) {
+		this.#registration = registration;
+		this.#clock = time;
+		this.server = server;
+		this.pool = new pool.Pool<backend.Connection>(server, time, {
+			connections: share, connectTimeoutMs, hedgeAfterMs, trustMs, idleLimitMs, resetTimeoutMs,
+		});
+	}
+
+	get id(): string {
+		return this.#registration.id;
+	}
+
+	get registration(): types.Registration {
+		return this.#registration;
+	}
+
+	/** Whether it may get new work. */
+	get isReady(): boolean {
+		return this.#registration.state === 'ready';
+	}
+
+	/** Time of the clock at which it last answered. */
+	get heardAt(): number {
+		return this.#heardAt;
+	}
+
+	/** Time of the clock at which the first of the attempts that all failed since the last answer was made. */
+	get failingSince(): number | undefined {
+		return this.#failingSince;
+	}
+
+	/** Whether reads should rather go to another server. */
+	get isAvoided(): boolean {
+		return this.#failingSince !== undefined && this.#clock.now() - this.#failedAt < avoidMs;
+	}
+
+	/** Latency in ms that a statement is expected to have, from recent ones and from what waits. */
+	get expectedMs(): number {
+		return this.#latencyMs * (1 + this.pool.busy + this.pool.waiting);
+	}
+
+	/** Time of the clock at which the oldest commit was sent that has no answer, if none was acknowledged since. */
+	get stalledSince(): number | undefined {
+		const oldest = this.#lostCommitAt ?? Math.min(...this.#commits);
+		return Number.isFinite(oldest) ? oldest : undefined;
+	}
+
+	/** Notes that a write or commit was sent at `sentAt`. */
+	commits(sentAt: number): void {
+		this.#commits.add(sentAt);
+	}
+
+	/** Notes how a write or commit that was sent at `sentAt` ended. */
+	committed(sentAt: number, isAnswered: boolean): void {
+		this.#commits.delete(sentAt);
+		if (isAnswered) {
+			this.#lostCommitAt = undefined;
+		} else {
+			this.#lostCommitAt ??= sentAt;
+		}
+	}
+
+	/** Takes a newer registration of the same incarnation. */
+	update(registration: types.Registration): void {
+		this.#registration = registration;
+		this.missingSince = undefined;
+	}
+
+	/** Notes an answer to something sent at `sentAt`, and what a statement took if it was one. */
+	answered(latencyMs?: number): void {
+		this.#heardAt = this.#clock.now();
+		this.#failingSince = undefined;
+		if (latencyMs !== undefined) {
+			this.#latencyMs += latencyWeight * (latencyMs - this.#latencyMs);
+		}
+	}
+
+	/** Notes that something sent at `sentAt` was not answered, or that no connection could be opened since then. */
+	failed(sentAt: number): void {
+		if (sentAt > this.#heardAt) {
+			this.#failingSince ??= sentAt;
+			this.#failedAt = this.#clock.now();
+		}
+	}
+}
--- /dev/null
+++ b/src/entry/write.ts
@@ -0,0 +1,75 @@
+/**
+Writes outside transactions. A write is sent to one server once, and again only after an answer that says it did not run.
+*/
+import * as Either from 'fp-ts/lib/Either.js';
+import * as jobs from './job.js';
+import * as leases from './lease.js';
+import * as statement from './statement.js';
+
+const retryPauseMs = 10;
+
+/** A reply and the server that gave it, if a server did. */
+export type Written = {readonly reply: statement.Reply; readonly lease: leases.Lease | undefined};
+
+/** Executes writes. */
+export class Writer {
+	readonly #context: jobs.Context;
+
+	constructor(context: jobs.Context) {
+		this.#context = context;
+	}
+
+	/** Executes a write at the leader. */
+	async execute(job: jobs.Run): Promise<Written> {
+		let reason = 'no server leads';
+		while (jobs.left(this.#context, job) > 1) {
+			const leader = await job.group.awaitLeader(jobs.patience(this.#context, job));
+			const lease = leader && await leases.take(leader, job.state, this.#context.clock, Math.max(1, jobs.patience(this.#context, job)));
+			if (!lease || Either.isLeft(lease)) {
+				reason = lease ? lease.left.message : reason;
+				break;
+			}
+
+			const reply = await this.#attempt(job, lease.right);
+			if (!statement.isNotRun(reply)) {
+				return {reply: {...reply, state: 'none'}, lease: lease.right};
+			}
+
+			reason = `${reply.refusal ?? ''} ${reply.message}`;
+			await this.#context.clock.sleep(retryPauseMs);
+		}
+
+		return {reply: jobs.refuse(this.#context, job, reason), lease: undefined};
+	}
+
+	async #attempt(job: jobs.Run, lease: leases.Lease): Promise<statement.Reply> {
+		const sentAt = this.#context.clock.mark();
+		lease.member.commits(sentAt.monotonicMs);
+		const outcome = await lease.run(job.work, null, jobs.left(this.#context, job));
+		await lease.release();
+		lease.member.committed(sentAt.monotonicMs, Either.isRight(outcome) || outcome.left.kind === 'not-run');
+		if (Either.isRight(outcome)) {
+			const {refusal, position} = outcome.right;
+			if (refusal === null && position) {
+				job.group.confirm(lease.member, sentAt, position);
+			} else if (refusal === 'read-only') {
+				job.group.deny(lease.member, sentAt);
+			}
+
+			return outcome.right;
+		}
+
+		if (outcome.left.kind === 'not-run') {
+			return statement.refuse('busy', outcome.left.message, 'none');
+		}
+
+		this.#context.decisions.request('outcome-unknown', job.id, {
+			service: job.group.name,
+			route: job.route.name,
+			server: lease.member.id,
+			reason: outcome.left.message,
+			afterMs: Math.round(this.#context.clock.now() - sentAt.monotonicMs),
+		});
+		return statement.refuse('in-doubt', `the answer of ${lease.member.id} was lost: ${outcome.left.message}`, 'none');
+	}
+}
--- a/src/host/metrics.ts
+++ b/src/host/metrics.ts
@@ -11,7 +11,7 @@
 const highestLatencyUs = 60_000_000;
 
 /** How a request ended: with an answer, or the kind of its failure. */
-export type Result = 'answered' | types.FailureKind;
+export type Result = 'answered' | types.FailureKind | types.Refusal;
 
 /** One value and its labels. */
 export type Sample<Label extends string> = {readonly labels: Record<Label, string>; readonly value: number};
--- /dev/null
+++ b/src/platform/authority.ts
@@ -0,0 +1,48 @@
+/**
+The platform's interface for promotions.
+*/
+import * as Either from 'fp-ts/lib/Either.js';
+import * as errors from '../core/errors.js';
+import * as authority from '../entry/authority.js';
+import type * as http from './http.js';
+
+const timeoutMs = 1000;
+const statusOk = 200;
+const statusConflict = 409;
+
+/** Sends orders of promotion. */
+export class Authority extends authority.Authority {
+	readonly #client: http.Client;
+
+	constructor(client: http.Client) {
+		super();
+		this.#client = client;
+	}
+
+	override async promote({service, server, holder, token}: authority.Order): Promise<errors.Outcome<authority.Verdict>> {
+		const outcome = await this.#client.call({
+			method: 'POST',
+			path: '/promotion',
+			headers: {'x-lease-holder': holder, 'x-fencing-token': String(token)},
+			body: {service, id: server},
+			timeoutMs,
+		});
+		if (Either.isLeft(outcome)) {
+			return outcome;
+		}
+
+		switch (outcome.right.status) {
+			case statusOk: {
+				return Either.right('accepted');
+			}
+
+			case statusConflict: {
+				return Either.right('refused');
+			}
+
+			default: {
+				return errors.fail('store', 'store', service, `promotion: HTTP status ${outcome.right.status}`);
+			}
+		}
+	}
+}
--- /dev/null
+++ b/src/platform/objects.ts
@@ -0,0 +1,131 @@
+/**
+The platform's object store.
+*/
+import * as Either from 'fp-ts/lib/Either.js';
+import * as errors from '../core/errors.js';
+import * as validators from '../generated/messages.js';
+import type * as types from '../generated/types.js';
+import * as objects from '../entry/objects.js';
+import * as decode from './decode.js';
+import type * as http from './http.js';
+
+/** The kinds under which the store has them. */
+const storedKinds: Readonly<Record<objects.Kind, string>> = {
+	configuration: 'config', servers: 'servers', hosts: 'sycamorering-hosts', claims: 'sycamorering-claims',
+};
+
+/** Time in ms for one call, many times what the store takes when it is well. */
+const timeoutMs = 1000;
+const statusOk = 200;
+const statusCreated = 201;
+const statusNotFound = 404;
+const statusConflict = 409;
+const statusGone = 410;
+
+/** The store. */
+export class Objects extends objects.Objects {
+	readonly #client: http.Client;
+
+	constructor(client: http.Client) {
+		super();
+		this.#client = client;
+	}
+
+	override async list<K extends objects.Kind>(kind: K): Promise<errors.Outcome<objects.Listing<K>>> {
+		const items: Array<objects.Item<K>> = [];
+		let after = '';
+		// Later pages may be newer than the first one, and a watch from its revision repeats what they had already.
+		let revision: number | undefined;
+		for (;;) {
+			const outcome = await this.#call({method: 'GET', path: `${locate(kind)}${after}`, timeoutMs});
+			if (Either.isLeft(outcome)) {
+				return outcome;
+			}
+
+			const {status, body} = outcome.right;
+			if (status !== statusOk || !validators.validateStoredPage(body)) {
+				return unexpected(kind, status);
+			}
+
+			items.push(...body.items.map(item => read(kind, item)));
+			revision ??= body.storeRevision;
+			const last = body.items.at(-1)?.meta.name;
+			if (!body.more || last === undefined) {
+				return Either.right({items, revision});
+			}
+
+			after = `?after=${encodeURIComponent(last)}`;
+		}
+	}
+
+	override async watch<K extends objects.Kind>(kind: K, revision: number, waitMs: number): Promise<errors.Outcome<objects.Changes<K>>> {
+		const outcome = await this.#call({method: 'GET', path: `${locate(kind)}?watch=${revision}&waitMs=${waitMs}`, timeoutMs: timeoutMs + waitMs});
+		if (Either.isLeft(outcome)) {
+			return outcome;
+		}
+
+		const {status, body} = outcome.right;
+		if (status === statusGone) {
+			return Either.right({changes: [], revision, isLost: true});
+		}
+
+		return status === statusOk && validators.validateStoredEvents(body)
+			? Either.right({
+				changes: body.events.map(({object, tombstone}) => ({name: object.meta.name, item: tombstone ? undefined : read(kind, object)})),
+				revision: body.storeRevision,
+				isLost: false,
+			})
+			: unexpected(kind, status);
+	}
+
+	override async read<K extends objects.Kind>(kind: K, name: string): Promise<errors.Outcome<objects.Item<K> | undefined>> {
+		const outcome = await this.#call({method: 'GET', path: locate(kind, name), timeoutMs});
+		return Either.isRight(outcome) && outcome.right.status === statusNotFound ? Either.right(undefined) : accept(kind, outcome);
+	}
+
+	override async create<K extends objects.Kind>(kind: K, name: string, value: objects.Values[K]): Promise<errors.Outcome<objects.Item<K>>> {
+		const body = {meta: {name}, spec: value};
+		return accept(kind, await this.#call({
+			method: 'POST', path: locate(kind), body, timeoutMs,
+		}));
+	}
+
+	override async replace<K extends objects.Kind>(kind: K, name: string, value: objects.Values[K], revision: number): Promise<errors.Outcome<objects.Item<K>>> {
+		const body = {meta: {name, revision}, spec: value};
+		return accept(kind, await this.#call({
+			method: 'PUT', path: locate(kind, name), body, timeoutMs,
+		}));
+	}
+
+	async #call(call: http.Call): Promise<errors.Outcome<http.Response>> {
+		return this.#client.call(call);
+	}
+}
+
+function locate(kind: objects.Kind, name?: string): string {
+	return `/objects/${storedKinds[kind]}${name === undefined ? '' : `/${encodeURIComponent(name)}`}`;
+}
+
+function read<K extends objects.Kind>(kind: K, {meta, spec}: types.StoredObject): objects.Item<K> {
+	return {name: meta.name, revision: meta.revision, ...decode.readers[kind](meta.name, spec)};
+}
+
+/** The object in the response to a call for one object. */
+function accept<K extends objects.Kind>(kind: K, outcome: errors.Outcome<http.Response>): errors.Outcome<objects.Item<K>> {
+	if (Either.isLeft(outcome)) {
+		return outcome;
+	}
+
+	const {status, body} = outcome.right;
+	if (status === statusConflict || status === statusNotFound) {
+		return errors.fail('conflict', 'store', kind, `HTTP status ${status}`);
+	}
+
+	return (status === statusOk || status === statusCreated) && validators.validateStoredObject(body)
+		? Either.right(read(kind, body))
+		: unexpected(kind, status);
+}
+
+function unexpected(kind: objects.Kind, status: number): errors.Outcome<never> {
+	return errors.fail('store', 'store', kind, `HTTP status ${status} or an unexpected body`);
+}
--- a/xo.config.js
+++ b/xo.config.js
@@ -3,7 +3,7 @@
 */
 const config = [
 	{
-		ignores: ['dist/**', 'out/**', 'src/generated/**'],
+		ignores: ['dist/**', 'target/**', 'out/**', 'src/generated/**'],
 	},
 	{
 		rules: {
