Bring the new code in line with the linter

Change: reads at any server in two steps, statements read by a table of words, an entry host that has drained closes its clients instead of calling process.exit.

--- a/src/cli/entry.ts
+++ b/src/cli/entry.ts
@@ -47,19 +47,20 @@
 	const time = new clock.System();
 	const measured = new metrics.Metrics();
 	const record = new journal.Journal(parsed.log.level, parsed.host.name, time, measured);
+	const clients = [new http.Client(parsed.endpoints.store), new http.Client(parsed.endpoints.authority)] as const;
 	const host = new entry.Entry({
 		settings: parsed,
 		clock: time,
 		random: new random.System(),
 		decisions: record,
 		metrics: measured,
-		store: new objects.Objects(new http.Client(parsed.endpoints.store)),
-		authority: new authority.Authority(new http.Client(parsed.endpoints.authority)),
+		store: new objects.Objects(clients[0]),
+		authority: new authority.Authority(clients[1]),
 		connect: registration => new backend.Server(registration, time),
 		listener: accept => new caller.Listener(accept),
 	});
 	process.once('SIGTERM', () => {
-		void stop(host);
+		void stop(host, clients);
 	});
 	// Nothing in the settings changes while a process runs; a file that can't be read is reported.
 	process.on('SIGHUP', () => {
@@ -68,9 +69,11 @@
 	await host.start();
 }
 
-async function stop(host: entry.Entry): Promise<void> {
+async function stop(host: entry.Entry, clients: readonly http.Client[]): Promise<void> {
 	await host.drain();
-	process.exit(exit.codes.success);
+	for (const client of clients) {
+		client.close();
+	}
 }
 
 async function check(file: string, record: journal.Journal): Promise<void> {
--- a/src/core/clock.ts
+++ b/src/core/clock.ts
@@ -46,11 +46,6 @@
 	/** Monotonic time in ms. */
 	abstract now(): number;
 
-	/** Time of day in Unix ms; a clock without one gives its monotonic time. */
-	protected wallTime(): number {
-		return this.now();
-	}
-
 	/**
 	Waits for `ms`, or until `signal` aborts. It never rejects.
 
@@ -61,6 +56,11 @@
 	*/
 	abstract sleep(ms: number, signal?: AbortSignal): Promise<void>;
 
+	/** Time of day in Unix ms; a clock without one gives its monotonic time. */
+	protected wallTime(): number {
+		return this.now();
+	}
+
 	async #expire(ms: number, signal: AbortSignal): Promise<undefined> {
 		await this.sleep(ms, signal);
 		return undefined;
@@ -73,10 +73,6 @@
 		return performance.now();
 	}
 
-	protected override wallTime(): number {
-		return Date.now();
-	}
-
 	/**
 	As the base class has it, with a bare timer: ending a sleep by an abort signal builds an `AbortError` with its stack
 	for each call, which took a fifth of the processor time of an entry host under load.
@@ -109,6 +105,10 @@
 			signal?.addEventListener('abort', end);
 		});
 	}
+
+	protected override wallTime(): number {
+		return Date.now();
+	}
 }
 
 type Sleeper = {readonly wakeAt: number; readonly wake: () => void};
@@ -122,7 +122,6 @@
 		return this.#now;
 	}
 
-
 	override async sleep(ms: number, signal?: AbortSignal): Promise<void> {
 		if (signal?.aborted) {
 			return;
--- a/src/entry/claims.ts
+++ b/src/entry/claims.ts
@@ -5,7 +5,7 @@
 import * as Either from 'fp-ts/lib/Either.js';
 import type * as types from '../generated/types.js';
 import type * as clock from '../core/clock.js';
-import * as errors from '../core/errors.js';
+import type * as errors from '../core/errors.js';
 import type * as random from '../core/random.js';
 import type * as decisions from './decisions.js';
 import type * as objects from './objects.js';
--- a/src/entry/failover.ts
+++ b/src/entry/failover.ts
@@ -158,7 +158,7 @@
 			return paused;
 		}
 
-		const needed = paused.right.reduce<statement.Position>((most, {standing}) => later(most, standing.position), {term: 0, index: 0});
+		const needed = best(paused.right)?.standing.position ?? target.standing.position;
 		if (await this.#reaches(target, needed, reason)) {
 			return Either.right(target.member);
 		}
@@ -277,10 +277,6 @@
 	}
 }
 
-function later(one: statement.Position, other: statement.Position): statement.Position {
-	return position.compare(one, other) >= 0 ? one : other;
-}
-
 /** The most advanced server; of equal ones, one that isn't leaving. */
 function best(found: readonly Standing[]): Standing | undefined {
 	return found.toSorted((one, other) =>
--- a/src/entry/group.ts
+++ b/src/entry/group.ts
@@ -8,7 +8,7 @@
 import * as Either from 'fp-ts/lib/Either.js';
 import type * as types from '../generated/types.js';
 import * as clock from '../core/clock.js';
-import * as errors from '../core/errors.js';
+import type * as errors from '../core/errors.js';
 import * as notifier from '../core/notifier.js';
 import type * as backend from './backend.js';
 import type * as decisions from './decisions.js';
@@ -49,7 +49,8 @@
 	readonly changed = new notifier.Notifier();
 	readonly #parts: Parts;
 	readonly #members = new Map<string, member.Member>();
-	readonly #probes = new Map<string, Promise<void>>();
+	/** Servers that are being asked whether they lead. */
+	readonly #probes = new Set<string>();
 	#share = 1;
 	#lead: member.Member | undefined;
 	/** Time of the clock at which any server's lead was last confirmed to this host. */
@@ -99,7 +100,7 @@
 	register(registration: types.Registration): void {
 		const {id, startedAt, address} = registration;
 		const known = this.#members.get(id);
-		if (known && known.registration.startedAt === startedAt && known.registration.address === address) {
+		if (known?.registration.startedAt === startedAt && known.registration.address === address) {
 			const {state, role} = known.registration;
 			known.update(registration);
 			if (state !== registration.state || role !== registration.role) {
@@ -213,15 +214,36 @@
 	/** Asks a server whether it leads, unless that question is under way. */
 	probe(server: member.Member): void {
 		if (!this.#probes.has(server.id)) {
-			const asked = this.#probe(server);
-			this.#probes.set(server.id, asked);
-			void asked.finally(() => {
-				this.#probes.delete(server.id);
-			});
+			this.#probes.add(server.id);
+			void this.#probe(server);
+		}
+	}
+
+	/** Learns from the outcome of a plain BEGIN that was sent to `server` at `sentAt`. */
+	note(server: member.Member, sentAt: clock.Mark, begun: errors.Outcome<statement.Reply>): void {
+		if (Either.isLeft(begun)) {
+			server.failed(sentAt.monotonicMs);
+			return;
+		}
+
+		server.answered();
+		const {refusal, position} = begun.right;
+		if (refusal === null && position) {
+			this.confirm(server, sentAt, position);
+		} else if (refusal === 'read-only') {
+			this.deny(server, sentAt);
 		}
 	}
 
 	async #probe(server: member.Member): Promise<void> {
+		try {
+			await this.#begin(server);
+		} finally {
+			this.#probes.delete(server.id);
+		}
+	}
+
+	async #begin(server: member.Member): Promise<void> {
 		const startedAt = this.#parts.clock.now();
 		const acquired = await server.pool.acquire(probeTimeoutMs);
 		if (Either.isLeft(acquired)) {
@@ -243,22 +265,6 @@
 		this.note(server, sentAt, begun);
 	}
 
-	/** Learns from the outcome of a plain BEGIN that was sent to `server` at `sentAt`. */
-	note(server: member.Member, sentAt: clock.Mark, begun: errors.Outcome<statement.Reply>): void {
-		if (Either.isLeft(begun)) {
-			server.failed(sentAt.monotonicMs);
-			return;
-		}
-
-		server.answered();
-		const {refusal, position} = begun.right;
-		if (refusal === null && position) {
-			this.confirm(server, sentAt, position);
-		} else if (refusal === 'read-only') {
-			this.deny(server, sentAt);
-		}
-	}
-
 	#ask(): void {
 		const {clock: time} = this.#parts;
 		if (this.#lead) {
--- a/src/entry/lease.ts
+++ b/src/entry/lease.ts
@@ -109,10 +109,13 @@
 	}
 }
 
+/** How long to wait for a connection. An abort of `signal` ends the wait. */
+export type Wait = {readonly timeoutMs: number; readonly signal?: AbortSignal};
+
 /** Takes a connection to a server for a session. Errors: `not-run`. */
-export async function take(server: member.Member, state: states.State, time: clock.Clock, timeoutMs: number, signal?: AbortSignal): Promise<errors.Outcome<Lease>> {
+export async function take(server: member.Member, state: states.State, time: clock.Clock, wait: Wait): Promise<errors.Outcome<Lease>> {
 	const startedAt = time.now();
-	const acquired = await server.pool.acquire(timeoutMs, signal, connection => state.suits(connection));
+	const acquired = await server.pool.acquire(wait.timeoutMs, wait.signal, connection => state.suits(connection));
 	if (Either.isLeft(acquired)) {
 		// A server that refuses a connection by an answer is alive.
 		if (server.pool.open === 0 && acquired.left.step === 'connect') {
--- a/src/entry/read.ts
+++ b/src/entry/read.ts
@@ -50,7 +50,7 @@
 		let isOffered = false;
 		while (jobs.left(this.#context, job) > 1) {
 			const leader = await job.group.awaitLeader(jobs.patience(this.#context, job));
-			const lease = leader && await leases.take(leader, job.state, this.#context.clock, Math.max(1, jobs.patience(this.#context, job)));
+			const lease = leader && await leases.take(leader, job.state, this.#context.clock, {timeoutMs: Math.max(1, jobs.patience(this.#context, job))});
 			if (!leader || !lease || Either.isLeft(lease)) {
 				reason = lease && Either.isLeft(lease) ? lease.left.message : reason;
 				break;
@@ -98,30 +98,24 @@
 		}
 
 		const decided = new AbortController();
-		const running = new Set<Promise<Result>>();
+		const running = new Map<string, Promise<Result>>();
 		const untried = this.candidates(job);
 		let refused: statement.Reply | undefined;
 		while (jobs.left(this.#context, job) > 1 && (untried.length > 0 || running.size > 0)) {
 			const next = untried.shift();
 			if (next) {
-				const attempt = this.#at(next, job, floor, decided.signal);
-				running.add(attempt);
-				void attempt.then(() => running.delete(attempt));
+				running.set(next.id, this.#at(next, job, floor, decided.signal));
 			}
 
-			const result = await this.#context.clock.limit(Promise.race(running), untried.length > 0 ? hedgeMs : jobs.left(this.#context, job));
+			const result = await this.#context.clock.limit(Promise.race(running.values()), untried.length > 0 ? hedgeMs : jobs.left(this.#context, job));
 			if (result?.reply && !statement.isNotRun(result.reply)) {
 				decided.abort('decided');
 				return {...result.reply, state: 'none'};
 			}
 
 			refused = result?.reply ?? refused;
-			this.#context.decisions.request('read-redirected', job.id, {
-				service: job.group.name,
-				server: result?.server.id ?? next?.id ?? '',
-				floor: position.format(floor),
-				reason: result ? result.reply?.refusal ?? 'no answer' : 'slow',
-			});
+			this.#redirect(job, floor, result);
+			running.delete(result?.server.id ?? '');
 		}
 
 		decided.abort('decided');
@@ -130,8 +124,18 @@
 			: this.#fail(job, 'no server answered in time');
 	}
 
+	/** Records that a read goes to another server as well. */
+	#redirect(job: jobs.Run, floor: statement.Position, result: Result | undefined): void {
+		this.#context.decisions.request('read-redirected', job.id, {
+			service: job.group.name,
+			server: result?.server.id ?? '',
+			floor: position.format(floor),
+			reason: result ? result.reply?.refusal ?? 'no answer' : 'slow',
+		});
+	}
+
 	async #at(server: member.Member, job: jobs.Run, floor: statement.Position, decided: AbortSignal): Promise<Result> {
-		const lease = await leases.take(server, job.state, this.#context.clock, jobs.left(this.#context, job), decided);
+		const lease = await leases.take(server, job.state, this.#context.clock, {timeoutMs: jobs.left(this.#context, job), signal: decided});
 		if (Either.isLeft(lease)) {
 			return {server, reply: undefined};
 		}
--- a/src/entry/session.ts
+++ b/src/entry/session.ts
@@ -104,7 +104,7 @@
 		const next = this.#caller.next();
 		const {clock} = this.#parts.context;
 		if (this.#transaction && !this.#transaction.isFailed) {
-			const arrived = await clock.limit(next.then(request => ({request})), this.#parts.deployment.idleTransactionMs);
+			const arrived = await clock.limit(arrive(next), this.#parts.deployment.idleTransactionMs);
 			if (!arrived) {
 				await this.#transaction.expire('its caller was idle for too long');
 			}
@@ -256,3 +256,9 @@
 		return statement.refuse(refusal, message, this.#transaction?.state ?? 'none');
 	}
 }
+
+/** Tells that a request or the end of the session has arrived. */
+async function arrive(next: Promise<unknown>): Promise<'arrived'> {
+	await next;
+	return 'arrived';
+}
--- a/src/platform/backend.ts
+++ b/src/platform/backend.ts
@@ -2,6 +2,7 @@
 Connections to backend servers by the line protocol.
 */
 import * as net from 'node:net';
+import process from 'node:process';
 import * as Either from 'fp-ts/lib/Either.js';
 import * as address from '../core/address.js';
 import type * as clock from '../core/clock.js';
@@ -31,6 +32,8 @@
 	#pending: Pending[] = [];
 	#outgoing = '';
 	#isOpen = true;
+	/** Whether the first answer, which has no line of completion, has arrived. */
+	#isStarted = false;
 	#reason = 'the connection was closed';
 
 	constructor(socket: net.Socket, server: string, time: clock.Clock) {
@@ -190,9 +193,6 @@
 			rows, signature, refusal, message, ...ready,
 		}));
 	}
-
-	/** Whether the first answer, which has no line of completion, has arrived. */
-	#isStarted = false;
 }
 
 /** One backend server, under the id that it must have. */
--- a/src/platform/caller.ts
+++ b/src/platform/caller.ts
@@ -14,7 +14,7 @@
 export class Caller extends caller.Caller {
 	readonly #socket: net.Socket;
 	readonly #splitter = new line.Splitter();
-	#lines: string[] = [];
+	readonly #lines: string[] = [];
 	#isEnded = false;
 	#isWaiting = false;
 	#wake: (() => void) | undefined;
--- a/src/platform/http.ts
+++ b/src/platform/http.ts
@@ -1,6 +1,7 @@
 /**
 Calls of the platform's interfaces: HTTP with JSON bodies.
 */
+import * as buffer from 'node:buffer';
 import * as http from 'node:http';
 import * as Either from 'fp-ts/lib/Either.js';
 import * as address from '../core/address.js';
@@ -30,6 +31,11 @@
 		this.#address = text;
 	}
 
+	/** Closes every connection; calls under way fail. */
+	close(): void {
+		this.#agent.destroy();
+	}
+
 	/** Makes a call. Errors: `store`, when no complete response arrived; the call may still be carried out. */
 	async call({method, path, headers = {}, body, timeoutMs}: Call): Promise<errors.Outcome<Response>> {
 		const {host, port} = address.parse(this.#address);
@@ -46,7 +52,7 @@
 				port,
 				method,
 				path,
-				headers: text === undefined ? headers : {...headers, 'content-type': 'application/json', 'content-length': Buffer.byteLength(text)},
+				headers: text === undefined ? headers : {...headers, 'content-type': 'application/json', 'content-length': buffer.Buffer.byteLength(text)},
 			}, response => {
 				const chunks: Uint8Array[] = [];
 				response.on('data', (chunk: Uint8Array) => {
@@ -57,7 +63,7 @@
 				});
 				response.on('end', () => {
 					clearTimeout(timer);
-					resolve(Either.right({status: response.statusCode ?? 0, body: parse(Buffer.concat(chunks).toString())}));
+					resolve(Either.right({status: response.statusCode ?? 0, body: parse(buffer.Buffer.concat(chunks).toString())}));
 				});
 			});
 			// A connection on which an answer is lost carries none afterwards, so it is not used again.
--- a/src/platform/line.ts
+++ b/src/platform/line.ts
@@ -4,6 +4,7 @@
 A line is a word and its fields, separated by blanks, ended by CR LF; the last field extends to the end of the line.
 Lines are read and written as Latin-1, which keeps every byte of a text as it is.
 */
+import * as buffer from 'node:buffer';
 import * as Either from 'fp-ts/lib/Either.js';
 import type * as types from '../generated/types.js';
 import * as errors from '../core/errors.js';
@@ -46,7 +47,7 @@
 	```
 	*/
 	push(chunk: Uint8Array): string[] | undefined {
-		const text = this.#rest + Buffer.from(chunk.buffer, chunk.byteOffset, chunk.byteLength).toString(encoding);
+		const text = this.#rest + buffer.Buffer.from(chunk.buffer, chunk.byteOffset, chunk.byteLength).toString(encoding);
 		const found = text.split('\r\n');
 		this.#rest = found.pop() ?? '';
 		return this.#rest.length > longestLine ? undefined : found;
@@ -139,51 +140,45 @@
 	});
 }
 
+type Parser = (text: string) => statement.Statement | undefined;
+
+const modes: Readonly<Record<string, types.AccessMode>> = {READ: 'read', WRITE: 'write'};
+
+/** Readers of statements by their first word; `undefined` where the rest has another form. */
+const parsers: Readonly<Record<string, Parser>> = {
+	BEGIN: text => text === 'BEGIN' || text === 'BEGIN READ' ? {kind: 'begin', mode: text === 'BEGIN' ? 'write' : 'read'} : undefined,
+	COMMIT: text => text === 'COMMIT' ? {kind: 'commit', text} : undefined,
+	ROLLBACK: text => text === 'ROLLBACK' ? {kind: 'rollback', text} : undefined,
+	READ: text => text.includes(' ') ? {kind: 'direct', mode: 'read', text} : undefined,
+	WRITE: text => text.includes(' ') ? {kind: 'direct', mode: 'write', text} : undefined,
+	SET(text) {
+		const [, name, value] = split(text, 2);
+		return name !== undefined && value !== undefined ? {kind: 'set', name, value} : undefined;
+	},
+	PREPARE(text) {
+		const [, name, word, shape] = split(text, 3);
+		const mode = modes[word ?? ''];
+		return name !== undefined && mode && shape !== undefined
+			? {
+				kind: 'prepare', name, mode, shape,
+			}
+			: undefined;
+	},
+	EXECUTE(text) {
+		const [, name, parameters] = split(text, 2);
+		return name !== undefined && parameters !== undefined ? {kind: 'execute', name, parameters} : undefined;
+	},
+	CLOSE(text) {
+		const [, name] = split(text, 1);
+		return name === undefined ? undefined : {kind: 'deallocate', name};
+	},
+};
+
 /** Reads the text of a caller's statement. */
 export function parseStatement(text: string): statement.Statement {
-	const [word = '', ...fields] = text.split(' ');
-	switch (word) {
-		case 'BEGIN': {
-			return text === 'BEGIN' || text === 'BEGIN READ' ? {kind: 'begin', mode: text === 'BEGIN' ? 'write' : 'read'} : {kind: 'unknown'};
-		}
-
-		case 'COMMIT':
-		case 'ROLLBACK': {
-			return fields.length === 0 ? {kind: word === 'COMMIT' ? 'commit' : 'rollback', text} : {kind: 'unknown'};
-		}
-
-		case 'READ':
-		case 'WRITE': {
-			return fields.length > 0 ? {kind: 'direct', mode: word === 'READ' ? 'read' : 'write', text} : {kind: 'unknown'};
-		}
-
-		case 'SET': {
-			const [, name, value] = split(text, 2);
-			return name !== undefined && value !== undefined ? {kind: 'set', name, value} : {kind: 'unknown'};
-		}
-
-		case 'PREPARE': {
-			const [, name, mode, shape] = split(text, 3);
-			return name !== undefined && shape !== undefined && (mode === 'READ' || mode === 'WRITE')
-				? {
-					kind: 'prepare', name, mode: mode === 'READ' ? 'read' : 'write', shape,
-				}
-				: {kind: 'unknown'};
-		}
-
-		case 'EXECUTE': {
-			const [, name, parameters] = split(text, 2);
-			return name !== undefined && parameters !== undefined ? {kind: 'execute', name, parameters} : {kind: 'unknown'};
-		}
-
-		case 'CLOSE': {
-			return fields.length === 1 ? {kind: 'deallocate', name: fields[0] ?? ''} : {kind: 'unknown'};
-		}
-
-		default: {
-			return {kind: 'unknown'};
-		}
-	}
+	const [word = ''] = split(text, 1);
+	const parse = Object.hasOwn(parsers, word) ? parsers[word] : undefined;
+	return parse?.(text) ?? {kind: 'unknown'};
 }
 
 /** Writes a command to a backend server. */
