Promote only on complete witnesses, and one host at a time

The trace shows a promotion while the starting system still listed its servers, which left a replica stopped (term held 2), orders at terms above the next one that kept it stopped after promotions, and an empty server that counted as a witness. Three hosts claimed one after the other within 0.3 s.

Ruled out: late orders of promotion; each was for the server that led already.

Change: no judgement for 2.5 s after a server is added; servers are asked before a claim; a server that began with an empty log is a witness only once it was seen to have caught up; no server without what this host saw acknowledged; stops at the next term; a change that is given up lets servers receive again, and so does any host that sees a stopped replica behind for 3 s; the claim of another host is looked at again right before the own one. Detection is faster: floors every 250 ms, a leader silent for 550 ms.

--- a/src/entry/claims.ts
+++ b/src/entry/claims.ts
@@ -44,6 +44,11 @@
 		}
 	}
 
+	/** Whether anybody ever claimed the service. */
+	isKnown(service: string): boolean {
+		return this.#known.has(service);
+	}
+
 	/** Whether another host has claimed the service so recently that the promotion is left to it. */
 	isLeftToOther(service: string): boolean {
 		const known = this.#known.get(service);
--- a/src/entry/failover.ts
+++ b/src/entry/failover.ts
@@ -37,9 +37,9 @@
 /** Time in ms between two looks. */
 const tickMs = 100;
 /** Time in ms without any answer from the leader, over old and new connections, after which it is taken as failed. */
-const silentMs = 700;
+const silentMs = 550;
 /** Time in ms without a leader after which one is needed: longer than this host takes to ask all servers. */
-const leaderlessMs = 900;
+const leaderlessMs = 700;
 /** Time in ms for which commits may stay unanswered while the leader answers otherwise. */
 const stalledMs = 700;
 /** Another server must have answered within this time in ms, else this host may be the one that is cut off. */
@@ -52,8 +52,15 @@
 /** Time in ms for a target to receive what others hold, when the primary still sends. */
 const catchUpMs = 1500;
 const catchUpPauseMs = 30;
+/** Time in ms without a new server after which the list is taken as complete: a starting system lists servers one by one. */
+const settleMs = 2500;
+/** Bounds in ms of the random pause after a change that was given up. */
+const leastBackoffMs = 200;
+const mostBackoffMs = 600;
+/** Time in ms for which a replica stays behind before it is asked whether it was stopped, and between two looks. */
+const repairMs = 3000;
 /** Time in ms for the authority to answer, repeated with the same order, and the pause between. */
-const promoteLimitMs = 4000;
+const promoteLimitMs = 8000;
 const promotePauseMs = 150;
 /** Time in ms from an accepted order until the new leader is seen, beyond what a promotion takes. */
 const appearLimitMs = 4000;
@@ -69,10 +76,14 @@
 
 	/** The task. Ends when `signal` aborts. */
 	async run(signal: AbortSignal): Promise<void> {
+		let repairedAt = this.#parts.clock.now();
 		while (!signal.aborted) {
 			const reason = this.reason();
 			if (reason) {
 				await this.#change(reason, signal);
+			} else if (this.#parts.clock.now() - repairedAt > repairMs) {
+				repairedAt = this.#parts.clock.now();
+				await this.#repair();
 			}
 
 			await this.#parts.clock.sleep(tickMs, signal);
@@ -81,7 +92,12 @@
 
 	/** Why another server should lead now; `undefined` if all is well or this host can't tell. */
 	reason(): Reason | undefined {
-		const {group: {leader, leaderlessSince, members}, clock: {now}} = this.#view();
+		const {leader, leaderlessSince, members, grownAt} = this.#parts.group;
+		const now = this.#parts.clock.now();
+		if (now - grownAt < settleMs) {
+			return undefined;
+		}
+
 		const witnesses = members.filter(server => server !== leader && now - server.heardAt < witnessMs);
 		if (witnesses.length === 0) {
 			return undefined;
@@ -103,56 +119,85 @@
 		return !leader.isReady && hasSuccessor ? 'leaving' : undefined;
 	}
 
-	#view(): {readonly group: group.Group; readonly clock: {readonly now: number}} {
-		return {group: this.#parts.group, clock: {now: this.#parts.clock.now()}};
-	}
-
+	/** Looks whether a change is possible, claims it, and carries it out. */
 	async #change(reason: Reason, signal: AbortSignal): Promise<void> {
-		const {group: {name, leader}, claims: held} = this.#parts;
-		await this.#parts.clock.sleep(this.#parts.random.integer(0, jitterMs), signal);
-		if (this.reason() !== reason || held.isLeftToOther(name)) {
+		const {group: {name, leader}, clock: time, decisions: record} = this.#parts;
+		await time.sleep(this.#parts.random.integer(0, jitterMs), signal);
+		if (this.reason() !== reason || this.#parts.claims.isLeftToOther(name)) {
 			return;
 		}
 
-		const startedAt = this.#parts.clock.now();
-		this.#parts.decisions.record('failover-started', {
+		const startedAt = time.now();
+		record.record('failover-started', {
 			service: name, reason, leader: leader?.id ?? '', silentMs: Math.round(leader?.failingSince === undefined ? 0 : startedAt - leader.failingSince),
 		});
-		const claimed = await held.claim(name);
-		if (Either.isLeft(claimed)) {
-			this.#parts.decisions.record('failover-ended', {service: name, result: 'not claimed', reason: errors.describe(claimed.left)});
-			return;
-		}
-
-		const chosen = await this.#choose(reason, leader);
-		const outcome = Either.isLeft(chosen) ? chosen : await this.#promote(chosen.right, claimed.right);
-		this.#parts.decisions.record('failover-ended', {
+		const outcome = await this.#carryOut(reason, leader);
+		record.record('failover-ended', {
 			service: name,
 			result: Either.isRight(outcome) ? 'promoted' : 'given up',
-			server: Either.isRight(chosen) ? chosen.right.id : '',
+			server: Either.isRight(outcome) ? outcome.right.id : '',
 			reason: Either.isLeft(outcome) ? errors.describe(outcome.left) : reason,
-			token: claimed.right.token,
-			durationMs: Math.round(this.#parts.clock.now() - startedAt),
+			durationMs: Math.round(time.now() - startedAt),
 		});
+		if (Either.isLeft(outcome)) {
+			await time.sleep(this.#parts.random.integer(leastBackoffMs, mostBackoffMs), signal);
+		}
 	}
 
-	/** The server that can lead without losing an acknowledged commit, once no other one can acknowledge any. */
-	async #choose(reason: Reason, leader: member.Member | undefined): Promise<errors.Outcome<member.Member>> {
-		const {group: {name, members}} = this.#parts;
+	async #carryOut(reason: Reason, leader: member.Member | undefined): Promise<errors.Outcome<member.Member>> {
+		const found = await this.#witnesses(leader);
+		if (Either.isLeft(found)) {
+			return found;
+		}
+
+		if (this.#parts.claims.isLeftToOther(this.#parts.group.name)) {
+			return errors.fail('conflict', 'store', this.#parts.group.name, 'another host has claimed the promotion');
+		}
+
+		const claimed = await this.#parts.claims.claim(this.#parts.group.name);
+		if (Either.isLeft(claimed)) {
+			return claimed;
+		}
+
+		const chosen = await this.#choose(found.right, reason);
+		const outcome = Either.isLeft(chosen) ? chosen : await this.#promote(chosen.right, claimed.right);
+		if (Either.isLeft(outcome)) {
+			await this.#resume(found.right);
+		}
+
+		return outcome;
+	}
+
+	/**
+	The servers beside the leader and how they stand, if no acknowledged commit can be missing among them. A commit is on
+	two servers at least, so all but one of all servers must answer, with logs that go back to before the commit.
+	*/
+	async #witnesses(leader: member.Member | undefined): Promise<errors.Outcome<Standing[]>> {
+		const {group: {name, members, acknowledged}} = this.#parts;
 		const replicas = members.filter(server => server !== leader);
 		const found = await this.#standings(replicas);
-		const missing = replicas.filter(server => !found.some(entry => entry.member === server));
-		const term = Math.max(0, ...found.map(({standing}) => Math.max(standing.term, standing.heldTerm))) + 1;
-		// A commit is on two servers at least, so one of all servers may be missing, and that one is the leader if it is known.
-		if (missing.length > (leader ? 0 : 1)) {
-			return errors.fail('not-run', 'observe', name, `${missing.map(({id}) => id).join(', ')} may hold commits and does not answer`);
+		const complete = found.filter(({member: server}) => server.isSynchronized);
+		if (complete.length < replicas.length - (leader ? 0 : 1)) {
+			const missing = replicas.filter(server => !complete.some(entry => entry.member === server));
+			return errors.fail('not-run', 'observe', name, `${missing.map(({id}) => id).join(', ')} may have held commits and does not answer, or lost its log`);
 		}
 
+		const target = best(found);
+		return target && (!acknowledged || position.compare(target.standing.position, acknowledged) >= 0)
+			? Either.right(found)
+			: errors.fail('not-run', 'observe', name, `no server that answers holds ${acknowledged ? position.format(acknowledged) : 'a log'}`);
+	}
+
+	/** The server that can lead without losing an acknowledged commit, once no other one can acknowledge any. */
+	async #choose(found: readonly Standing[], reason: Reason): Promise<errors.Outcome<member.Member>> {
+		const {group: {name}} = this.#parts;
 		const target = best(found);
 		if (!target) {
 			return errors.fail('not-run', 'observe', name, 'no server answers');
 		}
 
+		// A higher term than the next one would keep a server stopped after the promotion.
+		const term = Math.max(...found.map(({standing}) => standing.term)) + 1;
 		const paused = await this.#pause(found.filter(entry => entry.member !== target.member), term);
 		if (Either.isLeft(paused)) {
 			return paused;
@@ -169,6 +214,25 @@
 		return ahead ? Either.right(ahead.member) : errors.fail('not-run', 'observe', name, `${target.member.id} lacks commits and does not answer`);
 	}
 
+	/** Lets servers receive again that were stopped for a promotion which did not happen. */
+	async #resume(servers: readonly Standing[]): Promise<void> {
+		await Promise.all(servers.map(async ({member: server}) => this.#order(server, {kind: 'resume'})));
+	}
+
+	/**
+	Lets a replica receive again that fell behind because it was stopped for a promotion which another host did not finish.
+	*/
+	async #repair(): Promise<void> {
+		const {group: {name, members, leader}, clock: time, claims: held} = this.#parts;
+		const behind = members.filter(server => server !== leader && server.behindSince !== undefined && time.now() - server.behindSince > repairMs);
+		if (!leader || behind.length === 0 || !held.isKnown(name) || held.isLeftToOther(name)) {
+			return;
+		}
+
+		const found = await this.#standings(behind);
+		await this.#resume(found.filter(({standing}) => standing.heldTerm > standing.term));
+	}
+
 	/** Whether the target holds a position, waiting for it while a primary may still send. */
 	async #reaches(target: Standing, needed: statement.Position, reason: Reason): Promise<boolean> {
 		if (position.compare(target.standing.position, needed) >= 0) {
@@ -237,7 +301,7 @@
 	}
 
 	/** Orders the promotion until it is answered, then waits for the server to lead. */
-	async #promote(target: member.Member, {service, token}: claims.Held): Promise<errors.Outcome<void>> {
+	async #promote(target: member.Member, {service, token}: claims.Held): Promise<errors.Outcome<member.Member>> {
 		const end = this.#parts.clock.now() + promoteLimitMs;
 		let outcome: errors.Outcome<authority.Verdict> = errors.fail('store', 'store', service, 'not ordered');
 		do {
@@ -261,12 +325,12 @@
 		return outcome.right === 'accepted' ? this.#awaitLead(target) : errors.fail('conflict', 'store', service, 'the order was refused');
 	}
 
-	async #awaitLead(target: member.Member): Promise<errors.Outcome<void>> {
+	async #awaitLead(target: member.Member): Promise<errors.Outcome<member.Member>> {
 		const {group: servers, clock: time} = this.#parts;
 		const end = time.now() + appearLimitMs;
 		while (time.now() < end) {
 			if (servers.leader === target) {
-				return Either.right(undefined);
+				return Either.right(target);
 			}
 
 			servers.probe(target);
--- a/src/entry/group.ts
+++ b/src/entry/group.ts
@@ -10,6 +10,7 @@
 import * as clock from '../core/clock.js';
 import type * as errors from '../core/errors.js';
 import * as notifier from '../core/notifier.js';
+import * as position from '../core/position.js';
 import type * as backend from './backend.js';
 import type * as decisions from './decisions.js';
 import * as member from './member.js';
@@ -28,16 +29,22 @@
 };
 
 /** A floor this old in ms is replaced, so that aged reads find a young one without asking first. */
-const floorIntervalMs = 400;
+const floorIntervalMs = 250;
 /** Floors that are kept, and the least time in ms between two: together more than the greatest stated age. */
 const floorLimit = 100;
 const floorSpacingMs = 40;
 /** Uncertainty in ms of the difference of two marks: the time of day is read in whole ms. */
 const markErrorMs = 5;
 /** Time in ms for a question that takes no slot at the server. */
-const probeTimeoutMs = 350;
+const probeTimeoutMs = 300;
 /** Time in ms between two looks at what is due. */
 const tickMs = 50;
+/** Time in ms between two rounds of asking the replicas for the ends of their logs. */
+const surveyIntervalMs = 1000;
+/** Age in ms of a floor that replicas with ordinary lag have reached. */
+const settleMs = 500;
+/** Servers of a new group start within this time in ms. */
+const commonStartMs = 10_000;
 /** Time in ms between two rounds of asking all servers which of them leads. */
 const searchIntervalMs = 100;
 /** A registration that lapsed while the store was away is back within about 2 s; one that is missing for longer is gone. */
@@ -52,6 +59,8 @@
 	/** Servers that are being asked whether they lead. */
 	readonly #probes = new Set<string>();
 	#share = 1;
+	#grownAt = Number.NEGATIVE_INFINITY;
+	#acknowledged: statement.Position | null = null;
 	#lead: member.Member | undefined;
 	/** Time of the clock at which any server's lead was last confirmed to this host. */
 	#confirmedAt = Number.NEGATIVE_INFINITY;
@@ -88,6 +97,28 @@
 		return this.#lead ? undefined : this.#leaderlessSince;
 	}
 
+	/** Time of the clock at which the last server was added. */
+	get grownAt(): number {
+		return this.#grownAt;
+	}
+
+	/** The latest position that this host saw acknowledged. No server without it may lead. */
+	get acknowledged(): statement.Position | null {
+		return this.#acknowledged;
+	}
+
+	/**
+	Notes an acknowledged commit: the end of the leader's log that was known before it was sent, and the end with the
+	answer. The latter may include commits that nobody acknowledged, so all that is certain is that the commit came after
+	the former.
+	*/
+	acknowledge(before: statement.Position | undefined, after: statement.Position): void {
+		if (before) {
+			const least = {term: before.term, index: before.index + (before.term === after.term ? 1 : 0)};
+			this.#acknowledged = position.latest(this.#acknowledged, least);
+		}
+	}
+
 	/** Changes the number of connections that this host may have to each server. */
 	resize(share: number): void {
 		this.#share = share;
@@ -119,7 +150,8 @@
 		}
 
 		const server = this.#parts.connect(registration);
-		this.#members.set(id, new member.Member(registration, server, this.#parts.clock, this.#share));
+		this.#members.set(id, new member.Member(registration, server, this.#parts.clock, {share: this.#share, isTrusted: this.#isTrusted(registration)}));
+		this.#grownAt = this.#parts.clock.now();
 		this.#parts.decisions.record('server-added', {
 			service: this.name, server: id, address, place: registration.place, state: registration.state, role: registration.role,
 		});
@@ -149,7 +181,7 @@
 	}
 
 	/** Notes that `server` led after `sentAt` and that its log ended at `position`. */
-	confirm(server: member.Member, sentAt: clock.Mark, position: statement.Position): void {
+	confirm(server: member.Member, sentAt: clock.Mark, end: statement.Position): void {
 		if (this.#members.get(server.id) !== server) {
 			return;
 		}
@@ -167,7 +199,7 @@
 
 		const latest = this.#floors.at(-1);
 		if (!latest || sentAt.monotonicMs - latest.at.monotonicMs >= floorSpacingMs) {
-			this.#floors.push({at: sentAt, position});
+			this.#floors.push({at: sentAt, position: end});
 			this.#floors = this.#floors.slice(-floorLimit);
 			this.changed.notify();
 		}
@@ -227,9 +259,10 @@
 		}
 
 		server.answered();
-		const {refusal, position} = begun.right;
-		if (refusal === null && position) {
-			this.confirm(server, sentAt, position);
+		const {refusal, position: end} = begun.right;
+		server.holds(end);
+		if (refusal === null && end) {
+			this.confirm(server, sentAt, end);
 		} else if (refusal === 'read-only') {
 			this.deny(server, sentAt);
 		}
@@ -274,6 +307,7 @@
 			}
 
 			if (this.#lead.failingSince === undefined) {
+				this.#survey();
 				return;
 			}
 		}
@@ -287,6 +321,35 @@
 		}
 	}
 
+	/** Asks the replicas now and then for the ends of their logs, and compares these with the leader's. */
+	#survey(): void {
+		const now = this.#parts.clock.now();
+		if (now - this.#searchedAt < surveyIntervalMs) {
+			return;
+		}
+
+		this.#searchedAt = now;
+		const settled = this.#floors.findLast(({at}) => now - at.monotonicMs > settleMs);
+		for (const server of this.#members.values()) {
+			if (settled) {
+				server.compare(settled.position, settled.at.monotonicMs);
+			}
+
+			if (server !== this.#lead) {
+				this.probe(server);
+			}
+		}
+	}
+
+	/**
+	Whether a server that was just added is taken to hold its predecessor's log. When this host starts it can't know, and
+	takes servers that started with the others for complete.
+	*/
+	#isTrusted({startedAt}: types.Registration): boolean {
+		const earliest = Math.min(startedAt, ...this.members.map(({registration}) => registration.startedAt));
+		return startedAt - earliest < commonStartMs;
+	}
+
 	#expire(): void {
 		for (const server of this.#members.values()) {
 			if (server.missingSince !== undefined && this.#parts.clock.now() - server.missingSince > missingGraceMs) {
--- a/src/entry/lease.ts
+++ b/src/entry/lease.ts
@@ -54,6 +54,7 @@
 			this.member.failed(startedAt);
 		} else {
 			this.member.answered(this.#clock.now() - startedAt);
+			this.member.holds(outcome.right.position);
 			if (outcome.right.refusal === 'not-prepared') {
 				// The server knows less of this connection than was noted.
 				this.#connection.prepared.clear();
--- a/src/entry/member.ts
+++ b/src/entry/member.ts
@@ -4,7 +4,9 @@
 import type * as types from '../generated/types.js';
 import type * as clock from '../core/clock.js';
 import * as pool from '../core/pool.js';
+import * as position from '../core/position.js';
 import type * as backend from './backend.js';
+import type * as statement from './statement.js';
 
 /** A connection that was idle for longer is checked before use: silent ones are then found before a write is lost on them. */
 const trustMs = 2000;
@@ -22,10 +24,20 @@
 /** Time in ms for which reads rather go to another server after a failure. */
 const avoidMs = 1000;
 
+/** How a member begins. */
+export type Options = {
+	/** Connections that this host may have to it. */
+	readonly share: number;
+	/** Whether it is taken to hold what was acknowledged before this host learned of it. */
+	readonly isTrusted: boolean;
+};
+
 /** One server. */
 export class Member {
 	readonly pool: pool.Pool<backend.Connection>;
 	readonly server: backend.Server;
+	/** Time of the clock at which this host learned of this incarnation. */
+	readonly addedAt: number;
 	/** Time of the clock at which the registration was first missing; `undefined` while it is there. */
 	missingSince: number | undefined;
 	readonly #clock: clock.Clock;
@@ -34,15 +46,20 @@
 	#heardAt = Number.NEGATIVE_INFINITY;
 	#failingSince: number | undefined;
 	#failedAt = Number.NEGATIVE_INFINITY;
+	#position: statement.Position | undefined;
+	#isSynchronized: boolean;
+	#behindSince: number | undefined;
 	readonly #commits = new Set<number>();
 	#lostCommitAt: number | undefined;
 
-	constructor(registration: types.Registration, server: backend.Server, time: clock.Clock, share: number) {
+	constructor(registration: types.Registration, server: backend.Server, time: clock.Clock, options: Options) {
 		this.#registration = registration;
 		this.#clock = time;
 		this.server = server;
+		this.#isSynchronized = options.isTrusted;
+		this.addedAt = time.now();
 		this.pool = new pool.Pool<backend.Connection>(server, time, {
-			connections: share, connectTimeoutMs, hedgeAfterMs, trustMs, idleLimitMs, resetTimeoutMs,
+			connections: options.share, connectTimeoutMs, hedgeAfterMs, trustMs, idleLimitMs, resetTimeoutMs,
 		});
 	}
 
@@ -59,6 +76,24 @@
 		return this.#registration.state === 'ready';
 	}
 
+	/** End of its log when it last told. */
+	get position(): statement.Position | undefined {
+		return this.#position;
+	}
+
+	/**
+	Whether its log was seen to hold what the leader held after this host learned of it. An incarnation that began with an
+	empty log says nothing about commits that its predecessor acknowledged until then.
+	*/
+	get isSynchronized(): boolean {
+		return this.#isSynchronized;
+	}
+
+	/** Time of the clock since which its log has been seen behind an old end of the leader's log. */
+	get behindSince(): number | undefined {
+		return this.#behindSince;
+	}
+
 	/** Time of the clock at which it last answered. */
 	get heardAt(): number {
 		return this.#heardAt;
@@ -106,7 +141,7 @@
 		this.missingSince = undefined;
 	}
 
-	/** Notes an answer to something sent at `sentAt`, and what a statement took if it was one. */
+	/** Notes an answer, and what a statement took if it was one. */
 	answered(latencyMs?: number): void {
 		this.#heardAt = this.#clock.now();
 		this.#failingSince = undefined;
@@ -115,6 +150,18 @@
 		}
 	}
 
+	/** Notes the end of its log. */
+	holds(end: statement.Position | null): void {
+		this.#position = end ?? this.#position;
+	}
+
+	/** Compares its log with a position that the leader's log held at `at`, a time of the clock. */
+	compare(leading: statement.Position, at: number): void {
+		const isBehind = this.#position === undefined || position.compare(this.#position, leading) < 0;
+		this.#behindSince = isBehind ? this.#behindSince ?? this.#clock.now() : undefined;
+		this.#isSynchronized ||= !isBehind && at >= this.addedAt;
+	}
+
 	/** Notes that something sent at `sentAt` was not answered, or that no connection could be opened since then. */
 	failed(sentAt: number): void {
 		if (sentAt > this.#heardAt) {
--- a/src/entry/transaction.ts
+++ b/src/entry/transaction.ts
@@ -59,6 +59,7 @@
 		this.#isEnded = true;
 		const {member} = this.lease;
 		const sentAt = this.#context.clock.mark();
+		const before = member.position;
 		const isCommit = this.#hasWritten && !this.isFailed;
 		if (isCommit) {
 			member.commits(sentAt.monotonicMs);
@@ -79,8 +80,10 @@
 		}
 
 		const {refusal, position} = outcome.right;
+		member.holds(position);
 		if (isCommit && refusal === null && position) {
 			this.job.group.confirm(member, sentAt, position);
+			this.job.group.acknowledge(before, position);
 		} else if (refusal === 'read-only') {
 			this.job.group.deny(member, sentAt);
 		}
--- a/src/entry/write.ts
+++ b/src/entry/write.ts
@@ -44,6 +44,7 @@
 
 	async #attempt(job: jobs.Run, lease: leases.Lease): Promise<statement.Reply> {
 		const sentAt = this.#context.clock.mark();
+		const before = lease.member.position;
 		lease.member.commits(sentAt.monotonicMs);
 		const outcome = await lease.run(job.work, null, jobs.left(this.#context, job));
 		await lease.release();
@@ -52,6 +53,7 @@
 			const {refusal, position} = outcome.right;
 			if (refusal === null && position) {
 				job.group.confirm(lease.member, sentAt, position);
+				job.group.acknowledge(before, position);
 			} else if (refusal === 'read-only') {
 				job.group.deny(lease.member, sentAt);
 			}
--- a/src/platform/authority.ts
+++ b/src/platform/authority.ts
@@ -6,7 +6,8 @@
 import * as authority from '../entry/authority.js';
 import type * as http from './http.js';
 
-const timeoutMs = 1000;
+/** Time in ms for one order. Unanswered orders are repeated, so it is just above the answer of a slow platform. */
+const timeoutMs = 400;
 const statusOk = 200;
 const statusConflict = 409;
 
