--- a/src/entry/job.ts
+++ b/src/entry/job.ts
@@ -32,6 +32,8 @@
 /** A job that runs one statement. */
 export type Run = Job & {readonly work: lease.Work};
 
+/** Time in ms that an attempt needs: a round trip between regions, the wait for a slot and the work. */
+const leastAttemptMs = 150;
 /**
 Share of a route's latency objective for which a request may wait for a server that can run it. A request that is held
 for longer costs its caller more than one that is refused at once and comes back.
@@ -45,6 +47,14 @@
 	return Math.max(1, deadline - context.clock.now());
 }
 
+/**
+Whether there is time for another attempt. A statement that is cut off by its deadline leaves its caller in doubt, which is
+worse than a refusal.
+*/
+export function hasTime(context: Context, job: Job): boolean {
+	return left(context, job) > leastAttemptMs;
+}
+
 /** Time in ms that a job may still wait for a server that can run it. */
 export function patience(context: Context, job: Job): number {
 	const spentMs = context.clock.now() - job.arrivedAt.monotonicMs;
--- a/src/entry/read.ts
+++ b/src/entry/read.ts
@@ -48,7 +48,7 @@
 	async #atLeader(job: jobs.Run): Promise<statement.Reply> {
 		let reason = 'no server leads';
 		let isOffered = false;
-		while (jobs.left(this.#context, job) > 1) {
+		while (jobs.hasTime(this.#context, job)) {
 			const leader = await job.group.awaitLeader(jobs.patience(this.#context, job));
 			const lease = leader && await leases.take(leader, job.state, this.#context.clock, {timeoutMs: Math.max(1, jobs.patience(this.#context, job))});
 			if (!leader || !lease || Either.isLeft(lease)) {
--- /dev/null
+++ b/src/entry/tests/fixture.ts
@@ -0,0 +1,87 @@
+/**
+A group with its tasks on a manual clock, for tests of what runs on it.
+*/
+import type * as types from '../../generated/types.js';
+import * as clock from '../../core/clock.js';
+import * as random from '../../core/random.js';
+import * as claims from '../claims.js';
+import * as decisions from '../decisions.js';
+import * as failover from '../failover.js';
+import * as groups from '../group.js';
+import type * as jobs from '../job.js';
+import * as states from '../state.js';
+import * as cluster from './fake-cluster.js';
+
+/** All parts of a running group. */
+export class Fixture {
+	readonly time = new clock.Manual();
+	readonly cluster = new cluster.Cluster(this.time);
+	readonly store = new cluster.Objects();
+	readonly authority = new cluster.Authority(this.cluster);
+	readonly record = new decisions.Silent();
+	readonly stopped = new AbortController();
+	readonly group = new groups.Group({
+		name: 'ledgers', clock: this.time, decisions: this.record, connect: ({id}) => this.cluster.get(id),
+	});
+
+	readonly claims = new claims.Claims({
+		host: 'entry-1', store: this.store, clock: this.time, random: new random.Seeded(1), decisions: this.record,
+	});
+
+	readonly failover = new failover.Failover({
+		group: this.group, host: 'entry-1', clock: this.time, random: new random.Seeded(2), authority: this.authority, claims: this.claims, decisions: this.record,
+	});
+
+	readonly context: jobs.Context = {clock: this.time, place: 'west', decisions: this.record};
+
+	/** Registers servers and runs the group's task until it knows the leader. */
+	async start(servers: readonly string[] = ['a', 'b', 'c'], share = 4): Promise<void> {
+		this.group.resize(share);
+		for (const name of servers) {
+			this.group.register(this.cluster.registration(name));
+		}
+
+		void this.group.run(this.stopped.signal);
+		await this.time.advance(200);
+	}
+
+	/** Runs the failover task as well, from when the list of servers counts as complete. */
+	async guard(): Promise<void> {
+		void this.failover.run(this.stopped.signal);
+		await this.time.advance(4000);
+	}
+
+	route(change: Partial<types.Route> = {}): types.Route {
+		return {
+			name: 'r', database: 'd', kind: 'session', maximumAgeMs: 1500, statementTimeoutMs: 800, targetMs: 500, priority: 1, service: 'ledgers', ...change,
+		};
+	}
+
+	job(change: Partial<jobs.Job> = {}): jobs.Job {
+		return {
+			id: 'q1', route: this.route(), group: this.group, state: new states.State(), own: null, arrivedAt: this.time.mark(), deadline: this.time.now() + 800, ...change,
+		};
+	}
+
+	/** A job that runs one statement. */
+	run(text: string, change: Partial<jobs.Job> = {}): jobs.Run {
+		const job = this.job(change);
+		return {
+			...job,
+			work: {
+				id: job.id, mode: text.startsWith('WRITE') ? 'write' : 'read', text, prepared: undefined, parameters: '',
+			},
+		};
+	}
+
+	/** The outcome of a task, once `ms` have passed. */
+	async after<T>(ms: number, task: Promise<T>): Promise<T> {
+		await this.time.advance(ms);
+		return task;
+	}
+
+	async stop(): Promise<void> {
+		this.stopped.abort();
+		await this.time.advance(1000);
+	}
+}
--- /dev/null
+++ b/src/entry/tests/follower.test.ts
@@ -0,0 +1,80 @@
+import * as assert from 'node:assert/strict';
+import * as test from 'node:test';
+import type * as types from '../../generated/types.js';
+import * as clock from '../../core/clock.js';
+import type * as errors from '../../core/errors.js';
+import * as random from '../../core/random.js';
+import * as decisions from '../decisions.js';
+import * as deployments from '../deployment.js';
+import * as follower from '../follower.js';
+import type * as objects from '../objects.js';
+import * as fakes from './fake-cluster.js';
+
+function configuration(version: number): types.Deployment {
+	return {
+		version, routes: [], databases: [], idleTransactionMs: 3000,
+	};
+}
+
+test.test('after the history is lost, objects that are gone are reported gone', async () => {
+	const time = new clock.Manual();
+	const store = new fakes.Objects();
+	const seen = new Map<string, objects.Item<'hosts'> | undefined>();
+	const stopped = new AbortController();
+	store.put('hosts', 'entry-1', {address: '10.0.0.1:1', place: 'east'});
+	store.put('hosts', 'entry-2', {address: '10.0.0.2:1', place: 'east'});
+	const followed = new follower.Follower({
+		kind: 'hosts',
+		store: new Paced(store, time),
+		clock: time,
+		random: new random.Seeded(1),
+		decisions: new decisions.Silent(),
+		watchMs: 100,
+		take(name, item) {
+			seen.set(name, item);
+		},
+	});
+	void followed.run(stopped.signal);
+	await time.advance(500);
+	assert.ok(seen.get('entry-2'));
+	store.weather = 'down';
+	await time.advance(500);
+	assert.equal(followed.isReachable, false);
+	store.remove('hosts', 'entry-2');
+	store.isHistoryLost = true;
+	store.weather = 'well';
+	await time.advance(1500);
+	assert.equal(followed.isReachable, true);
+	assert.equal(seen.get('entry-2'), undefined);
+	assert.ok(seen.get('entry-1'));
+	stopped.abort();
+	await time.advance(1000);
+});
+
+test.test('an older configuration never replaces a newer one', () => {
+	const held = new deployments.Deployment(new clock.Manual(), new decisions.Silent());
+	held.accept(configuration(7), 'store');
+	held.accept(configuration(5), 'peer');
+	assert.equal(held.content?.version, 7);
+});
+
+/** A store whose watches take their time, so that a follower doesn't spin on the manual clock. */
+class Paced extends fakes.Objects {
+	readonly #store: fakes.Objects;
+	readonly #clock: clock.Clock;
+
+	constructor(store: fakes.Objects, time: clock.Clock) {
+		super();
+		this.#store = store;
+		this.#clock = time;
+	}
+
+	override async list<K extends objects.Kind>(kind: K): Promise<errors.Outcome<objects.Listing<K>>> {
+		return this.#store.list(kind);
+	}
+
+	override async watch<K extends objects.Kind>(kind: K, revision: number, waitMs = 100): Promise<errors.Outcome<objects.Changes<K>>> {
+		await this.#clock.sleep(waitMs);
+		return this.#store.watch(kind, revision);
+	}
+}
--- a/src/entry/transaction.ts
+++ b/src/entry/transaction.ts
@@ -149,7 +149,7 @@
 
 	async #atLeader(job: jobs.Job): Promise<Transaction | statement.Reply> {
 		let reason = 'no server leads';
-		while (jobs.left(this.#context, job) > 1) {
+		while (jobs.hasTime(this.#context, job)) {
 			const leader = await job.group.awaitLeader(jobs.patience(this.#context, job));
 			const lease = leader && await leases.take(leader, job.state, this.#context.clock, {timeoutMs: Math.max(1, jobs.patience(this.#context, job))});
 			if (!lease || Either.isLeft(lease)) {
--- a/src/entry/write.ts
+++ b/src/entry/write.ts
@@ -22,7 +22,7 @@
 	/** Executes a write at the leader. */
 	async execute(job: jobs.Run): Promise<Written> {
 		let reason = 'no server leads';
-		while (jobs.left(this.#context, job) > 1) {
+		while (jobs.hasTime(this.#context, job)) {
 			const leader = await job.group.awaitLeader(jobs.patience(this.#context, job));
 			const lease = leader && await leases.take(leader, job.state, this.#context.clock, {timeoutMs: Math.max(1, jobs.patience(this.#context, job))});
 			if (!lease || Either.isLeft(lease)) {
