Leave unread what arrives after a session is closed

Ruled out: a request under way at the close; sessions close only when none is waiting.

Change: a session that is closed stops reading first. Tests of the line protocol and of callers over sockets.

--- a/src/platform/caller.ts
+++ b/src/platform/caller.ts
@@ -89,8 +89,13 @@
 		}
 	}
 
+	/**
+	What the caller sends from now on stays unread: its end of the connection may be told late, and a request that was read
+	would have to be answered.
+	*/
 	override close(): void {
-		this.#socket.end();
+		this.#socket.pause();
+		this.#socket.destroySoon();
 		this.#end();
 	}
 
--- /dev/null
+++ b/src/platform/tests/caller.test.ts
@@ -0,0 +1,69 @@
+import * as assert from 'node:assert/strict';
+import * as events from 'node:events';
+import * as net from 'node:net';
+import * as test from 'node:test';
+import * as timers from 'node:timers/promises';
+import type * as caller from '../../entry/caller.js';
+import * as statement from '../../entry/statement.js';
+import * as callers from '../caller.js';
+
+const limitMs = 5000;
+const settleMs = 50;
+
+/** A listener, one connection to it, and what it accepted. */
+async function connect(context: test.TestContext): Promise<{accepted: caller.Caller; socket: net.Socket}> {
+	const accepted: caller.Caller[] = [];
+	const listener = new callers.Listener(made => {
+		accepted.push(made);
+	});
+	const port = await listener.listen('127.0.0.1:0');
+	const socket = net.connect(port, '127.0.0.1');
+	await events.EventEmitter.once(socket, 'connect');
+	while (accepted.length === 0) {
+		await timers.setTimeout(1);
+	}
+
+	context.after(() => {
+		socket.destroy();
+		listener.close();
+	});
+	return {accepted: accepted[0], socket};
+}
+
+async function read(socket: net.Socket): Promise<string> {
+	const [chunk] = await events.EventEmitter.once(socket, 'data') as [Uint8Array];
+	return new TextDecoder().decode(chunk);
+}
+
+test.test('a session is opened, a statement is read and its reply is complete', {timeout: limitMs}, async context => {
+	const {accepted, socket} = await connect(context);
+	socket.write('STARTUP lepu270 u3f1\r\nQUERY 5c0e READ 1a4\r\n');
+	assert.deepEqual(await accepted.open(), {database: 'lepu270', user: 'u3f1'});
+	accepted.welcome();
+	assert.equal(await read(socket), 'READY I -\r\n');
+	assert.deepEqual(await accepted.next(), {id: '5c0e', statement: {kind: 'direct', mode: 'read', text: 'READ 1a4'}});
+	accepted.reply({...statement.own('none'), rows: ['a b'], signature: '7.1'});
+	assert.equal(await read(socket), 'DATAROW a b\r\nCOMPLETE 7.1\r\nREADY I -\r\n');
+});
+
+test.test('a request that arrives after the session was closed is not read', {timeout: limitMs}, async context => {
+	const {accepted, socket} = await connect(context);
+	socket.write('STARTUP lepu270 u3f1\r\n');
+	await accepted.open();
+	accepted.close();
+	socket.on('error', () => {
+		// The unread request resets the connection.
+	});
+	socket.write('QUERY 5c0e READ 1a4\r\n');
+	await timers.setTimeout(settleMs);
+	assert.equal(accepted.isWaiting, false);
+	assert.equal(await accepted.next(), undefined);
+});
+
+test.test('text that does not begin a session is refused with one error', {timeout: limitMs}, async context => {
+	const {accepted, socket} = await connect(context);
+	socket.write('GET / HTTP/1.1\r\n');
+	const opened = accepted.open();
+	assert.match(await read(socket), /^ERROR MALFORMED /v);
+	assert.equal(await opened, undefined);
+});
