Let hosts open connections beyond their fair share for a moment

A replaced machine's object stays in the store, so eight hosts divided 14 connections and each got one.

Ruled out: counting live hosts only; with callers spread unevenly the fair share refuses at one host what idles at another.

Change: a host may open twice the fair share; what idles above four fifths of it for 1 s is closed; a refusal at the server's limit lets those who wait go on waiting; a request waits for a connection up to 0.7 of its objective instead of 0.24.

--- a/src/core/pool.ts
+++ b/src/core/pool.ts
@@ -31,6 +31,9 @@
 	readonly settle: (outcome: errors.Outcome<C>) => void;
 };
 
+/** Pause in ms before another connection is opened to a server that refused one at its limit. */
+const limitPauseMs = 200;
+
 /** A pool of connections to one server. */
 export class Pool<C extends connections.Connection> {
 	readonly server: connections.Server<C>;
@@ -45,6 +48,8 @@
 	#hedges = 0;
 	#connections: number;
 	#isClosed = false;
+	/** Time of the clock until which no further connection is opened, since the server refused one at its limit. */
+	#limitedUntil = Number.NEGATIVE_INFINITY;
 
 	constructor(server: connections.Server<C>, time: clock.Clock, limits: Limits) {
 		this.server = server;
@@ -126,6 +131,15 @@
 		this.#fill();
 	}
 
+	/** Closes idle connections above `connections` that nobody has used for `idleMs`, so that other hosts can open some. */
+	trim(connections: number, idleMs: number): void {
+		const oldest = this.#idle[0];
+		if (oldest && this.open > connections && this.#clock.now() - oldest.since > idleMs) {
+			this.#idle.shift();
+			oldest.connection.close();
+		}
+	}
+
 	/** Closes every connection and fails whoever waits for one, since the server has been replaced. */
 	interrupt(): void {
 		for (const waiter of this.#waiters) {
@@ -236,7 +250,7 @@
 	}
 
 	#needsConnection(expected: number): boolean {
-		return !this.#isClosed && this.#waiters.length > expected && this.open < this.#connections;
+		return !this.#isClosed && this.#waiters.length > expected && this.open < this.#connections && this.#clock.now() >= this.#limitedUntil;
 	}
 
 	/** Obtains one connection for those who wait, and a second one when the first is slow. */
@@ -275,6 +289,12 @@
 	attempt will serve.
 	*/
 	#fail(outcome: errors.Outcome<never>, startedAt: number): void {
+		if (Either.isLeft(outcome) && outcome.left.step === 'admit' && this.#held.size > 0) {
+			// The server is at its limit, and a connection in use will come back.
+			this.#limitedUntil = this.#clock.now() + limitPauseMs;
+			return;
+		}
+
 		const served = this.#held.size === 0 ? this.#pending : Number.POSITIVE_INFINITY;
 		const told = this.#waiters.filter((waiter, index) => index === 0 || (index > served && waiter.since <= startedAt));
 		for (const waiter of told) {
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -45,8 +45,12 @@
 const watchMs = 2000;
 /** The same where a late change costs little. */
 const slowWatchMs = 20_000;
-/** Share of a server's connection limit that hosts divide among themselves; the rest is for hosts that come and go. */
-const limitShare = 0.9;
+/**
+Parts of a server's connection limit that hosts divide among themselves: what they keep, and what they may open for a
+moment. Callers are spread unevenly, so the latter is more than the whole; the server refuses what is too much.
+*/
+const usualShare = 0.8;
+const mostShare = 2;
 /** Hosts to reckon with while the others are not known yet. */
 const leastHosts = 4;
 /** Part of the grace time that open transactions have, and time in ms kept for ending the process. */
@@ -237,7 +241,10 @@
 	#share(): void {
 		const hosts = Math.max(leastHosts, this.#hosts.size);
 		for (const {name, connectionLimit} of this.#deployment.content?.databases ?? []) {
-			this.#groups.get(name)?.resize(Math.max(1, Math.floor(connectionLimit * limitShare / hosts)));
+			this.#groups.get(name)?.resize({
+				usual: Math.max(1, Math.floor(connectionLimit * usualShare / hosts)),
+				most: Math.max(2, Math.ceil(connectionLimit * mostShare / hosts)),
+			});
 		}
 	}
 
--- a/src/entry/group.ts
+++ b/src/entry/group.ts
@@ -19,6 +19,9 @@
 /** A position and the time at which it was asked for. */
 export type Floor = {readonly at: clock.Mark; readonly position: statement.Position};
 
+/** Connections that a host may have to one server: those that it may keep, and those that it may open when it needs them. */
+export type Share = {readonly usual: number; readonly most: number};
+
 /** What a group needs. */
 export type Parts = {
 	readonly name: string;
@@ -37,6 +40,8 @@
 const markErrorMs = 5;
 /** Time in ms for a question that takes no slot at the server. */
 const probeTimeoutMs = 300;
+/** Idle time in ms after which a connection beyond the usual number is closed. */
+const surplusIdleMs = 1000;
 /** Time in ms between two looks at what is due. */
 const tickMs = 50;
 /** Time in ms between two rounds of asking the replicas for the ends of their logs. */
@@ -58,7 +63,7 @@
 	readonly #members = new Map<string, member.Member>();
 	/** Servers that are being asked whether they lead. */
 	readonly #probes = new Set<string>();
-	#share = 1;
+	#share: Share = {usual: 1, most: 1};
 	#grownAt = Number.NEGATIVE_INFINITY;
 	#acknowledged: statement.Position | null = null;
 	#lead: member.Member | undefined;
@@ -120,10 +125,10 @@
 	}
 
 	/** Changes the number of connections that this host may have to each server. */
-	resize(share: number): void {
+	resize(share: Share): void {
 		this.#share = share;
 		for (const {pool} of this.#members.values()) {
-			pool.resize(share);
+			pool.resize(share.most);
 		}
 	}
 
@@ -150,7 +155,7 @@
 		}
 
 		const server = this.#parts.connect(registration);
-		this.#members.set(id, new member.Member(registration, server, this.#parts.clock, {share: this.#share, isTrusted: this.#isTrusted(registration)}));
+		this.#members.set(id, new member.Member(registration, server, this.#parts.clock, {share: this.#share.most, isTrusted: this.#isTrusted(registration)}));
 		this.#grownAt = this.#parts.clock.now();
 		this.#parts.decisions.record('server-added', {
 			service: this.name, server: id, address, place: registration.place, state: registration.state, role: registration.role,
@@ -171,6 +176,10 @@
 	async run(signal: AbortSignal): Promise<void> {
 		while (!signal.aborted) {
 			this.#expire();
+			for (const {pool} of this.#members.values()) {
+				pool.trim(this.#share.usual, surplusIdleMs);
+			}
+
 			this.#ask();
 			await this.#parts.clock.limit(this.changed.next(), tickMs);
 		}
--- a/src/entry/job.ts
+++ b/src/entry/job.ts
@@ -39,6 +39,8 @@
 for longer costs its caller more than one that is refused at once and comes back.
 */
 const waitShare = 0.24;
+/** Share of a route's latency objective for which a request may wait for a connection. */
+const queueShare = 0.7;
 /** When a refused caller is told to come back, in ms: about the rest of a change of primary. */
 const comeBackMs = 400;
 
@@ -61,6 +63,15 @@
 	return Math.max(0, Math.min((job.route.targetMs * waitShare) - spentMs, left(context, job)));
 }
 
+/**
+Time in ms that a job may wait for a connection to a server that answers. The wait most often ends in time, since others
+give theirs back.
+*/
+export function queueTime(context: Context, job: Job): number {
+	const spentMs = context.clock.now() - job.arrivedAt.monotonicMs;
+	return Math.max(1, Math.min((job.route.targetMs * queueShare) - spentMs, left(context, job)));
+}
+
 /** Refuses a job that has not run, and says when to come back. */
 export function refuse(context: Context, job: Job, reason: string): statement.Reply {
 	context.decisions.request('refused', job.id, {
--- a/src/entry/read.ts
+++ b/src/entry/read.ts
@@ -50,7 +50,7 @@
 		let isOffered = false;
 		while (jobs.hasTime(this.#context, job)) {
 			const leader = await job.group.awaitLeader(jobs.patience(this.#context, job));
-			const lease = leader && await leases.take(leader, job.state, this.#context.clock, {timeoutMs: Math.max(1, jobs.patience(this.#context, job))});
+			const lease = leader && await leases.take(leader, job.state, this.#context.clock, {timeoutMs: jobs.queueTime(this.#context, job)});
 			if (!leader || !lease || Either.isLeft(lease)) {
 				reason = lease && Either.isLeft(lease) ? lease.left.message : reason;
 				break;
--- a/src/entry/tests/fixture.ts
+++ b/src/entry/tests/fixture.ts
@@ -36,7 +36,7 @@
 
 	/** Registers servers and runs the group's task until it knows the leader. */
 	async start(servers: readonly string[] = ['a', 'b', 'c'], share = 4): Promise<void> {
-		this.group.resize(share);
+		this.group.resize({usual: share, most: share});
 		for (const name of servers) {
 			this.group.register(this.cluster.registration(name));
 		}
--- a/src/entry/transaction.ts
+++ b/src/entry/transaction.ts
@@ -151,7 +151,7 @@
 		let reason = 'no server leads';
 		while (jobs.hasTime(this.#context, job)) {
 			const leader = await job.group.awaitLeader(jobs.patience(this.#context, job));
-			const lease = leader && await leases.take(leader, job.state, this.#context.clock, {timeoutMs: Math.max(1, jobs.patience(this.#context, job))});
+			const lease = leader && await leases.take(leader, job.state, this.#context.clock, {timeoutMs: jobs.queueTime(this.#context, job)});
 			if (!lease || Either.isLeft(lease)) {
 				reason = lease ? lease.left.message : reason;
 				break;
@@ -180,7 +180,7 @@
 
 		let reason = 'no server is known';
 		for (const server of this.#reader.candidates(job)) {
-			const lease = await leases.take(server, job.state, this.#context.clock, {timeoutMs: Math.max(1, jobs.patience(this.#context, job))});
+			const lease = await leases.take(server, job.state, this.#context.clock, {timeoutMs: jobs.queueTime(this.#context, job)});
 			if (Either.isLeft(lease)) {
 				reason = lease.left.message;
 				continue;
