--- a/scripts/reference.js
+++ b/scripts/reference.js
@@ -20,7 +20,7 @@
 
 /** A property with what its reference says; its own description and default go first. */
 function resolve(definitions, property) {
-	const name = property.$ref?.replace('#/definitions/', '');
+	const name = property.$ref?.replace(/^.*#\/definitions\//v, '');
 	return name === undefined ? property : {...definitions[name], ...property};
 }
 
@@ -84,8 +84,9 @@
 async function main() {
 	const present = await fs.readFile(page, 'utf8');
 	let text = present;
-	for (const [part, rootName] of [['settings', 'Settings'], ['configuration', 'Configuration']]) {
-		const definitions = await readDefinitions(`${part}.json`);
+	const shared = await readDefinitions('settings.json');
+	for (const [part, rootName] of [['settings', 'Settings'], ['configuration', 'Configuration'], ['entry', 'EntrySettings']]) {
+		const definitions = {...shared, ...await readDefinitions(`${part}.json`)};
 		text = replacePart(text, part, listSections(definitions, '', definitions[rootName]).map(section => writeSection(section)).join('\n'));
 	}
 
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -264,8 +264,8 @@
 
 	/** Writes this host's object, so that the others reckon with it. */
 	async #announce(): Promise<void> {
-		const {store, settings: {host, listen}, clock: time, random: source} = this.#parts;
-		const value = {address: listen.peer, place: host.place};
+		const {store, settings: {host}, clock: time, random: source} = this.#parts;
+		const value = {place: host.place};
 		while (!this.#stopped.signal.aborted) {
 			const outcome = await store.create('hosts', host.name, value);
 			if (Either.isRight(outcome) || outcome.left.kind === 'conflict') {
