--- a/src/platform/backend.ts
+++ b/src/platform/backend.ts
@@ -32,6 +32,7 @@
 	#pending: Pending[] = [];
 	#outgoing = '';
 	#isOpen = true;
+	#isEndedByServer = false;
 	/** Whether the first answer, which has no line of completion, has arrived. */
 	#isStarted = false;
 	#reason = 'the connection was closed';
@@ -48,6 +49,7 @@
 			this.#reason = error.message;
 		});
 		socket.on('close', () => {
+			this.#isEndedByServer = this.#isOpen;
 			this.close();
 		});
 	}
@@ -56,6 +58,11 @@
 		return this.#isOpen;
 	}
 
+	/** Whether the server closed or reset the connection, rather than this host. */
+	get isEndedByServer(): boolean {
+		return this.#isEndedByServer;
+	}
+
 	override get pending(): number {
 		return this.#pending.length;
 	}
@@ -238,8 +245,7 @@
 		}
 
 		// A server at its limit answers so, or ends the connection that it has accepted.
-		const isInTime = this.#clock.now() - startedAt < timeoutMs;
-		const isRefused = Either.isRight(outcome) || (isConnected && isInTime);
+		const isRefused = Either.isRight(outcome) || (isConnected && connection.isEndedByServer);
 		connection.close();
 		const reason = Either.isLeft(outcome) ? outcome.left.message : `${outcome.right.refusal ?? ''} ${outcome.right.message}`;
 		return errors.fail('not-run', isRefused ? 'admit' : 'connect', this.name, isRefused ? `the server refused the connection: ${reason}` : reason);
