Remove members that nothing reads

Cause: the read-through found a count of unanswered commands and the connection in a write's result without a reader.

Change: both are gone. Behaviour is unchanged.

--- a/src/entry/backend.ts
+++ b/src/entry/backend.ts
@@ -15,9 +15,6 @@
 	/** Names that were prepared on the connection and not reset. */
 	readonly prepared = new Set<string>();
 
-	/** Commands that are not answered yet. */
-	abstract get pending(): number;
-
 	/**
 	Sends one command and gives its reply. Commands sent in the same turn of the event loop go in one write.
 
--- a/src/entry/tests/fake-cluster.ts
+++ b/src/entry/tests/fake-cluster.ts
@@ -69,7 +69,6 @@
 	#isOpen = true;
 	#state: types.TransactionState = 'none';
 	#isGuarded = false;
-	#pending = 0;
 	readonly #serverValues = new Map<string, string>();
 	readonly #serverPrepared = new Map<string, string>();
 
@@ -83,18 +82,12 @@
 		return this.#isOpen;
 	}
 
-	override get pending(): number {
-		return this.#pending;
-	}
-
 	override async send(command: statement.Command, timeoutMs: number): Promise<errors.Outcome<statement.Reply>> {
 		if (!this.#isOpen) {
 			return errors.fail('not-run', 'send', this.server, 'closed');
 		}
 
-		this.#pending++;
 		const reply = await this.#at.cluster.clock.limit(this.#process(command), timeoutMs);
-		this.#pending--;
 		if (reply === undefined || !this.#isOpen) {
 			this.close();
 			return errors.fail('outcome-unknown', 'receive', this.server, 'no answer');
--- a/src/entry/write.ts
+++ b/src/entry/write.ts
@@ -8,8 +8,8 @@
 
 const retryPauseMs = 10;
 
-/** A reply and the server that gave it, if a server did. */
-export type Written = {readonly reply: statement.Reply; readonly lease: leases.Lease | undefined};
+/** How a write ended. */
+export type Written = {readonly reply: statement.Reply};
 
 /** Executes writes. */
 export class Writer {
@@ -32,14 +32,14 @@
 
 			const reply = await this.#attempt(job, lease.right);
 			if (!statement.isNotRun(reply)) {
-				return {reply: {...reply, state: 'none'}, lease: lease.right};
+				return {reply: {...reply, state: 'none'}};
 			}
 
 			reason = `${reply.refusal ?? ''} ${reply.message}`;
 			await this.#context.clock.sleep(retryPauseMs);
 		}
 
-		return {reply: jobs.refuse(this.#context, job, reason), lease: undefined};
+		return {reply: jobs.refuse(this.#context, job, reason)};
 	}
 
 	async #attempt(job: jobs.Run, lease: leases.Lease): Promise<statement.Reply> {
--- a/src/platform/backend.ts
+++ b/src/platform/backend.ts
@@ -63,10 +63,6 @@
 		return this.#isEndedByServer;
 	}
 
-	override get pending(): number {
-		return this.#pending.length;
-	}
-
 	/** Starts the session at the server. The answer is that to a statement without rows. */
 	async start(service: string, timeoutMs: number): Promise<errors.Outcome<statement.Reply>> {
 		return this.#write(`STARTUP ${service} sycamorering ${this.server}\r\n`, timeoutMs);
