Forward work to hosts that have connections to the servers

Ruled out: a tunnel for single connections, which would leave the questions for floors and leaders (81 hosts x 18 servers) as they were.

Change: sessions work through an executor. Where the servers' limits do not give each host a connection, two hosts of each region do a service's work: those with most processor time, near a server, by rendezvous hashing. Links are those of the peers (ws, msgpackr), generic over their messages. A group without work rests: no questions, no connections, no failover.

--- a/scripts/generate.js
+++ b/scripts/generate.js
@@ -23,6 +23,7 @@
 	{name: 'Status', coerced: false},
 	{name: 'Grant', coerced: false},
 	{name: 'Message', coerced: false},
+	{name: 'EntryMessage', coerced: false},
 	{name: 'Entry', coerced: false},
 	{name: 'HostList', coerced: false},
 	{name: 'GroupStatus', coerced: false},
--- a/src/bench/capacity.ts
+++ b/src/bench/capacity.ts
@@ -11,6 +11,7 @@
 import * as group from '../core/group.js';
 import * as settings from '../core/settings.js';
 import * as client from '../mysql/client.js';
+import * as messages from '../generated/messages.js';
 import * as socket from '../peer/socket.js';
 import * as deployment from '../standin/deployment.js';
 import type * as callerProcess from './callers.js';
@@ -84,7 +85,7 @@
 async function measureLinks(count: number): Promise<Row> {
 	const {child, message} = await fork<peers.Listening>('./peers.js');
 	const transport = new socket.Transport({
-		clock: time, timeoutMs: 2000, warn(text) {
+		clock: time, timeoutMs: 2000, isMessage: messages.validateMessage, warn(text) {
 			console.error(text);
 		},
 	});
--- a/src/bench/peers.ts
+++ b/src/bench/peers.ts
@@ -3,6 +3,7 @@
 */
 import process from 'node:process';
 import * as clock from '../core/clock.js';
+import * as messages from '../generated/messages.js';
 import * as socket from '../peer/socket.js';
 
 /** What the child sends once it listens. */
@@ -12,7 +13,7 @@
 
 if (process.send) {
 	const transport = new socket.Transport({
-		clock: new clock.System(), timeoutMs, warn(message) {
+		clock: new clock.System(), timeoutMs, isMessage: messages.validateMessage, warn(message) {
 			console.error(message);
 		},
 	});
--- a/src/cli/process.ts
+++ b/src/cli/process.ts
@@ -9,10 +9,12 @@
 import * as settings from '../core/settings.js';
 import * as entry from '../entry/entry.js';
 import * as journal from '../entry/journal.js';
+import * as messages from '../generated/messages.js';
 import type * as types from '../generated/types.js';
 import type * as metrics from '../host/metrics.js';
 import * as authority from '../platform/authority.js';
 import * as backend from '../platform/backend.js';
+import * as socket from '../peer/socket.js';
 import * as caller from '../platform/caller.js';
 import * as http from '../platform/http.js';
 import * as objects from '../platform/objects.js';
@@ -25,6 +27,9 @@
 */
 const metricsDelayMs = 3000;
 
+/** Time in ms without a pong after which a link to another host is closed: many round trips between regions. */
+const linkTimeoutMs = 600;
+
 /** Runs an entry host with the settings of a file. */
 export async function run(file: string): Promise<void> {
 	const outcome = await load(file);
@@ -48,6 +53,14 @@
 		},
 		store: new objects.Objects(clients[0]),
 		authority: new authority.Authority(clients[1]),
+		transport: new socket.Transport({
+			clock: time,
+			timeoutMs: linkTimeoutMs,
+			isMessage: messages.validateEntryMessage,
+			warn(_message, {reason}) {
+				record.record('link-closed', {reason});
+			},
+		}),
 		connect: registration => new backend.Server(registration, time),
 		listener: accept => new caller.Listener(accept),
 	});
--- a/src/core/ownership.ts
+++ b/src/core/ownership.ts
@@ -25,7 +25,7 @@
 const neighbours = ownership.rank('entry-1', others).slice(0, 4);
 ```
 */
-export function rank(key: string, hosts: readonly Member[]): Member[] {
+export function rank<H extends {readonly name: string}>(key: string, hosts: readonly H[]): H[] {
 	return hosts
 		.map(host => ({host, score: hashing.h32(`${key}/${host.name}`)}))
 		.toSorted((left, right) => right.score - left.score || (left.host.name < right.host.name ? -1 : 1))
--- a/src/core/tests/settings.test.ts
+++ b/src/core/tests/settings.test.ts
@@ -66,7 +66,7 @@
 });
 
 test.test('settings of an entry host are checked, and every fault is named with its line', () => {
-	const valid = '[host]\nname = a\nplace = p\nregion = r\n[listen]\ncaller = 127.0.0.1:1\nreadiness = 127.0.0.1:2\nmetrics = 127.0.0.1:3\n[endpoints]\nstore = 127.0.0.1:4\nauthority = 127.0.0.1:5\n[shutdown]\ngraceS = 6\n';
+	const valid = '[host]\nname = a\nplace = p\nregion = r\n[listen]\ncaller = 127.0.0.1:1\npeer = 127.0.0.1:6\nreadiness = 127.0.0.1:2\nmetrics = 127.0.0.1:3\n[endpoints]\nstore = 127.0.0.1:4\nauthority = 127.0.0.1:5\n[shutdown]\ngraceS = 6\n';
 	assert.ok(Either.isRight(settings.parseEntrySettings(valid, 'entry.ini')));
 	const outcome = settings.parseEntrySettings(valid.replace('127.0.0.1:4', 'store:4').replace('graceS = 6', 'graceS = soon'), 'entry.ini');
 	assert.ok(Either.isLeft(outcome));
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -2,11 +2,13 @@
 An entry host in front of groups whose promotions are ordered at an outside authority: wires the tasks together.
 */
 import * as http from 'node:http';
+import * as util from 'node:util';
 import * as Either from 'fp-ts/lib/Either.js';
 import type * as types from '../generated/types.js';
 import * as address from '../core/address.js';
 import type * as clock from '../core/clock.js';
 import type * as random from '../core/random.js';
+import type * as link from '../peer/link.js';
 import type * as authority from './authority.js';
 import type * as backend from './backend.js';
 import type * as caller from './caller.js';
@@ -14,13 +16,15 @@
 import type * as decisions from './decisions.js';
 import * as deployments from './deployment.js';
 import * as failover from './failover.js';
+import * as fleet from './fleet.js';
 import * as follower from './follower.js';
+import * as forwarder from './forwarder.js';
 import * as groups from './group.js';
+import type * as jobs from './job.js';
+import * as local from './local.js';
 import type * as objects from './objects.js';
-import * as read from './read.js';
+import * as responders from './responder.js';
 import * as sessions from './session.js';
-import * as transaction from './transaction.js';
-import * as write from './write.js';
 
 /** Accepts callers. */
 export type Listener = {listen(text: string): Promise<number>; close(): void};
@@ -35,6 +39,8 @@
 	readonly metrics: () => Promise<string>;
 	readonly store: objects.Objects;
 	readonly authority: authority.Authority;
+	/** Links to other entry hosts. */
+	readonly transport: link.Transport<types.EntryMessage>;
 	/** Makes the server of a registration. */
 	readonly connect: (registration: types.Registration) => backend.Server;
 	/** Makes the listener for callers. */
@@ -46,24 +52,18 @@
 /** The same where a late change costs little. */
 const slowWatchMs = 20_000;
 /**
-Parts of a server's connection limit that hosts divide among themselves: what they keep, and what they may open for a
-moment. Callers are spread unevenly, so the latter is more than the whole; the server refuses what is too much.
-*/
-const usualShare = 0.8;
-const mostShare = 2;
-/**
 Time in ms for which servers count connections whose other end lost power. When all hosts start again after that, the few
 connections that are free must do for all of them.
 */
 const lingerMs = 3000;
-/** Hosts to reckon with while the others are not known yet. */
-const leastHosts = 4;
 /** Part of the grace time that open transactions have, and time in ms kept for ending the process. */
 const transactionShare = 0.5;
 const exitReserveMs = 500;
 /** Time in ms over which idle sessions are closed, and between two looks. The platform needs 2 s to see a host as not ready. */
 const closeSpreadMs = 2000;
 const drainPollMs = 50;
+/** Time in ms in which peers learn that this host leaves, so that they send it nothing more. */
+const noticeMs = 300;
 
 /** Bounds in ms of the random pause before a host announces itself again to a store that did not answer. */
 const leastAnnouncePauseMs = 200;
@@ -76,12 +76,16 @@
 	readonly #deployment: deployments.Deployment;
 	readonly #groups = new Map<string, groups.Group>();
 	readonly #registrations = new Map<string, types.Registration>();
-	readonly #hosts = new Set<string>();
 	readonly #sessions = new Set<sessions.Session>();
+	readonly #responders = new Set<responders.Responder>();
+	readonly #fleet: fleet.Fleet;
+	readonly #context: jobs.Context;
+	readonly #local: local.Local;
 	readonly #claims: claims.Claims;
 	readonly #listener: Listener;
 	readonly #sessionParts: sessions.Parts;
 	readonly #servers: follower.Follower<'servers'>;
+	readonly #hosts: follower.Follower<'hosts'>;
 	#isDraining = false;
 	/** Whether connections of the process before may still count at the servers. */
 	#isStarting = true;
@@ -93,15 +97,20 @@
 		this.#claims = new claims.Claims({
 			host: host.name, store: parts.store, clock: time, random: parts.random, decisions: record,
 		});
-		const context = {clock: time, place: host.place, decisions: record};
-		const reader = new read.Reader(context);
+		this.#context = {clock: time, place: host.place, decisions: record};
+		this.#fleet = new fleet.Fleet({
+			self: {name: host.name, ...describe(parts.settings)},
+			clock: time,
+			transport: parts.transport,
+			decisions: record,
+			connectionLimit: service => this.#deployment.content?.databases.find(({name}) => name === service)?.connectionLimit ?? 1,
+			serverPlaces: service => new Set([...this.#registrations.values()].filter(server => server.service === service).map(({place}) => place)),
+		});
+		this.#local = new local.Local(this.#context, service => this.#groups.get(service));
 		this.#sessionParts = {
-			context,
+			context: this.#context,
 			deployment: this.#deployment,
-			group: service => this.#groups.get(service),
-			reader,
-			writer: new write.Writer(context),
-			opener: new transaction.Opener(context, reader),
+			executor: new forwarder.Forwarder(this.#context, this.#local, service => this.#fleet.route(service)),
 		};
 		this.#listener = parts.listener(accepted => {
 			void this.#serve(accepted);
@@ -109,11 +118,15 @@
 		this.#servers = this.#follower('servers', watchMs, (name, item) => {
 			this.#takeServer(name, item?.value);
 		});
+		this.#hosts = this.#follower('hosts', slowWatchMs, (name, item) => {
+			this.#fleet.take(name, item?.value);
+			this.#share();
+		});
 	}
 
 	/** Whether callers should be sent to this host. */
 	get isReady(): boolean {
-		return !this.#isDraining && this.#deployment.content !== undefined && this.#servers.isStarted;
+		return !this.#isDraining && this.#deployment.content !== undefined && this.#servers.isStarted && this.#hosts.isStarted;
 	}
 
 	/** Listens and starts the tasks. */
@@ -126,15 +139,16 @@
 				this.#takeDeployment(item.value);
 			}
 		}).run(signal);
-		void this.#follower('hosts', slowWatchMs, (name, item) => {
-			this.#takeHost(name, item !== undefined);
-		}).run(signal);
+		void this.#hosts.run(signal);
 		void this.#follower('claims', slowWatchMs, (name, item) => {
 			this.#claims.take(name, item);
 		}).run(signal);
 		void this.#announce();
 		await this.#serveHttp(listen.readiness, async () => [this.isReady ? 200 : 503, '']);
 		await this.#serveHttp(listen.metrics, async () => [200, await this.#parts.metrics()]);
+		await this.#parts.transport.listen(listen.peer, accepted => {
+			void this.#respond(accepted);
+		});
 		await this.#listener.listen(listen.caller);
 		record.record('started', {place: this.#parts.settings.host.place, caller: listen.caller});
 		void this.#settle();
@@ -148,10 +162,14 @@
 		const end = startedAt + graceMs - exitReserveMs;
 		const abortAt = startedAt + (graceMs * transactionShare);
 		this.#isDraining = true;
-		record.record('draining', {sessions: this.#sessions.size});
+		record.record('draining', {sessions: this.#sessions.size, peers: this.#responders.size});
+		for (const responder of this.#responders) {
+			responder.leave();
+		}
+
 		let closed = 0;
 		const total = this.#sessions.size;
-		for (let now = startedAt; this.#sessions.size > 0 && now < end; now = time.now()) {
+		for (let now = startedAt; !this.#isDone(startedAt) && now < end; now = time.now()) {
 			const due = Math.ceil(total * Math.min(1, (now - startedAt) / closeSpreadMs)) - closed;
 			const idle = [...this.#sessions].filter(session => session.isIdle).slice(0, Math.max(0, due));
 			closed += idle.length;
@@ -161,7 +179,7 @@
 			}
 
 			if (now >= abortAt) {
-				await Promise.all([...this.#sessions].map(async session => session.abort()));
+				await Promise.all([...this.#sessions, ...this.#responders].map(async served => served.abort()));
 			}
 
 			await time.sleep(drainPollMs);
@@ -170,9 +188,21 @@
 		this.#stop();
 	}
 
+	/** Whether a host that began to drain at `startedAt` may stop. Peers need a moment to learn that it leaves. */
+	#isDone(startedAt: number): boolean {
+		const isTold = this.#responders.size === 0 || this.#parts.clock.now() - startedAt > noticeMs;
+		return this.#sessions.size === 0 && isTold && [...this.#responders].every(({isIdle}) => isIdle);
+	}
+
 	#stop(): void {
 		this.#parts.decisions.record('stopped', {sessions: this.#sessions.size});
 		this.#listener.close();
+		this.#parts.transport.close();
+		this.#fleet.close();
+		for (const responder of this.#responders) {
+			responder.close();
+		}
+
 		this.#stopped.abort();
 	}
 
@@ -193,6 +223,21 @@
 		}
 	}
 
+	/** Works for another host over a link that it opened. */
+	async #respond(accepted: link.Link<types.EntryMessage>): Promise<void> {
+		const responder = new responders.Responder(accepted, this.#local, this.#context);
+		this.#responders.add(responder);
+		if (this.#isDraining) {
+			responder.leave();
+		}
+
+		try {
+			await responder.run();
+		} finally {
+			this.#responders.delete(responder);
+		}
+	}
+
 	#follower<K extends objects.Kind>(kind: K, waitMs: number, take: follower.Parts<K>['take']): follower.Follower<K> {
 		const {store, clock: time, random: source, decisions: record} = this.#parts;
 		return new follower.Follower<K>({
@@ -232,6 +277,7 @@
 	}
 
 	#takeServer(id: string, registration: types.Registration | undefined): void {
+		this.#fleet.update();
 		const known = this.#registrations.get(id);
 		if (registration) {
 			this.#registrations.set(id, registration);
@@ -242,33 +288,26 @@
 		}
 	}
 
-	#takeHost(name: string, isThere: boolean): void {
-		if (isThere) {
-			this.#hosts.add(name);
-		} else {
-			this.#hosts.delete(name);
-		}
-
-		this.#share();
-	}
-
-	/** Divides the servers' connections among the hosts. */
+	/** Divides the servers' connections among the hosts that work in a service. */
 	#share(): void {
-		const hosts = Math.max(leastHosts, this.#hosts.size);
-		for (const {name, connectionLimit} of this.#deployment.content?.databases ?? []) {
-			const usual = Math.max(1, Math.floor(connectionLimit * usualShare / hosts));
-			const most = Math.max(2, Math.ceil(connectionLimit * mostShare / hosts));
-			this.#groups.get(name)?.resize({usual, most: this.#isStarting ? usual : most});
+		this.#fleet.update();
+		for (const [name, group] of this.#groups) {
+			const {usual, most} = this.#fleet.share(name);
+			group.resize({usual, most: this.#isStarting ? usual : most});
 		}
 	}
 
 	/** Writes this host's object, so that the others reckon with it. */
 	async #announce(): Promise<void> {
 		const {store, settings: {host}, clock: time, random: source} = this.#parts;
-		const value = {place: host.place};
+		const value = describe(this.#parts.settings);
 		while (!this.#stopped.signal.aborted) {
 			const outcome = await store.create('hosts', host.name, value);
-			if (Either.isRight(outcome) || outcome.left.kind === 'conflict') {
+			if (Either.isRight(outcome)) {
+				return;
+			}
+
+			if (outcome.left.kind === 'conflict' && await this.#replaceAnnouncement(value)) {
 				return;
 			}
 
@@ -276,6 +315,17 @@
 		}
 	}
 
+	/** Renews the object of an earlier process of this host, whose address may differ. */
+	async #replaceAnnouncement(value: types.Announcement): Promise<boolean> {
+		const {store, settings: {host}} = this.#parts;
+		const found = await store.read('hosts', host.name);
+		if (Either.isLeft(found) || !found.right) {
+			return false;
+		}
+
+		return util.isDeepStrictEqual(found.right.value, value) || Either.isRight(await store.replace('hosts', host.name, value, found.right.revision));
+	}
+
 	async #serveHttp(text: string, answer: () => Promise<[number, string]>): Promise<void> {
 		const {host, port} = address.parse(text);
 		const server = http.createServer((_request, response) => {
@@ -297,3 +347,10 @@
 		});
 	}
 }
+
+/** What a host says of itself to the others. */
+function describe({host, listen, processor}: types.EntrySettings): types.Announcement {
+	return {
+		place: host.place, region: host.region, peer: listen.peer, capacity: processor.share * processor.cores,
+	};
+}
--- a/src/entry/failover.ts
+++ b/src/entry/failover.ts
@@ -81,7 +81,7 @@
 			const reason = this.reason();
 			if (reason) {
 				await this.#change(reason, signal);
-			} else if (this.#parts.clock.now() - repairedAt > repairMs) {
+			} else if (this.#parts.group.isInUse && this.#parts.clock.now() - repairedAt > repairMs) {
 				repairedAt = this.#parts.clock.now();
 				await this.#repair();
 			}
@@ -94,7 +94,7 @@
 	reason(): Reason | undefined {
 		const {leader, leaderlessSince, members, grownAt} = this.#parts.group;
 		const now = this.#parts.clock.now();
-		if (now - grownAt < settleMs) {
+		if (!this.#parts.group.isInUse || now - grownAt < settleMs) {
 			return undefined;
 		}
 
--- /dev/null
+++ b/src/entry/fleet.ts
@@ -0,0 +1,142 @@
+/**
+The entry hosts that this host knows, and which of them does a service's work.
+*/
+import type * as types from '../generated/types.js';
+import type * as clock from '../core/clock.js';
+import type * as link from '../peer/link.js';
+import type * as decisions from './decisions.js';
+import type * as forwarder from './forwarder.js';
+import type * as group from './group.js';
+import * as peers from './peer.js';
+import * as placement from './placement.js';
+
+/** What the fleet needs. */
+export type Parts = {
+	/** This host. */
+	readonly self: placement.Host;
+	readonly clock: clock.Clock;
+	readonly transport: link.Transport<types.EntryMessage>;
+	readonly decisions: decisions.Decisions;
+	/** Connections that each server of a service accepts. */
+	readonly connectionLimit: (service: string) => number;
+	/** Places of a service's servers. */
+	readonly serverPlaces: (service: string) => ReadonlySet<string>;
+};
+
+/**
+Part of the connection limit that hosts together may open for a moment. Callers are spread unevenly, so it is more than
+the whole; the server refuses what is too much.
+*/
+const mostShare = 2;
+/** Hosts to reckon with while the others are not known yet. */
+const leastHosts = 4;
+
+/** All entry hosts. */
+export class Fleet {
+	readonly #parts: Parts;
+	readonly #hosts = new Map<string, placement.Host>();
+	readonly #peers = new Map<string, peers.Peer>();
+	/** Ranked names by service; emptied whenever something changes that they rest on. */
+	readonly #ranks = new Map<string, readonly string[]>();
+	#turn = 0;
+
+	constructor(parts: Parts) {
+		this.#parts = parts;
+		this.#hosts.set(parts.self.name, parts.self);
+	}
+
+	/** Takes what a host says of itself; without an announcement it is gone. */
+	take(name: string, announcement: types.Announcement | undefined): void {
+		if (name === this.#parts.self.name) {
+			return;
+		}
+
+		if (announcement) {
+			this.#hosts.set(name, {name, ...announcement});
+		} else {
+			this.#hosts.delete(name);
+		}
+
+		if (this.#peers.get(name)?.address !== announcement?.peer) {
+			this.#peers.get(name)?.close();
+			this.#peers.delete(name);
+		}
+
+		this.update();
+	}
+
+	/** Notes that servers or connection limits have changed. */
+	update(): void {
+		this.#ranks.clear();
+	}
+
+	/** Connections that this host may have to each server of a service. */
+	share(service: string): group.Share {
+		const connectionLimit = this.#parts.connectionLimit(service);
+		const owners = Math.max(leastHosts, placement.countOwners({hosts: [...this.#hosts.values()], connectionLimit}));
+		return {
+			usual: Math.max(1, Math.floor(connectionLimit * placement.usualShare / owners)),
+			most: Math.max(2, Math.ceil(connectionLimit * mostShare / owners)),
+		};
+	}
+
+	/** The hosts to ask for work in a service, in turns so that they share it. */
+	route(service: string): forwarder.Route {
+		const names = this.#ranks.get(service) ?? this.#rank(service);
+		this.#ranks.set(service, names);
+		const {name: self} = this.#parts.self;
+		const owners: Array<peers.Peer | 'local'> = [];
+		for (const name of names) {
+			const peer = name === self ? undefined : this.#peer(name);
+			if (!peer) {
+				owners.push('local');
+			} else if (peer.isUsable) {
+				owners.push(peer);
+			} else {
+				peer.prepare();
+			}
+
+			if (owners.length === placement.ownerCount) {
+				break;
+			}
+		}
+
+		if (owners.length < 2) {
+			return owners.length === 0 ? ['local'] : owners;
+		}
+
+		// Work that this host can do itself stays here.
+		this.#turn++;
+		return owners[0] !== 'local' && (owners[1] === 'local' || this.#turn % 2 === 0) ? owners.toReversed() : owners;
+	}
+
+	/** Closes all links to other hosts. */
+	close(): void {
+		for (const peer of this.#peers.values()) {
+			peer.close();
+		}
+	}
+
+	#rank(service: string): readonly string[] {
+		const {self, connectionLimit, serverPlaces} = this.#parts;
+		const view = {
+			hosts: [...this.#hosts.values()], region: self.region, service, serverPlaces: serverPlaces(service), connectionLimit: connectionLimit(service),
+		};
+		return placement.isDirect(view) ? [self.name] : placement.rank(view).map(({name}) => name);
+	}
+
+	#peer(name: string): peers.Peer | undefined {
+		const known = this.#peers.get(name);
+		const host = this.#hosts.get(name);
+		if (known ?? !host) {
+			return known;
+		}
+
+		const {clock, transport, decisions} = this.#parts;
+		const added = new peers.Peer({
+			name, address: host.peer, clock, transport, decisions,
+		});
+		this.#peers.set(name, added);
+		return added;
+	}
+}
--- a/src/entry/group.ts
+++ b/src/entry/group.ts
@@ -44,6 +44,8 @@
 const surplusIdleMs = 1000;
 /** Time in ms between two looks at what is due. */
 const tickMs = 50;
+/** The same while the group rests; work wakes it at once. */
+const restTickMs = 500;
 /** Time in ms between two rounds of asking the replicas for the ends of their logs. */
 const surveyIntervalMs = 1000;
 /** Age in ms of a floor that replicas with ordinary lag have reached. */
@@ -52,6 +54,8 @@
 const commonStartMs = 10_000;
 /** Time in ms between two rounds of asking all servers which of them leads. */
 const searchIntervalMs = 100;
+/** Time in ms without work after which a group rests: it asks its servers nothing and keeps no connections. */
+const restAfterMs = 5000;
 /** A registration that lapsed while the store was away is back within about 2 s; one that is missing for longer is gone. */
 const missingGraceMs = 2500;
 
@@ -72,6 +76,7 @@
 	#reign = 0;
 	#leaderlessSince: number;
 	#searchedAt = Number.NEGATIVE_INFINITY;
+	#usedAt = Number.NEGATIVE_INFINITY;
 	#floors: Floor[] = [];
 
 	constructor(parts: Parts) {
@@ -102,11 +107,31 @@
 		return this.#lead ? undefined : this.#leaderlessSince;
 	}
 
+	/** Whether this host works in the service, so that it must know its servers. */
+	get isInUse(): boolean {
+		return this.#parts.clock.now() - this.#usedAt < restAfterMs;
+	}
+
 	/** Time of the clock at which the last server was added. */
 	get grownAt(): number {
 		return this.#grownAt;
 	}
 
+	/** Notes that there is work. After a rest, nothing that was seen of the servers before it counts as a failure. */
+	use(): void {
+		const wasInUse = this.isInUse;
+		this.#usedAt = this.#parts.clock.now();
+		if (!wasInUse) {
+			for (const server of this.#members.values()) {
+				server.renew();
+			}
+
+			this.#leaderlessSince = this.#usedAt;
+			this.#searchedAt = Number.NEGATIVE_INFINITY;
+			this.changed.notify();
+		}
+	}
+
 	/** The latest position that this host saw acknowledged. No server without it may lead. */
 	get acknowledged(): statement.Position | null {
 		return this.#acknowledged;
@@ -176,12 +201,16 @@
 	async run(signal: AbortSignal): Promise<void> {
 		while (!signal.aborted) {
 			this.#expire();
+			const {isInUse} = this;
 			for (const {pool} of this.#members.values()) {
-				pool.trim(this.#share.usual, surplusIdleMs);
+				pool.trim(isInUse ? this.#share.usual : 0, surplusIdleMs);
+			}
+
+			if (isInUse) {
+				this.#ask();
 			}
 
-			this.#ask();
-			await this.#parts.clock.limit(this.changed.next(), tickMs);
+			await this.#parts.clock.limit(this.changed.next(), isInUse ? tickMs : restTickMs);
 		}
 
 		for (const {pool} of this.#members.values()) {
--- a/src/entry/job.ts
+++ b/src/entry/job.ts
@@ -20,17 +20,21 @@
 export type Job = {
 	readonly id: string;
 	readonly route: types.Route;
-	readonly group: group.Group;
 	readonly state: states.State;
-	/** End of the log after the session's last commit, if it was made under the present leader. */
+	/** End of the log after the session's last commit in the service; null if it made none. */
 	readonly own: statement.Position | null;
 	readonly arrivedAt: clock.Mark;
 	/** Time of the clock by which it must have been answered. */
 	readonly deadline: number;
+	/** Time in ms since the request arrived at another host, if this one works for it. */
+	readonly spentMs: number;
 };
 
+/** A job for a group that this host has connections to. */
+export type Placed = Job & {readonly group: group.Group};
+
 /** A job that runs one statement. */
-export type Run = Job & {readonly work: lease.Work};
+export type Run = Placed & {readonly work: lease.Work};
 
 /** Time in ms that an attempt needs: a round trip between regions, the wait for a slot and the work. */
 const leastAttemptMs = 150;
@@ -44,6 +48,11 @@
 /** When a refused caller is told to come back, in ms: about the rest of a change of primary. */
 const comeBackMs = 400;
 
+/** Time in ms since the caller's request arrived. */
+export function spent(context: Context, {arrivedAt, spentMs}: Job): number {
+	return spentMs + context.clock.now() - arrivedAt.monotonicMs;
+}
+
 /** Time in ms that is left to a job. */
 export function left(context: Context, {deadline}: Job): number {
 	return Math.max(1, deadline - context.clock.now());
@@ -58,8 +67,8 @@
 }
 
 /** Time in ms that a job may still wait for a server that can run it. */
-export function patience(context: Context, job: Job): number {
-	const spentMs = context.clock.now() - job.arrivedAt.monotonicMs;
+export function patience(context: Context, job: Placed): number {
+	const spentMs = spent(context, job);
 	// A host that has just started finds the leader within two round trips.
 	const share = job.group.reign === 0 ? queueShare : waitShare;
 	return Math.max(0, Math.min((job.route.targetMs * share) - spentMs, left(context, job)));
@@ -70,18 +79,16 @@
 give theirs back.
 */
 export function queueTime(context: Context, job: Job): number {
-	const spentMs = context.clock.now() - job.arrivedAt.monotonicMs;
-	return Math.max(1, Math.min((job.route.targetMs * queueShare) - spentMs, left(context, job)));
+	return Math.max(1, Math.min((job.route.targetMs * queueShare) - spent(context, job), left(context, job)));
 }
 
 /** Refuses a job that has not run, and says when to come back. */
 export function refuse(context: Context, job: Job, reason: string): statement.Reply {
 	context.decisions.request('refused', job.id, {
-		service: job.group.name,
+		service: job.route.service,
 		route: job.route.name,
 		reason,
-		waitedMs: Math.round(context.clock.now() - job.arrivedAt.monotonicMs),
-		leader: job.group.leader?.id ?? '',
+		waitedMs: Math.round(spent(context, job)),
 	});
 	return statement.refuse('busy', `not run: ${reason}; retry after ${comeBackMs} ms`, 'none');
 }
--- /dev/null
+++ b/src/entry/local.ts
@@ -0,0 +1,55 @@
+/**
+Work done on this host's own connections to the servers.
+*/
+import type * as types from '../generated/types.js';
+import * as executor from './executor.js';
+import type * as groups from './group.js';
+import * as jobs from './job.js';
+import type * as leases from './lease.js';
+import * as read from './read.js';
+import type * as statement from './statement.js';
+import * as transaction from './transaction.js';
+import * as write from './write.js';
+
+/** Executes on own connections. */
+export class Local extends executor.Executor {
+	readonly #context: jobs.Context;
+	readonly #group: (service: string) => groups.Group | undefined;
+	readonly #reader: read.Reader;
+	readonly #writer: write.Writer;
+	readonly #opener: transaction.Opener;
+
+	constructor(context: jobs.Context, group: (service: string) => groups.Group | undefined) {
+		super();
+		this.#context = context;
+		this.#group = group;
+		this.#reader = new read.Reader(context);
+		this.#writer = new write.Writer(context);
+		this.#opener = new transaction.Opener(context, this.#reader);
+	}
+
+	override expect(service: string): void {
+		this.#group(service)?.use();
+	}
+
+	override async run(job: jobs.Job, work: leases.Work): Promise<statement.Reply> {
+		const group = this.#group(job.route.service);
+		if (!group) {
+			return jobs.refuse(this.#context, job, 'this host does not know the service yet');
+		}
+
+		group.use();
+		const run = {...job, group, work};
+		return work.mode === 'read' ? this.#reader.execute(run) : this.#writer.execute(run);
+	}
+
+	override async begin(job: jobs.Job, mode: types.AccessMode): Promise<executor.Transaction | statement.Reply> {
+		const group = this.#group(job.route.service);
+		if (!group) {
+			return jobs.refuse(this.#context, job, 'this host does not know the service yet');
+		}
+
+		group.use();
+		return this.#opener.open({...job, group}, mode);
+	}
+}
--- a/src/entry/member.ts
+++ b/src/entry/member.ts
@@ -135,6 +135,13 @@
 		}
 	}
 
+	/** Forgets failures from before a time in which nobody asked the server. */
+	renew(): void {
+		this.#failingSince = undefined;
+		this.#behindSince = undefined;
+		this.#lostCommitAt = undefined;
+	}
+
 	/** Takes a newer registration of the same incarnation. */
 	update(registration: types.Registration): void {
 		this.#registration = registration;
--- a/src/entry/read.ts
+++ b/src/entry/read.ts
@@ -31,13 +31,13 @@
 	}
 
 	/** The position that a server must hold for a job, or why it can't be told. */
-	async floor(job: jobs.Job): Promise<statement.Position | undefined> {
+	async floor(job: jobs.Placed): Promise<statement.Position | undefined> {
 		const floor = await job.group.awaitFloor(job.arrivedAt, job.route.maximumAgeMs, jobs.patience(this.#context, job));
 		return floor ? position.latest(floor.position, job.own) ?? undefined : undefined;
 	}
 
 	/** Servers that may hold a position, best first. The leader holds every one. */
-	candidates(job: jobs.Job): member.Member[] {
+	candidates(job: jobs.Placed): member.Member[] {
 		const cost = (server: member.Member): number => server.expectedMs + (server.registration.place === this.#context.place ? 0 : remoteCostMs);
 		const ready = job.group.members.filter(server => server.isReady && server.missingSince === undefined);
 		const usable = ready.length > 0 ? ready : job.group.members;
--- a/src/entry/session.ts
+++ b/src/entry/session.ts
@@ -4,27 +4,21 @@
 import type * as types from '../generated/types.js';
 import type * as caller from './caller.js';
 import type * as deployment from './deployment.js';
-import type * as group from './group.js';
+import * as executor from './executor.js';
 import type * as jobs from './job.js';
 import type * as leases from './lease.js';
-import type * as read from './read.js';
 import * as states from './state.js';
 import * as statement from './statement.js';
-import * as transaction from './transaction.js';
-import type * as write from './write.js';
 
 /** What sessions share. */
 export type Parts = {
 	readonly context: jobs.Context;
 	readonly deployment: deployment.Deployment;
-	readonly group: (service: string) => group.Group | undefined;
-	readonly reader: read.Reader;
-	readonly writer: write.Writer;
-	readonly opener: transaction.Opener;
+	readonly executor: executor.Executor;
 };
 
-/** The session's last commit in one group, and the leader under which it was made. */
-type Commit = {readonly group: group.Group; readonly reign: number; readonly position: statement.Position};
+/** The end of a service's log after the session's last commit. */
+type Commit = {readonly service: string; readonly position: statement.Position};
 
 /** Callers give up when opening a session takes 2 s. */
 const openLimitMs = 1700;
@@ -35,7 +29,7 @@
 	readonly #parts: Parts;
 	readonly #state = new states.State();
 	#database = '';
-	#transaction: transaction.Transaction | undefined;
+	#transaction: executor.Transaction | undefined;
 	#commit: Commit | undefined;
 	#isLeaving = false;
 
@@ -90,11 +84,13 @@
 			return false;
 		}
 
-		if (!this.#parts.deployment.route(database)) {
+		const route = this.#parts.deployment.route(database);
+		if (!route) {
 			this.#caller.reject('no-database', database);
 			return false;
 		}
 
+		this.#parts.executor.expect(route.service);
 		this.#caller.welcome();
 		return true;
 	}
@@ -116,7 +112,7 @@
 	async #execute(request: statement.Request): Promise<statement.Reply> {
 		const given = request.statement;
 		if (this.#transaction?.isFailed && given.kind !== 'commit' && given.kind !== 'rollback') {
-			return statement.refuse(this.#transaction.lease.isOpen ? 'malformed' : 'aborted', 'the transaction has failed; roll it back', 'failed');
+			return this.#transaction.refusal();
 		}
 
 		switch (given.kind) {
@@ -175,8 +171,8 @@
 			return this.#refuse('no-database', this.#database);
 		}
 
-		const opened = await this.#parts.opener.open(job, mode);
-		if (!(opened instanceof transaction.Transaction)) {
+		const opened = await this.#parts.executor.begin(job, mode);
+		if (!(opened instanceof executor.Transaction)) {
 			return opened;
 		}
 
@@ -197,7 +193,7 @@
 		}
 
 		const reply = await open.commit(id, text, open.job.route.statementTimeoutMs);
-		this.#remember(reply, open.job.group);
+		this.#remember(reply, open.job.route.service);
 		return reply;
 	}
 
@@ -211,40 +207,37 @@
 			return this.#refuse('no-database', this.#database);
 		}
 
-		if (work.mode === 'read') {
-			return this.#parts.reader.execute({...job, work});
+		const reply = await this.#parts.executor.run(job, work);
+		if (work.mode === 'write') {
+			this.#remember(reply, job.route.service);
 		}
 
-		const {reply} = await this.#parts.writer.execute({...job, work});
-		this.#remember(reply, job.group);
 		return reply;
 	}
 
 	/** Notes the end of the log after a commit, which the session's reads must see. */
-	#remember({refusal, position}: statement.Reply, committed: group.Group): void {
+	#remember({refusal, position}: statement.Reply, service: string): void {
 		if (refusal === null && position) {
-			this.#commit = {group: committed, reign: committed.reign, position};
+			this.#commit = {service, position};
 		}
 	}
 
 	/** A job under the present configuration; `undefined` if it no longer has a route for the session. */
 	#job(id: string): jobs.Job | undefined {
 		const route = this.#parts.deployment.route(this.#database);
-		const found = route && this.#parts.group(route.service);
-		if (!route || !found) {
+		if (!route) {
 			return undefined;
 		}
 
 		const arrivedAt = this.#parts.context.clock.mark();
-		const isOwn = this.#commit?.group === found && this.#commit.reign === found.reign;
 		return {
 			id,
 			route,
-			group: found,
 			state: this.#state,
-			own: isOwn ? this.#commit?.position ?? null : null,
+			own: this.#commit?.service === route.service ? this.#commit.position : null,
 			arrivedAt,
 			deadline: arrivedAt.monotonicMs + route.statementTimeoutMs,
+			spentMs: 0,
 		};
 	}
 
--- a/src/entry/state.ts
+++ b/src/entry/state.ts
@@ -20,6 +20,14 @@
 	readonly values = new Map<string, string>();
 	readonly prepared = new Map<string, Prepared>();
 
+	/** Takes the values of a session that another host serves. */
+	assign(values: ReadonlyArray<readonly [string, string]>): void {
+		this.values.clear();
+		for (const [name, value] of values) {
+			this.values.set(name, value);
+		}
+	}
+
 	/** Whether a connection has nothing to reset before this session uses it. */
 	suits(connection: backend.Connection): boolean {
 		for (const [name, value] of connection.values) {
--- a/src/entry/tests/fixture.ts
+++ b/src/entry/tests/fixture.ts
@@ -42,6 +42,7 @@
 		}
 
 		void this.group.run(this.stopped.signal);
+		void this.#work();
 		await this.time.advance(200);
 	}
 
@@ -57,14 +58,14 @@
 		};
 	}
 
-	job(change: Partial<jobs.Job> = {}): jobs.Job {
+	job(change: Partial<jobs.Placed> = {}): jobs.Placed {
 		return {
-			id: 'q1', route: this.route(), group: this.group, state: new states.State(), own: null, arrivedAt: this.time.mark(), deadline: this.time.now() + 800, ...change,
+			id: 'q1', route: this.route(), group: this.group, state: new states.State(), own: null, arrivedAt: this.time.mark(), deadline: this.time.now() + 800, spentMs: 0, ...change,
 		};
 	}
 
 	/** A job that runs one statement. */
-	run(text: string, change: Partial<jobs.Job> = {}): jobs.Run {
+	run(text: string, change: Partial<jobs.Placed> = {}): jobs.Run {
 		const job = this.job(change);
 		return {
 			...job,
@@ -84,4 +85,12 @@
 		this.stopped.abort();
 		await this.time.advance(1000);
 	}
+
+	/** Keeps the group in use, as traffic does. */
+	async #work(): Promise<void> {
+		while (!this.stopped.signal.aborted) {
+			this.group.use();
+			await this.time.sleep(1000, this.stopped.signal);
+		}
+	}
 }
--- a/src/entry/tests/follower.test.ts
+++ b/src/entry/tests/follower.test.ts
@@ -21,8 +21,12 @@
 	const store = new fakes.Objects();
 	const seen = new Map<string, objects.Item<'hosts'> | undefined>();
 	const stopped = new AbortController();
-	store.put('hosts', 'entry-1', {place: 'east'});
-	store.put('hosts', 'entry-2', {place: 'east'});
+	store.put('hosts', 'entry-1', {
+		place: 'east', region: 'r', peer: '10.0.0.1:7440', capacity: 1,
+	});
+	store.put('hosts', 'entry-2', {
+		place: 'east', region: 'r', peer: '10.0.0.1:7440', capacity: 1,
+	});
 	const followed = new follower.Follower({
 		kind: 'hosts',
 		store: new Paced(store, time),
--- a/src/entry/tests/group.test.ts
+++ b/src/entry/tests/group.test.ts
@@ -63,3 +63,27 @@
 	assert.equal(parts.group.members.find(({id}) => id === 'c')?.isSynchronized, true);
 	await parts.stop();
 });
+
+test.test('a group without work asks nothing and keeps no connection, and knows its leader again with the next work', async () => {
+	const parts = new fixture.Fixture();
+	parts.group.resize({usual: 4, most: 4});
+	for (const name of ['a', 'b', 'c']) {
+		parts.group.register(parts.cluster.registration(name));
+	}
+
+	void parts.group.run(parts.stopped.signal);
+	await parts.time.advance(1000);
+	const open = (): number => parts.cluster.servers.reduce((sum, {connections}) => sum + connections.size, 0);
+	assert.equal(open(), 0);
+	parts.group.use();
+	await parts.time.advance(200);
+	assert.equal(parts.group.leader?.id, 'a');
+	assert.ok(open() > 0);
+	await parts.time.advance(20_000);
+	assert.equal(open(), 0);
+	parts.cluster.promote('b');
+	parts.group.use();
+	await parts.time.advance(200);
+	assert.equal(parts.group.leader?.id, 'b');
+	await parts.stop();
+});
--- a/src/entry/tests/session.test.ts
+++ b/src/entry/tests/session.test.ts
@@ -3,11 +3,9 @@
 import type * as types from '../../generated/types.js';
 import * as caller from '../caller.js';
 import * as deployments from '../deployment.js';
-import * as read from '../read.js';
+import * as local from '../local.js';
 import * as sessions from '../session.js';
 import type * as statement from '../statement.js';
-import * as transaction from '../transaction.js';
-import * as write from '../write.js';
 import * as fixture from './fixture.js';
 
 /** Longer than a request may wait for a connection. */
@@ -86,14 +84,10 @@
 
 	open(): {given: Caller; session: sessions.Session} {
 		const given = new Caller();
-		const reader = new read.Reader(this.parts.context);
 		const session = new sessions.Session(given, {
 			context: this.parts.context,
 			deployment: this.deployment,
-			group: () => this.parts.group,
-			reader,
-			writer: new write.Writer(this.parts.context),
-			opener: new transaction.Opener(this.parts.context, reader),
+			executor: new local.Local(this.parts.context, () => this.parts.group),
 		});
 		void session.run();
 		return {given, session};
--- a/src/entry/transaction.ts
+++ b/src/entry/transaction.ts
@@ -4,6 +4,8 @@
 import * as Either from 'fp-ts/lib/Either.js';
 import type * as types from '../generated/types.js';
 import * as errors from '../core/errors.js';
+import * as executor from './executor.js';
+import type * as group from './group.js';
 import * as jobs from './job.js';
 import * as leases from './lease.js';
 import type * as read from './read.js';
@@ -13,51 +15,53 @@
 const beginTimeoutMs = 400;
 const retryPauseMs = 10;
 
-/** An open transaction of one session. */
-export class Transaction {
-	readonly job: jobs.Job;
-	readonly lease: leases.Lease;
-	/** Whether it can't commit any more. */
-	isFailed = false;
+/** An open transaction on a connection of this host. */
+export class Transaction extends executor.Transaction {
+	readonly #group: group.Group;
+	readonly #lease: leases.Lease;
+	#isFailed = false;
 	#hasWritten = false;
 	#isEnded = false;
 	readonly #context: jobs.Context;
 
-	constructor(context: jobs.Context, job: jobs.Job, lease: leases.Lease) {
+	constructor(context: jobs.Context, job: jobs.Placed, lease: leases.Lease) {
+		super(job);
 		this.#context = context;
-		this.job = job;
-		this.lease = lease;
+		this.#group = job.group;
+		this.#lease = lease;
 	}
 
-	get state(): types.TransactionState {
-		return this.isFailed ? 'failed' : 'open';
+	override get isFailed(): boolean {
+		return this.#isFailed;
 	}
 
-	/** Runs a statement on the transaction's connection. */
-	async run(work: leases.Work, timeoutMs: number): Promise<statement.Reply> {
+	override get isLost(): boolean {
+		return !this.#lease.isOpen;
+	}
+
+	override async run(work: leases.Work, timeoutMs: number): Promise<statement.Reply> {
 		if (this.isFailed) {
-			return statement.refuse('malformed', 'the transaction has failed; roll it back', 'failed');
+			return this.refusal();
 		}
 
 		this.#hasWritten ||= work.mode === 'write';
-		const outcome = await this.lease.run(work, null, timeoutMs);
+		const outcome = await this.#lease.run(work, null, timeoutMs);
 		if (Either.isLeft(outcome)) {
 			return this.#abort(work.id, outcome.left.message);
 		}
 
-		this.isFailed = outcome.right.state !== 'open';
+		this.#isFailed = outcome.right.state !== 'open';
 		return {...outcome.right, state: this.state};
 	}
 
-	/** Commits. */
-	async commit(id: string, text: string, timeoutMs: number): Promise<statement.Reply> {
-		if (this.isFailed && !this.lease.isOpen) {
+	override async commit(id: string, text: string, timeoutMs: number): Promise<statement.Reply> {
+		if (this.isFailed && !this.#lease.isOpen) {
 			await this.rollback();
 			return statement.refuse('aborted', 'the transaction was rolled back', 'none');
 		}
 
 		this.#isEnded = true;
-		const {member} = this.lease;
+		const {member} = this.#lease;
 		const sentAt = this.#context.clock.mark();
 		const before = member.position;
 		const isCommit = this.#hasWritten && !this.isFailed;
@@ -65,12 +69,12 @@
 			member.commits(sentAt.monotonicMs);
 		}
 
-		const outcome = await this.lease.end(id, text, timeoutMs);
+		const outcome = await this.#lease.end(id, text, timeoutMs);
 		if (Either.isRight(outcome) && outcome.right.state !== 'none') {
-			await this.lease.rollback();
+			await this.#lease.rollback();
 		}
 
-		await this.lease.release();
+		await this.#lease.release();
 		if (isCommit) {
 			member.committed(sentAt.monotonicMs, Either.isRight(outcome) || outcome.left.kind === 'not-run');
 		}
@@ -82,47 +86,45 @@
 		const {refusal, position} = outcome.right;
 		member.holds(position);
 		if (isCommit && refusal === null && position) {
-			this.job.group.confirm(member, sentAt, position);
-			this.job.group.acknowledge(before, position);
+			this.#group.confirm(member, sentAt, position);
+			this.#group.acknowledge(before, position);
 		} else if (refusal === 'read-only') {
-			this.job.group.deny(member, sentAt);
+			this.#group.deny(member, sentAt);
 		}
 
 		return {...outcome.right, state: 'none'};
 	}
 
-	/** Rolls back and gives the connection back. */
-	async rollback(): Promise<void> {
+	override async rollback(): Promise<void> {
 		if (!this.#isEnded) {
 			this.#isEnded = true;
-			await this.lease.rollback();
-			await this.lease.release();
+			await this.#lease.rollback();
+			await this.#lease.release();
 		}
 	}
 
-	/** Rolls back before the caller asked for it. The caller is told with its next statement. */
-	async expire(reason: string): Promise<void> {
-		this.isFailed = true;
-		this.#context.decisions.request('transaction-ended', this.job.id, {service: this.job.group.name, server: this.lease.member.id, reason});
-		this.lease.close();
+	override async expire(reason: string): Promise<void> {
+		this.#isFailed = true;
+		this.#context.decisions.request('transaction-ended', this.job.id, {service: this.#group.name, server: this.#lease.member.id, reason});
+		this.#lease.close();
 		await this.rollback();
 	}
 
 	/** The connection was lost before COMMIT was sent, so the server rolls back. */
 	async #abort(id: string, reason: string): Promise<statement.Reply> {
-		this.isFailed = true;
+		this.#isFailed = true;
 		this.#context.decisions.request('transaction-aborted', id, {
-			service: this.job.group.name, route: this.job.route.name, server: this.lease.member.id, reason,
+			service: this.#group.name, route: this.job.route.name, server: this.#lease.member.id, reason,
 		});
-		this.lease.close();
+		this.#lease.close();
 		return statement.refuse('aborted', `the transaction was rolled back: ${reason}`, 'failed');
 	}
 
 	#lose(id: string, failure: errors.Failure): statement.Reply {
 		this.#context.decisions.request('commit-lost', id, {
-			service: this.job.group.name,
+			service: this.#group.name,
 			route: this.job.route.name,
-			server: this.lease.member.id,
+			server: this.#lease.member.id,
 			hasWritten: this.#hasWritten,
 			reason: errors.describe(failure),
 		});
@@ -143,11 +145,11 @@
 	}
 
 	/** Opens a transaction, or gives the refusal. One that only reads may run on any server that is fresh enough. */
-	async open(job: jobs.Job, mode: types.AccessMode): Promise<Transaction | statement.Reply> {
+	async open(job: jobs.Placed, mode: types.AccessMode): Promise<Transaction | statement.Reply> {
 		return mode === 'read' && job.route.kind !== 'primary' ? this.#atAnyServer(job) : this.#atLeader(job);
 	}
 
-	async #atLeader(job: jobs.Job): Promise<Transaction | statement.Reply> {
+	async #atLeader(job: jobs.Placed): Promise<Transaction | statement.Reply> {
 		let reason = 'no server leads';
 		while (jobs.hasTime(this.#context, job)) {
 			const leader = await job.group.awaitLeader(jobs.patience(this.#context, job));
@@ -172,7 +174,7 @@
 		return jobs.refuse(this.#context, job, reason);
 	}
 
-	async #atAnyServer(job: jobs.Job): Promise<Transaction | statement.Reply> {
+	async #atAnyServer(job: jobs.Placed): Promise<Transaction | statement.Reply> {
 		const floor = await this.#reader.floor(job);
 		if (!floor) {
 			return jobs.refuse(this.#context, job, 'no server confirmed a position that is young enough');
--- a/src/entry/write.ts
+++ b/src/entry/write.ts
@@ -8,9 +8,6 @@
 
 const retryPauseMs = 10;
 
-/** How a write ended. */
-export type Written = {readonly reply: statement.Reply};
-
 /** Executes writes. */
 export class Writer {
 	readonly #context: jobs.Context;
@@ -20,7 +17,7 @@
 	}
 
 	/** Executes a write at the leader. */
-	async execute(job: jobs.Run): Promise<Written> {
+	async execute(job: jobs.Run): Promise<statement.Reply> {
 		let reason = 'no server leads';
 		while (jobs.hasTime(this.#context, job)) {
 			const leader = await job.group.awaitLeader(jobs.patience(this.#context, job));
@@ -32,14 +29,14 @@
 
 			const reply = await this.#attempt(job, lease.right);
 			if (!statement.isNotRun(reply)) {
-				return {reply: {...reply, state: 'none'}};
+				return {...reply, state: 'none'};
 			}
 
 			reason = `${reply.refusal ?? ''} ${reply.message}`;
 			await this.#context.clock.sleep(retryPauseMs);
 		}
 
-		return {reply: jobs.refuse(this.#context, job, reason)};
+		return jobs.refuse(this.#context, job, reason);
 	}
 
 	async #attempt(job: jobs.Run, lease: leases.Lease): Promise<statement.Reply> {
--- a/src/host/host.ts
+++ b/src/host/host.ts
@@ -12,6 +12,7 @@
 import * as random from '../core/random.js';
 import type * as session from '../core/session.js';
 import * as share from '../core/share.js';
+import * as messages from '../generated/messages.js';
 import type * as types from '../generated/types.js';
 import * as server from '../mysql/server.js';
 import * as links from '../peer/links.js';
@@ -109,6 +110,7 @@
 			transport: new socket.Transport({
 				clock: this.#clock,
 				timeoutMs: timing.linkTimeoutMs,
+				isMessage: messages.validateMessage,
 				warn(message, fields) {
 					logger.warn(message, fields);
 				},
--- a/src/peer/socket.ts
+++ b/src/peer/socket.ts
@@ -6,17 +6,17 @@
 import * as ws from 'ws';
 import * as address from '../core/address.js';
 import type * as clock from '../core/clock.js';
-import * as messages from '../generated/messages.js';
-import type * as types from '../generated/types.js';
 import * as link from './link.js';
 
 /** What links need. */
-export type Options = {
+export type Options<M> = {
 	readonly clock: clock.Clock;
 	/** A link without a pong for this time in ms is closed. */
 	readonly timeoutMs: number;
+	/** Whether a decoded frame is a message of this link. */
+	readonly isMessage: (value: unknown) => value is M;
 	/** Told why a link was closed on this side. */
-	readonly warn: (message: string, fields: Record<string, unknown>) => void;
+	readonly warn: (message: string, fields: {readonly reason: string}) => void;
 };
 
 type Outgoing = {readonly frame: Uint8Array; readonly delivery: link.Delivery};
@@ -30,11 +30,11 @@
 const flushPollMs = 5;
 
 /** A link over one WebSocket. */
-export class Link extends link.Link {
+export class Link<M> extends link.Link<M> {
 	readonly #socket: ws.WebSocket;
-	readonly #options: Options;
+	readonly #options: Options<M>;
 	readonly #closed = new AbortController();
-	readonly #incoming: types.Message[] = [];
+	readonly #incoming: M[] = [];
 	readonly #outgoing: Outgoing[] = [];
 	#isWriting = false;
 	/** Time of the first ping without a pong. */
@@ -43,7 +43,7 @@
 	#rest = new AbortController();
 	#wake: (() => void) | undefined;
 
-	constructor(socket: ws.WebSocket, options: Options) {
+	constructor(socket: ws.WebSocket, options: Options<M>) {
 		super();
 		this.#socket = socket;
 		this.#options = options;
@@ -68,7 +68,7 @@
 		return this.#closed.signal;
 	}
 
-	override send(message: types.Message): link.Delivery {
+	override send(message: M): link.Delivery {
 		const delivery: link.Delivery = {state: 'queued'};
 		this.#outgoing.push({frame: msgpackr.pack(message), delivery});
 		this.#usedAt = this.#options.clock.now();
@@ -77,7 +77,7 @@
 		return delivery;
 	}
 
-	override async next(): Promise<types.Message | undefined> {
+	override async next(): Promise<M | undefined> {
 		while (this.#incoming.length === 0 && !this.closed.aborted) {
 			await new Promise<void>(resolve => {
 				this.#wake = resolve;
@@ -153,7 +153,7 @@
 
 	#receive(frame: Uint8Array): void {
 		const message = decode(frame);
-		if (message) {
+		if (this.#options.isMessage(message)) {
 			this.#incoming.push(message);
 			this.#wake?.();
 		} else {
@@ -168,16 +168,16 @@
 }
 
 /** Opens and accepts links over WebSocket. */
-export class Transport extends link.Transport {
-	readonly #options: Options;
+export class Transport<M> extends link.Transport<M> {
+	readonly #options: Options<M>;
 	#server: ws.WebSocketServer | undefined;
 
-	constructor(options: Options) {
+	constructor(options: Options<M>) {
 		super();
 		this.#options = options;
 	}
 
-	override async listen(target: string, accept: (accepted: link.Link) => void): Promise<string> {
+	override async listen(target: string, accept: (accepted: link.Link<M>) => void): Promise<string> {
 		const {host, port} = address.parse(target);
 		const server = new ws.WebSocketServer({host, port});
 		this.#server = server;
@@ -191,7 +191,7 @@
 		return target.replace(/:\d+$/v, `:${(server.address() as net.AddressInfo).port}`);
 	}
 
-	override async open(target: string): Promise<link.Link | undefined> {
+	override async open(target: string): Promise<link.Link<M> | undefined> {
 		const socket = new ws.WebSocket(`ws://${target}/`, {handshakeTimeout: this.#options.timeoutMs, perMessageDeflate: false});
 		return new Promise(resolve => {
 			socket.once('open', () => {
@@ -208,11 +208,11 @@
 	}
 }
 
-function decode(frame: Uint8Array): types.Message | undefined {
+function decode(frame: Uint8Array): unknown {
 	try {
-		const message: unknown = msgpackr.unpack(frame);
-		return messages.validateMessage(message) ? message : undefined;
+		return msgpackr.unpack(frame);
 	} catch {
+		// The link is closed for a frame that is no message, and the reason logged there.
 		return undefined;
 	}
 }
--- a/src/peer/tests/link.test.ts
+++ b/src/peer/tests/link.test.ts
@@ -5,6 +5,7 @@
 import * as ws from 'ws';
 import * as clock from '../../core/clock.js';
 import type * as errors from '../../core/errors.js';
+import * as messages from '../../generated/messages.js';
 import type * as types from '../../generated/types.js';
 import * as conversation from '../conversation.js';
 import * as links from '../links.js';
@@ -81,6 +82,7 @@
 	const transport = new socket.Transport({
 		clock: time,
 		timeoutMs,
+		isMessage: messages.validateMessage,
 		warn(_message, {reason}) {
 			warnings.push(String(reason));
 		},
