Follow the store through one host of each region

The platform's rates grow more slowly than the fleet.

Ruled out: reads that may be stale, which are cheaper but may be seconds old and so break the bound for a new configuration.

Change: replicas hold the state of each kind at a revision and never go back. One host of each region follows the store, the others follow it over their links, with the age of what it sends.

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -23,8 +23,11 @@
 import type * as jobs from './job.js';
 import * as local from './local.js';
 import type * as objects from './objects.js';
+import type * as notices from './notice.js';
+import * as replicas from './replica.js';
 import * as responders from './responder.js';
 import * as sessions from './session.js';
+import * as synchronizer from './synchronizer.js';
 
 /** Accepts callers. */
 export type Listener = {listen(text: string): Promise<number>; close(): void};
@@ -47,10 +50,19 @@
 	readonly listener: (accept: (accepted: caller.Caller) => void) => Listener;
 };
 
-/** Longest wait in ms of a watch whose changes must be in force within seconds: its connection may have gone silent. */
-const watchMs = 2000;
-/** The same where a late change costs little. */
-const slowWatchMs = 20_000;
+/** How a kind of object is followed in the store: the longest wait of a watch, and the pause after a change. */
+type Pace = {readonly watchMs: number; readonly pauseMs: number};
+
+/**
+A watch whose changes must be in force within seconds waits for a short time only, since its connection may have gone
+silent. Where a late change costs little, changes that follow each other closely come with one call.
+*/
+const paces: Readonly<Record<objects.Kind, Pace>> = {
+	configuration: {watchMs: 1500, pauseMs: 0},
+	servers: {watchMs: 1500, pauseMs: 20},
+	hosts: {watchMs: 20_000, pauseMs: 500},
+	claims: {watchMs: 20_000, pauseMs: 0},
+};
 /**
 Time in ms for which servers count connections whose other end lost power. When all hosts start again after that, the few
 connections that are free must do for all of them.
@@ -84,8 +96,7 @@
 	readonly #claims: claims.Claims;
 	readonly #listener: Listener;
 	readonly #sessionParts: sessions.Parts;
-	readonly #servers: follower.Follower<'servers'>;
-	readonly #hosts: follower.Follower<'hosts'>;
+	readonly #replicas: notices.Replicas;
 	#isDraining = false;
 	/** Whether connections of the process before may still count at the servers. */
 	#isStarting = true;
@@ -115,33 +126,43 @@
 		this.#listener = parts.listener(accepted => {
 			void this.#serve(accepted);
 		});
-		this.#servers = this.#follower('servers', watchMs, (name, item) => {
-			this.#takeServer(name, item?.value);
-		});
-		this.#hosts = this.#follower('hosts', slowWatchMs, (name, item) => {
-			this.#fleet.take(name, item?.value);
-			this.#share();
-		});
+		this.#replicas = {
+			configuration: this.#replica('configuration', (_name, item) => {
+				if (item?.value) {
+					this.#takeDeployment(item.value);
+				}
+			}),
+			servers: this.#replica('servers', (name, item) => {
+				this.#takeServer(name, item?.value);
+			}),
+			hosts: this.#replica('hosts', (name, item) => {
+				this.#fleet.take(name, item?.value);
+				this.#share();
+			}),
+			claims: this.#replica('claims', (name, item) => {
+				this.#claims.take(name, item);
+			}),
+		};
 	}
 
 	/** Whether callers should be sent to this host. */
 	get isReady(): boolean {
-		return !this.#isDraining && this.#deployment.content !== undefined && this.#servers.isStarted && this.#hosts.isStarted;
+		return !this.#isDraining && this.#deployment.content !== undefined && this.#replicas.servers.revision !== undefined;
 	}
 
 	/** Listens and starts the tasks. */
 	async start(): Promise<void> {
 		const {settings: {listen}, decisions: record} = this.#parts;
 		const {signal} = this.#stopped;
-		void this.#servers.run(signal);
-		void this.#follower('configuration', watchMs, (_name, item) => {
-			if (item?.value) {
-				this.#takeDeployment(item.value);
-			}
-		}).run(signal);
-		void this.#hosts.run(signal);
-		void this.#follower('claims', slowWatchMs, (name, item) => {
-			this.#claims.take(name, item);
+		void new synchronizer.Synchronizer({
+			replicas: this.#replicas,
+			clock: this.#parts.clock,
+			decisions: record,
+			observer: avoided => this.#fleet.observer(avoided),
+			isObserved: () => [...this.#responders].some(({isSubscribed}) => isSubscribed),
+			follow: own => {
+				this.#follow(own);
+			},
 		}).run(signal);
 		void this.#announce();
 		await this.#serveHttp(listen.readiness, async () => [this.isReady ? 200 : 503, '']);
@@ -225,7 +246,7 @@
 
 	/** Works for another host over a link that it opened. */
 	async #respond(accepted: link.Link<types.EntryMessage>): Promise<void> {
-		const responder = new responders.Responder(accepted, this.#local, this.#context);
+		const responder = new responders.Responder(accepted, {executor: this.#local, context: this.#context, replicas: this.#replicas});
 		this.#responders.add(responder);
 		if (this.#isDraining) {
 			responder.leave();
@@ -238,13 +259,24 @@
 		}
 	}
 
-	#follower<K extends objects.Kind>(kind: K, waitMs: number, take: follower.Parts<K>['take']): follower.Follower<K> {
-		const {store, clock: time, random: source, decisions: record} = this.#parts;
-		return new follower.Follower<K>({
-			kind, store, clock: time, random: source, decisions: record, watchMs: waitMs, take,
+	#replica<K extends objects.Kind>(kind: K, take: replicas.Parts<K>['take']): replicas.Replica<K> {
+		const {clock: time, decisions: record} = this.#parts;
+		return new replicas.Replica<K>({
+			kind, clock: time, decisions: record, take,
 		});
 	}
 
+	/** Follows every kind in the store until `signal` aborts. */
+	#follow(signal: AbortSignal): void {
+		const {store, clock: time, random: source, decisions: record} = this.#parts;
+		for (const replica of Object.values(this.#replicas)) {
+			const followed = new follower.Follower<objects.Kind>({
+				replica: replica as replicas.Replica<objects.Kind>, store, clock: time, random: source, decisions: record, ...paces[replica.kind],
+			});
+			void followed.run(signal);
+		}
+	}
+
 	#takeDeployment(content: types.Deployment): void {
 		this.#deployment.accept(content, 'store');
 		for (const {name} of this.#deployment.content?.databases ?? []) {
--- a/src/entry/fleet.ts
+++ b/src/entry/fleet.ts
@@ -31,6 +31,9 @@
 /** Hosts to reckon with while the others are not known yet. */
 const leastHosts = 4;
 
+/** Key of the rank by which hosts follow the store; names of services have no blank. */
+const observerKey = 'store observer';
+
 /** All entry hosts. */
 export class Fleet {
 	readonly #parts: Parts;
@@ -110,6 +113,27 @@
 		return owners[0] !== 'local' && (owners[1] === 'local' || this.#turn % 2 === 0) ? owners.toReversed() : owners;
 	}
 
+	/**
+	The host of this region that follows the store for the others, without those named; `undefined` if it is this one.
+	*/
+	observer(avoided: ReadonlySet<string>): peers.Peer | undefined {
+		const {self} = this.#parts;
+		const ranked = this.#ranks.get(observerKey) ?? placement.rank({
+			hosts: [...this.#hosts.values()], region: self.region, service: observerKey, serverPlaces: new Set<string>(), connectionLimit: 0,
+		}).map(({name}) => name);
+		this.#ranks.set(observerKey, ranked);
+		for (const name of ranked) {
+			const peer = name === self.name ? undefined : this.#peer(name);
+			if (!peer || (peer.isUsable && !avoided.has(name))) {
+				return peer;
+			}
+
+			peer.prepare();
+		}
+
+		return undefined;
+	}
+
 	/** Closes all links to other hosts. */
 	close(): void {
 		for (const peer of this.#peers.values()) {
--- /dev/null
+++ b/src/entry/notice.ts
@@ -0,0 +1,30 @@
+/**
+Steps of a replica as messages between entry hosts.
+*/
+import type * as types from '../generated/types.js';
+import type * as objects from './objects.js';
+import type * as replicas from './replica.js';
+
+/** The replicas of all kinds. */
+export type Replicas = {readonly [K in objects.Kind]: replicas.Replica<K>};
+
+/** Writes a step that was the store's state `ageMs` ago. */
+export function describe<K extends objects.Kind>(kind: K, {from, revision, items, gone}: replicas.Step<K>, ageMs: number): types.StateNotice {
+	const described = items.map(({value, ...item}) => ({...item, value: value ?? null}));
+	return {
+		kind, from: from ?? null, revision, ageMs, items: described, gone: [...gone],
+	} as types.StateNotice;
+}
+
+/** Whether a message is a step of a replica. */
+export function isState(message: types.EntryMessage): message is types.StateNotice {
+	return message.kind === 'configuration' || message.kind === 'servers' || message.kind === 'hosts' || message.kind === 'claims';
+}
+
+/** Applies a step to the replica of its kind. False if a step before it is missing. */
+export function apply(held: Replicas, {kind, from, revision, items, gone}: types.StateNotice, provenAt: number): boolean {
+	const step = {
+		from: from ?? undefined, revision, items: items.map(({value, ...item}) => ({...item, value: value ?? undefined})), gone,
+	};
+	return (held[kind] as replicas.Replica<objects.Kind>).apply(step, provenAt);
+}
--- a/src/entry/peer.ts
+++ b/src/entry/peer.ts
@@ -7,6 +7,7 @@
 import type * as types from '../generated/types.js';
 import type * as link from '../peer/link.js';
 import type * as decisions from './decisions.js';
+import * as notices from './notice.js';
 import type * as statement from './statement.js';
 
 /** What a peer needs. */
@@ -39,6 +40,7 @@
 	#hasFailed = false;
 	#isLeaving = false;
 	#lastId = 0;
+	#subscriber: ((notice: types.StateNotice) => void) | undefined;
 
 	constructor(parts: Parts) {
 		this.#parts = parts;
@@ -96,6 +98,16 @@
 		}
 	}
 
+	/** Has the state of the store and its changes sent to `take`, from the whole state on; `undefined` ends it. */
+	subscribe(take: ((notice: types.StateNotice) => void) | undefined): void {
+		this.#subscriber = take;
+		if (this.isOpen) {
+			this.#link?.send({kind: 'subscribe', isWanted: take !== undefined});
+		} else if (take) {
+			this.prepare();
+		}
+	}
+
 	/** Closes the link. */
 	close(): void {
 		this.#link?.close();
@@ -121,6 +133,10 @@
 			this.#link = opened;
 			this.#hasFailed = false;
 			this.#isLeaving = false;
+			if (this.#subscriber) {
+				opened.send({kind: 'subscribe', isWanted: true});
+			}
+
 			void this.#take(opened);
 		} else {
 			this.#fail('no link could be opened');
@@ -134,6 +150,8 @@
 		for (let message = await opened.next(); message; message = await opened.next()) {
 			if (message.kind === 'reply') {
 				this.#pending.get(message.id)?.settle(Either.right(message.reply));
+			} else if (notices.isState(message)) {
+				this.#subscriber?.(message);
 			} else if (message.kind === 'leaving') {
 				this.#isLeaving = true;
 				this.#parts.decisions.record('peer-leaving', {peer: this.name});
--- a/src/entry/responder.ts
+++ b/src/entry/responder.ts
@@ -6,12 +6,22 @@
 import * as executor from './executor.js';
 import type * as jobs from './job.js';
 import type * as leases from './lease.js';
+import * as notices from './notice.js';
+import type * as objects from './objects.js';
+import type * as replicas from './replica.js';
 import * as states from './state.js';
 import * as statement from './statement.js';
 
 /** A transaction that the peer has open here, and the state of its session. */
 type Open = {readonly transaction: executor.Transaction; readonly state: states.State};
 
+/** What the work for other hosts needs. */
+export type Parts = {
+	readonly executor: executor.Executor;
+	readonly context: jobs.Context;
+	readonly replicas: notices.Replicas;
+};
+
 /** Time in ms by which work ends before the peer stops waiting for its reply. */
 const replyReserveMs = 30;
 
@@ -20,16 +30,25 @@
 	readonly #link: link.Link<types.EntryMessage>;
 	readonly #executor: executor.Executor;
 	readonly #context: jobs.Context;
+	readonly #replicas: notices.Replicas;
+	/** Ends the peer's subscription to each replica. */
+	#subscriptions: Array<() => void> = [];
 	readonly #transactions = new Map<number, Open>();
 	/** Transactions that are being opened, and those of them that the peer has given up since. */
 	readonly #opening = new Set<number>();
 	readonly #abandoned = new Set<number>();
 	#running = 0;
 
-	constructor(accepted: link.Link<types.EntryMessage>, local: executor.Executor, context: jobs.Context) {
+	constructor(accepted: link.Link<types.EntryMessage>, {executor: local, context, replicas}: Parts) {
 		this.#link = accepted;
 		this.#executor = local;
 		this.#context = context;
+		this.#replicas = replicas;
+	}
+
+	/** Whether the peer follows this host's view of the store. */
+	get isSubscribed(): boolean {
+		return this.#subscriptions.length > 0;
 	}
 
 	/** Whether closing the link now interrupts nothing. */
@@ -43,6 +62,7 @@
 			void this.#take(message);
 		}
 
+		this.#subscribe(false);
 		const open = [...this.#transactions.values()];
 		this.#transactions.clear();
 		await Promise.all(open.map(async ({transaction}) => transaction.rollback()));
@@ -90,8 +110,17 @@
 				break;
 			}
 
+			case 'subscribe': {
+				this.#subscribe(message.isWanted);
+				break;
+			}
+
 			case 'reply':
-			case 'leaving': {
+			case 'leaving':
+			case 'configuration':
+			case 'servers':
+			case 'hosts':
+			case 'claims': {
 				this.#link.close(`the peer sent ${message.kind}, which only the acceptor of a link sends`);
 				break;
 			}
@@ -154,6 +183,26 @@
 		}
 	}
 
+	#subscribe(isWanted: boolean): void {
+		for (const end of this.#subscriptions) {
+			end();
+		}
+
+		const {configuration, servers, hosts, claims} = this.#replicas;
+		this.#subscriptions = isWanted ? [this.#publish(configuration), this.#publish(servers), this.#publish(hosts), this.#publish(claims)] : [];
+	}
+
+	/** Sends the present state and each step after it. */
+	#publish<K extends objects.Kind>(replica: replicas.Replica<K>): () => void {
+		if (replica.state) {
+			this.#link.send(notices.describe(replica.kind, replica.state, replica.ageMs));
+		}
+
+		return replica.listen(step => {
+			this.#link.send(notices.describe(replica.kind, step, replica.ageMs));
+		});
+	}
+
 	#job({id, route, own, remainingMs, spentMs}: types.ForwardedJob, state: states.State): jobs.Job {
 		const arrivedAt = this.#context.clock.mark();
 		return {
--- a/src/entry/tests/fake-cluster.ts
+++ b/src/entry/tests/fake-cluster.ts
@@ -425,3 +425,27 @@
 		return errors.fail('store', 'store', 'store', 'no answer');
 	}
 }
+
+/**
+A store as one host reaches it. Watches take their time, so that a follower doesn't spin on the manual clock, and its own
+weather is that on the way to it.
+*/
+export class Paced extends Objects {
+	readonly #store: Objects;
+	readonly #clock: clock.Clock;
+
+	constructor(store: Objects, time: clock.Clock) {
+		super();
+		this.#store = store;
+		this.#clock = time;
+	}
+
+	override async list<K extends objects.Kind>(kind: K): Promise<errors.Outcome<objects.Listing<K>>> {
+		return this.weather === 'well' ? this.#store.list(kind) : super.list(kind);
+	}
+
+	override async watch<K extends objects.Kind>(kind: K, revision: number, waitMs = 100): Promise<errors.Outcome<objects.Changes<K>>> {
+		await this.#clock.sleep(waitMs);
+		return this.weather === 'well' ? this.#store.watch(kind, revision) : super.watch(kind, revision);
+	}
+}
--- /dev/null
+++ b/src/entry/tests/fake-state.ts
@@ -0,0 +1,23 @@
+/**
+Replicas that nobody listens to, for tests.
+*/
+import type * as clock from '../../core/clock.js';
+import type * as decisions from '../decisions.js';
+import type * as notices from '../notice.js';
+import type * as objects from '../objects.js';
+import * as replica from '../replica.js';
+
+/** Replicas of all kinds without content. */
+export function replicas(time: clock.Clock, record: decisions.Decisions): notices.Replicas {
+	const make = <K extends objects.Kind>(kind: K): replica.Replica<K> => new replica.Replica({
+		kind,
+		clock: time,
+		decisions: record,
+		take() {
+			// Tests look at the replica's state.
+		},
+	});
+	return {
+		configuration: make('configuration'), servers: make('servers'), hosts: make('hosts'), claims: make('claims'),
+	};
+}
--- a/src/entry/tests/follower.test.ts
+++ b/src/entry/tests/follower.test.ts
@@ -2,12 +2,12 @@
 import * as test from 'node:test';
 import type * as types from '../../generated/types.js';
 import * as clock from '../../core/clock.js';
-import type * as errors from '../../core/errors.js';
 import * as random from '../../core/random.js';
 import * as decisions from '../decisions.js';
 import * as deployments from '../deployment.js';
 import * as follower from '../follower.js';
 import type * as objects from '../objects.js';
+import * as replicas from '../replica.js';
 import * as fakes from './fake-cluster.js';
 
 function configuration(version: number): types.Deployment {
@@ -27,17 +27,18 @@
 	store.put('hosts', 'entry-2', {
 		place: 'east', region: 'r', peer: '10.0.0.1:7440', capacity: 1,
 	});
-	const followed = new follower.Follower({
+	const record = new decisions.Silent();
+	const replica = new replicas.Replica<'hosts'>({
 		kind: 'hosts',
-		store: new Paced(store, time),
 		clock: time,
-		random: new random.Seeded(1),
-		decisions: new decisions.Silent(),
-		watchMs: 100,
+		decisions: record,
 		take(name, item) {
 			seen.set(name, item);
 		},
 	});
+	const followed = new follower.Follower({
+		replica, store: new fakes.Paced(store, time), clock: time, random: new random.Seeded(1), decisions: record, watchMs: 100, pauseMs: 0,
+	});
 	void followed.run(stopped.signal);
 	await time.advance(500);
 	assert.ok(seen.get('entry-2'));
@@ -61,24 +62,3 @@
 	held.accept(configuration(5), 'peer');
 	assert.equal(held.content?.version, 7);
 });
-
-/** A store whose watches take their time, so that a follower doesn't spin on the manual clock. */
-class Paced extends fakes.Objects {
-	readonly #store: fakes.Objects;
-	readonly #clock: clock.Clock;
-
-	constructor(store: fakes.Objects, time: clock.Clock) {
-		super();
-		this.#store = store;
-		this.#clock = time;
-	}
-
-	override async list<K extends objects.Kind>(kind: K): Promise<errors.Outcome<objects.Listing<K>>> {
-		return this.#store.list(kind);
-	}
-
-	override async watch<K extends objects.Kind>(kind: K, revision: number, waitMs = 100): Promise<errors.Outcome<objects.Changes<K>>> {
-		await this.#clock.sleep(waitMs);
-		return this.#store.watch(kind, revision);
-	}
-}
--- a/src/entry/tests/forwarder.test.ts
+++ b/src/entry/tests/forwarder.test.ts
@@ -9,6 +9,7 @@
 import type * as statement from '../statement.js';
 import * as fixture from './fixture.js';
 import * as network from './fake-transport.js';
+import * as states from './fake-state.js';
 
 /** Longer than a link takes to open and a statement to run. */
 const answerMs = 200;
@@ -28,6 +29,7 @@
 		serverPlaces: () => new Set(['west-a']),
 	});
 
+	readonly replicas = states.replicas(this.parts.time, this.parts.record);
 	readonly forwarder = new forwarder.Forwarder(this.parts.context, this.own, service => this.fleet.route(service));
 
 	async start(share = 4): Promise<void> {
@@ -46,7 +48,7 @@
 
 	listen(name: string): void {
 		this.network.listen(`${name}:1`, accepted => {
-			const made = new responder.Responder(accepted, this.own, this.parts.context);
+			const made = new responder.Responder(accepted, {executor: this.own, context: this.parts.context, replicas: this.replicas});
 			this.responders.set(name, made);
 			void made.run();
 		});
--- /dev/null
+++ b/src/entry/tests/synchronizer.test.ts
@@ -0,0 +1,191 @@
+import * as assert from 'node:assert/strict';
+import * as test from 'node:test';
+import type * as types from '../../generated/types.js';
+import * as clock from '../../core/clock.js';
+import * as random from '../../core/random.js';
+import * as decisions from '../decisions.js';
+import * as fleet from '../fleet.js';
+import * as follower from '../follower.js';
+import * as local from '../local.js';
+import type * as objects from '../objects.js';
+import type * as replicas from '../replica.js';
+import * as responder from '../responder.js';
+import * as synchronizer from '../synchronizer.js';
+import * as fakes from './fake-cluster.js';
+import * as states from './fake-state.js';
+import * as network from './fake-transport.js';
+
+const record = new decisions.Silent();
+
+function configuration(version: number): types.Deployment {
+	return {
+		version, routes: [], databases: [], idleTransactionMs: 3000,
+	};
+}
+
+/** One host of the region, as far as the state of the store goes. */
+class Host {
+	readonly store: fakes.Paced;
+	readonly replicas;
+	readonly synchronizer: synchronizer.Synchronizer;
+	readonly stopped = new AbortController();
+	readonly #responders = new Set<responder.Responder>();
+
+	constructor(name: string, index: number, site: Site) {
+		const {time} = site;
+		this.store = new fakes.Paced(site.store, time);
+		this.replicas = states.replicas(time, record);
+		const hosts = new fleet.Fleet({
+			self: {name, ...site.announcement(name, index)},
+			clock: time,
+			transport: new network.Transport(site.network),
+			decisions: record,
+			connectionLimit: () => 1,
+			serverPlaces: () => new Set<string>(),
+		});
+		this.replicas.hosts.listen(step => {
+			for (const item of step.items) {
+				hosts.take(item.name, item.value);
+			}
+		});
+		const context = {clock: time, place: 'west-a', decisions: record};
+		site.network.listen(`${name}:1`, accepted => {
+			const made = new responder.Responder(accepted, {executor: new local.Local(context, () => undefined), context, replicas: this.replicas});
+			this.#responders.add(made);
+			void made.run();
+		});
+		this.synchronizer = new synchronizer.Synchronizer({
+			replicas: this.replicas,
+			clock: time,
+			decisions: record,
+			observer: avoided => hosts.observer(avoided),
+			isObserved: () => [...this.#responders].some(({isSubscribed}) => isSubscribed),
+			follow: signal => {
+				for (const replica of Object.values(this.replicas)) {
+					void new follower.Follower<objects.Kind>({
+						replica: replica as replicas.Replica<objects.Kind>,
+						store: this.store,
+						clock: time,
+						random: new random.Seeded(index),
+						decisions: record,
+						watchMs: 1500,
+						pauseMs: 0,
+					}).run(signal);
+				}
+			},
+		});
+		void this.synchronizer.run(this.stopped.signal);
+	}
+
+	get version(): number {
+		return this.replicas.configuration.state?.items[0]?.value?.version ?? 0;
+	}
+}
+
+class Site {
+	readonly time = new clock.Manual();
+	readonly store = new fakes.Objects();
+	readonly network = new network.Network(this.time);
+	readonly hosts: Host[] = [];
+
+	async start(count: number): Promise<void> {
+		const names = Array.from({length: count}, (_, index) => `host-${index}`);
+		for (const [index, name] of names.entries()) {
+			this.store.put('hosts', name, this.announcement(name, index));
+		}
+
+		this.store.put('configuration', 'main', configuration(1));
+		this.hosts.push(...names.map((name, index) => new Host(name, index, this)));
+		await this.time.advance(8000);
+	}
+
+	announcement(name: string, index: number): types.Announcement {
+		return {
+			place: 'west-a', region: 'west', peer: `${name}:1`, capacity: index < 2 ? 2 : 0.5,
+		};
+	}
+
+	get following(): number {
+		return this.hosts.filter(({synchronizer: task}) => task.isFollowingStore).length;
+	}
+
+	async stop(): Promise<void> {
+		for (const host of this.hosts) {
+			host.stopped.abort();
+		}
+
+		await this.time.advance(30_000);
+	}
+}
+
+test.test('one host of a region follows the store, and a new configuration reaches all within a second', async () => {
+	const site = new Site();
+	await site.start(6);
+	assert.equal(site.following, 1);
+	site.store.put('configuration', 'main', configuration(2));
+	await site.time.advance(2500);
+	assert.deepEqual(site.hosts.map(({version}) => version), [2, 2, 2, 2, 2, 2]);
+	const before = site.store.calls.length;
+	await site.time.advance(30_000);
+	assert.ok(site.store.calls.length - before < 100, `${site.store.calls.length - before} calls`);
+	await site.stop();
+});
+
+test.test('when the host that follows the store ends, another one takes over, and no change is missed', async () => {
+	const site = new Site();
+	await site.start(5);
+	const lost = site.hosts.findIndex(({synchronizer: task}) => task.isFollowingStore);
+	site.network.refuse(`host-${lost}:1`);
+	site.network.cut();
+	site.hosts[lost].stopped.abort();
+	site.store.put('configuration', 'main', configuration(2));
+	await site.time.advance(5000);
+	assert.deepEqual(site.hosts.filter((_, index) => index !== lost).map(({version}) => version), [2, 2, 2, 2]);
+	await site.time.advance(10_000);
+	assert.equal(site.hosts.filter(({synchronizer: task}, index) => index !== lost && task.isFollowingStore).length, 1);
+	await site.stop();
+});
+
+test.test('an observer that the store turns away is left, though its link is well', async () => {
+	const site = new Site();
+	await site.start(5);
+	const away = site.hosts.findIndex(({synchronizer: task}) => task.isFollowingStore);
+	site.hosts[away].store.weather = 'down';
+	site.store.put('configuration', 'main', configuration(2));
+	await site.time.advance(4000);
+	assert.deepEqual(site.hosts.filter((_, index) => index !== away).map(({version}) => version), [2, 2, 2, 2]);
+	await site.stop();
+});
+
+test.test('a host that the store turns away learns of changes from another one', async () => {
+	const site = new Site();
+	await site.start(5);
+	const away = site.hosts.findIndex(({synchronizer: task}) => !task.isFollowingStore);
+	site.hosts[away].store.weather = 'down';
+	site.store.put('configuration', 'main', configuration(2));
+	await site.time.advance(2500);
+	assert.equal(site.hosts[away].version, 2);
+	await site.stop();
+});
+
+test.test('a replica never goes back, and asks for the whole state when a step is missing', () => {
+	const {servers} = states.replicas(new clock.Manual(), record);
+	const registration = new fakes.Cluster(new clock.Manual()).registration('a');
+	const item = (revision: number): objects.Item<'servers'> => ({
+		name: 'a', revision, value: {...registration, slots: revision}, fault: '',
+	});
+	assert.equal(servers.apply({
+		from: 3, revision: 5, items: [item(5)], gone: [],
+	}, 0), false);
+	assert.equal(servers.apply({
+		from: undefined, revision: 5, items: [item(5)], gone: [],
+	}, 0), true);
+	servers.apply({
+		from: undefined, revision: 4, items: [], gone: [],
+	}, 0);
+	assert.equal(servers.state?.items[0]?.value?.slots, 5);
+	servers.apply({
+		from: 2, revision: 7, items: [], gone: ['a'],
+	}, 0);
+	assert.equal(servers.state?.items.length, 0);
+});
