--- a/src/core/settings.ts
+++ b/src/core/settings.ts
@@ -34,7 +34,7 @@
 export function parseSettings(text: string, file: string): errors.Outcome<types.Settings> {
 	return parse(text, file, inputs.validateSettings, ({listen, platform, peers}) => [
 		...Object.entries<string>({...listen}).flatMap(([key, value]) => judgeAddress(['listen', key], value, 0)),
-		...peers.seeds.split(',').filter(seed => seed.trim() !== '').flatMap(seed => judgeAddress(['peers', 'seeds'], seed.trim(), 1)),
+		...judgeSeeds(peers),
 		...(URL.canParse(platform.url) ? [] : [{path: ['platform', 'url'], message: 'is not a URL'}]),
 	]);
 }
@@ -50,7 +50,8 @@
 ```
 */
 export function parseEntrySettings(text: string, file: string): errors.Outcome<types.EntrySettings> {
-	return parse(text, file, inputs.validateEntrySettings, ({listen, endpoints}) => [
+	return parse(text, file, inputs.validateEntrySettings, ({listen, endpoints, peers}) => [
+		...judgeSeeds(peers),
 		...Object.entries<string>({...listen}).flatMap(([key, value]) => judgeAddress(['listen', key], value, 0)),
 		...Object.entries<string>({...endpoints}).flatMap(([key, value]) => judgeAddress(['endpoints', key], value, 1)),
 	]);
@@ -75,6 +76,10 @@
 	]);
 }
 
+function judgeSeeds({seeds}: types.Peers): Fault[] {
+	return seeds.split(',').filter(seed => seed.trim() !== '').flatMap(seed => judgeAddress(['peers', 'seeds'], seed.trim(), 1));
+}
+
 function judgeService(name: string, service: types.Service): Fault[] {
 	const known = new Map<string, string>();
 	const faults: Fault[] = namePattern.test(name) ? [] : [{path: ['service', name], message: 'is not a name of small letters, digits and -'}];
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -114,6 +114,7 @@
 			clock: time,
 			transport: parts.transport,
 			decisions: record,
+			seeds: parts.settings.peers.seeds.split(',').map(seed => seed.trim()).filter(seed => seed !== ''),
 			connectionLimit: service => this.#deployment.content?.databases.find(({name}) => name === service)?.connectionLimit ?? 1,
 			serverPlaces: service => new Set([...this.#registrations.values()].filter(server => server.service === service).map(({place}) => place)),
 		});
@@ -158,7 +159,7 @@
 			replicas: this.#replicas,
 			clock: this.#parts.clock,
 			decisions: record,
-			observer: avoided => this.#fleet.observer(avoided),
+			observer: avoided => this.#fleet.observer(avoided) ?? this.#fleet.seed(avoided),
 			isObserved: () => [...this.#responders].some(({isSubscribed}) => isSubscribed),
 			follow: own => {
 				this.#follow(own);
--- a/src/entry/fleet.ts
+++ b/src/entry/fleet.ts
@@ -17,6 +17,8 @@
 	readonly clock: clock.Clock;
 	readonly transport: link.Transport<types.EntryMessage>;
 	readonly decisions: decisions.Decisions;
+	/** Addresses of hosts that know others, asked while this host knows none. */
+	readonly seeds: readonly string[];
 	/** Connections that each server of a service accepts. */
 	readonly connectionLimit: (service: string) => number;
 	/** Places of a service's servers. */
@@ -41,10 +43,15 @@
 	readonly #peers = new Map<string, peers.Peer>();
 	/** Ranked names by service; emptied whenever something changes that they rest on. */
 	readonly #ranks = new Map<string, readonly string[]>();
+	readonly #seeds: readonly peers.Peer[];
 	#turn = 0;
 
 	constructor(parts: Parts) {
 		this.#parts = parts;
+		const {clock, transport, decisions} = parts;
+		this.#seeds = parts.seeds.filter(address => address !== parts.self.peer).map(address => new peers.Peer({
+			name: address, address, clock, transport, decisions,
+		}));
 		this.#hosts.set(parts.self.name, parts.self);
 	}
 
@@ -134,9 +141,14 @@
 		return undefined;
 	}
 
+	/** A host to learn of others from, while the store has told of none. */
+	seed(avoided: ReadonlySet<string>): peers.Peer | undefined {
+		return this.#hosts.size > 1 ? undefined : this.#seeds.find(peer => peer.isUsable && !avoided.has(peer.name));
+	}
+
 	/** Closes all links to other hosts. */
 	close(): void {
-		for (const peer of this.#peers.values()) {
+		for (const peer of [...this.#peers.values(), ...this.#seeds]) {
 			peer.close();
 		}
 	}
--- a/src/entry/notice.ts
+++ b/src/entry/notice.ts
@@ -10,10 +10,10 @@
 
 /** Writes a step that was the store's state `ageMs` ago. */
 export function describe<K extends objects.Kind>(kind: K, {from, revision, items, gone}: replicas.Step<K>, ageMs: number): types.StateNotice {
-	const described = items.map(({value, ...item}) => ({...item, value: value ?? null}));
-	return {
-		kind, from: from ?? null, revision, ageMs, items: described, gone: [...gone],
-	} as types.StateNotice;
+	const notice = {
+		kind, from: from ?? null, revision, ageMs, items: items.map(({value, ...item}) => ({...item, value: value ?? null})), gone: [...gone],
+	};
+	return notice as types.StateNotice;
 }
 
 /** Whether a message is a step of a replica. */
--- a/src/entry/tests/forwarder.test.ts
+++ b/src/entry/tests/forwarder.test.ts
@@ -25,6 +25,7 @@
 		clock: this.parts.time,
 		transport: new network.Transport(this.network),
 		decisions: this.parts.record,
+		seeds: [],
 		connectionLimit: () => 2,
 		serverPlaces: () => new Set(['west-a']),
 	});
