Work directly only in small fleets, and rest longer between looks

Change: more than 24 hosts share the work through two hosts of each region. Tasks of a group without work look twice a second.

--- a/src/cli/process.ts
+++ b/src/cli/process.ts
@@ -28,7 +28,7 @@
 const metricsDelayMs = 3000;
 
 /** Time in ms without a pong after which a link to another host is closed: many round trips between regions. */
-const linkTimeoutMs = 600;
+const linkTimeoutMs = 800;
 
 /** Runs an entry host with the settings of a file. */
 export async function run(file: string): Promise<void> {
--- a/src/entry/failover.ts
+++ b/src/entry/failover.ts
@@ -36,6 +36,8 @@
 
 /** Time in ms between two looks. */
 const tickMs = 100;
+/** The same while the group rests. */
+const restTickMs = 500;
 /** Time in ms without any answer from the leader, over old and new connections, after which it is taken as failed. */
 const silentMs = 550;
 /** Time in ms without a leader after which one is needed: longer than this host takes to ask all servers. */
@@ -86,7 +88,7 @@
 				await this.#repair();
 			}
 
-			await this.#parts.clock.sleep(tickMs, signal);
+			await this.#parts.clock.sleep(this.#parts.group.isInUse ? tickMs : restTickMs, signal);
 		}
 	}
 
--- a/src/entry/group.ts
+++ b/src/entry/group.ts
@@ -45,7 +45,7 @@
 /** Time in ms between two looks at what is due. */
 const tickMs = 50;
 /** The same while the group rests; work wakes it at once. */
-const restTickMs = 500;
+const restTickMs = 1000;
 /** Time in ms between two rounds of asking the replicas for the ends of their logs. */
 const surveyIntervalMs = 1000;
 /** Age in ms of a floor that replicas with ordinary lag have reached. */
--- a/src/entry/placement.ts
+++ b/src/entry/placement.ts
@@ -1,8 +1,8 @@
 /**
 Which hosts hold the connections to a service's servers.
 
-Where the servers' connection limits give each host a connection of its own, every host works on its own connections.
-Otherwise a few hosts of each region do the work of the region: those with the most processor time, in places that have
+In a small fleet whose servers' connection limits give each host a connection of its own, every host works on its own
+connections. Otherwise a few hosts of each region do the work of the region: those with the most processor time, in places that have
 a server of the service, spread over the services by rendezvous hashing.
 */
 import type * as types from '../generated/types.js';
@@ -26,6 +26,8 @@
 
 /** Hosts of a region that do the work in one service. With one, its end would leave the region without connections. */
 export const ownerCount = 2;
+/** Hosts up to which each may work directly: each asks the leader of every service several times a second. */
+const mostDirectHosts = 24;
 /** Part of a server's connection limit that hosts divide; the rest is for changes, when old and new hosts overlap. */
 export const usualShare = 0.8;
 /** Hosts with less than this part of the largest host's processor time do no work for others while such hosts are there. */
@@ -33,7 +35,7 @@
 
 /** Whether each host has connections of its own to every server. */
 export function isDirect({hosts, connectionLimit}: Pick<View, 'hosts' | 'connectionLimit'>): boolean {
-	return connectionLimit * usualShare >= hosts.length;
+	return hosts.length <= mostDirectHosts && connectionLimit * usualShare >= hosts.length;
 }
 
 /** Hosts that may do a service's work in all regions together. */
--- a/src/entry/synchronizer.ts
+++ b/src/entry/synchronizer.ts
@@ -23,7 +23,7 @@
 };
 
 /** Time in ms between two looks. */
-const tickMs = 100;
+const tickMs = 200;
 /**
 Age in ms of the configuration or the server list at which this host turns to the store: above the longest wait of an
 observer's watch, and half a second below the shortest time within which a configuration must be in force.
--- a/src/entry/tests/placement.test.ts
+++ b/src/entry/tests/placement.test.ts
@@ -14,10 +14,11 @@
 	};
 }
 
-test.test('hosts share the connections directly exactly when each can have one', () => {
+test.test('hosts of a small fleet share the connections directly exactly when each can have one', () => {
 	const hosts = Array.from({length: 8}, (_, index) => host(`h${index}`, 'west-a'));
 	assert.equal(placement.isDirect({hosts, connectionLimit: 10}), true);
 	assert.equal(placement.isDirect({hosts, connectionLimit: 9}), false);
+	assert.equal(placement.isDirect({hosts: Array.from({length: 80}, (_, index) => host(`h${index}`, 'west-a')), connectionLimit: 1000}), false);
 	assert.equal(placement.countOwners({hosts, connectionLimit: 10}), 8);
 	assert.equal(placement.countOwners({hosts: [...hosts, host('e', 'east-a')], connectionLimit: 5}), 3);
 });
