Add a soak of entry hosts as processes under faults from outside

Change: stand-ins that speak the line protocol and the store's calls, callers that report what they were told, and a judge of reads, losses, double and refused writes, foreign values and mixed answers. Faults by seed: signals, a store in trouble, servers that crash, lag, lose answers or drain, relays that reset, silence, delay or refuse.

--- /dev/null
+++ b/src/soak/main.ts
@@ -0,0 +1,30 @@
+/**
+Runs seeds of the soak from the command line: `node dist/soak/main.js --seed 1 --count 50`.
+*/
+import * as fs from 'node:fs/promises';
+import process from 'node:process';
+import yargs from 'yargs';
+import * as helpers from 'yargs/helpers';
+import * as soak from './soak.js';
+
+const {seed, count, seconds, logs} = await yargs(helpers.hideBin(process.argv))
+	.option('seed', {type: 'number', default: Date.now() % 1_000_000, describe: 'First seed; fresh by default'})
+	.option('count', {type: 'number', default: 1, describe: 'Number of seeds, one after the other'})
+	.option('seconds', {type: 'number', default: 15, describe: 'Time with faults for each seed, in s'})
+	.option('logs', {type: 'string', default: '', describe: 'Folder for the logs of hosts of seeds that failed'})
+	.strict()
+	.parse();
+
+for (let next = seed; next < seed + count; next++) {
+	const report = await soak.run(next, seconds * 1000);
+	const {size, served, attempts, acknowledged, runs, faults, events} = report;
+	console.log(`seed ${next}: ${size.hosts} hosts, ${size.groups} groups, ${size.connections} connections; served ${served} of ${attempts}, ${acknowledged} writes, ${runs} statements; ${faults.length === 0 ? 'held' : `BROKEN ${faults.length}`}`);
+	if (faults.length > 0) {
+		process.exitCode = 1;
+		console.log([...events, ...faults.slice(0, 20)].map(line => `  ${line}`).join('\n'));
+		if (logs !== '') {
+			await fs.mkdir(logs, {recursive: true});
+			await fs.writeFile(`${logs}/seed-${next}.log`, [...report.logs.values()].flat().join('\n'));
+		}
+	}
+}
--- /dev/null
+++ b/src/soak/site.ts
@@ -0,0 +1,259 @@
+/**
+A deployment for a soak: entry hosts as separate processes, in front of stand-ins of the platform and of backend servers.
+Entry hosts reach servers and each other through relays, on which faults are injected.
+*/
+import * as childProcess from 'node:child_process';
+import * as fs from 'node:fs/promises';
+import * as net from 'node:net';
+import * as os from 'node:os';
+import * as path from 'node:path';
+import process from 'node:process';
+import * as url from 'node:url';
+import * as clock from '../core/clock.js';
+import type * as random from '../core/random.js';
+import * as relay from '../standin/relay.js';
+import * as callers from './caller.js';
+import * as judges from './judge.js';
+import * as platforms from './platform.js';
+import * as replicated from './replicated.js';
+import * as servers from './server.js';
+
+/** The sizes of a deployment. */
+export type Size = {readonly hosts: number; readonly groups: number; readonly connections: number; readonly callers: number};
+
+/** An entry host: its settings file, its addresses and its present process. */
+export type Host = {
+	readonly name: string;
+	readonly file: string;
+	readonly caller: string;
+	/** Relay in front of the address for links. */
+	readonly peer: relay.Relay;
+	child: childProcess.ChildProcess | undefined;
+	isPaused: boolean;
+};
+
+/** A server, its listener and the relay in front of it. */
+export type Backend = {readonly group: replicated.Group; readonly server: replicated.Server; readonly listener: servers.Listener; readonly relay: relay.Relay};
+
+const places = ['east-a', 'west-a', 'north-a'] as const;
+const daemon = path.join(path.dirname(url.fileURLToPath(import.meta.url)), '..', 'cli', 'daemon.js');
+const graceS = 3;
+const slots = 4;
+const workMs = 8;
+const routeKinds = [
+	{kind: 'primary', type: 'primary', ageMs: 0},
+	{kind: 'aged', type: 'bounded_staleness', ageMs: 1500},
+	{kind: 'session', type: 'read_your_writes', ageMs: 2500},
+] as const;
+
+/** A running deployment. */
+export class Site {
+	readonly time = new clock.System();
+	readonly judge = new judges.Judge(this.time);
+	readonly hosts: Host[] = [];
+	readonly backends: Backend[] = [];
+	readonly callers: callers.Caller[] = [];
+	readonly platform: platforms.Platform;
+	/** Lines of the hosts' logs, the last ones of each. */
+	readonly logs = new Map<string, string[]>();
+	/** Ends of hosts that nobody asked for. */
+	readonly exits: string[] = [];
+	readonly #random: random.Source;
+	readonly #size: Size;
+	readonly #groups: replicated.Group[];
+	readonly #stopped = new AbortController();
+	readonly #callersStopped = new AbortController();
+	readonly #tasks: Array<Promise<void>> = [];
+	#folder = '';
+	#version = 1;
+
+	constructor(size: Size, source: random.Source) {
+		this.#size = size;
+		this.#random = source;
+		this.#groups = Array.from({length: size.groups}, (_, index) => new replicated.Group(`ledgers${index}`, places, this.time, this.judge));
+		this.platform = new platforms.Platform(this.time, source, (service, server) => this.#groups.find(({name}) => name === service)?.promote(server) ?? false);
+	}
+
+	/** Starts everything and waits until each route serves. */
+	async start(): Promise<void> {
+		this.#folder = await fs.mkdtemp(path.join(os.tmpdir(), 'sycamorering-soak-'));
+		for (const group of this.#groups) {
+			this.#tasks.push(group.run(this.#stopped.signal));
+			for (const server of group.servers) {
+				const limits = {connections: this.#size.connections, slots, workMs};
+				const listener = new servers.Listener({clock: this.time, random: this.#random, judge: this.judge}, limits, group, server);
+				this.backends.push({
+					group, server, listener, relay: await relay.Relay.start({host: '127.0.0.1', port: await listener.listen()}, 1),
+				});
+			}
+		}
+
+		this.configure();
+		for (const backend of this.backends) {
+			this.register(backend, 'ready');
+		}
+
+		this.#tasks.push(this.#report());
+		for (let index = 0; index < this.#size.hosts; index++) {
+			this.hosts.push(await this.#prepare(index));
+		}
+
+		for (const host of this.hosts) {
+			this.run(host);
+		}
+	}
+
+	/** Lets callers work. */
+	open(): void {
+		for (let index = 0; index < this.#size.callers; index++) {
+			const group = this.#groups[index % this.#groups.length]!;
+			const {kind, ageMs} = routeKinds[Math.floor(index / this.#groups.length) % routeKinds.length]!;
+			const caller = new callers.Caller(`c${index}`, {
+				clock: this.time,
+				random: this.#random,
+				judge: this.judge,
+				route: {
+					database: `${group.name}-${kind}`, group: group.name, kind, ageMs,
+				},
+				hosts: this.hosts.map(({caller: address}) => address),
+			});
+			this.callers.push(caller);
+			this.#tasks.push(caller.run(this.#callersStopped.signal));
+		}
+	}
+
+	/** Operations that were served since a time of the clock. */
+	servedSince(at: number): number {
+		return this.callers.reduce((sum, {served}) => sum + served.filter(time => time >= at).length, 0);
+	}
+
+	/** Writes a new version of the configuration. */
+	configure(): void {
+		this.#version += this.#random.integer(1, 3);
+		this.platform.put('config', 'main', {
+			version: this.#version,
+			routes: this.#groups.flatMap(({name}) => routeKinds.map(({kind, type, ageMs}) => ({
+				name: `${name}-${kind}`, databaseName: `${name}-${kind}`, type, timeoutMs: 1500 + this.#random.integer(0, 100), targetLatencyMs: 500, priority: 1, service: name, ...(ageMs > 0 ? {maxStalenessMs: ageMs} : {}),
+			}))),
+			services: this.#groups.map(({name}) => ({name, maxConnections: this.#size.connections, syncReplicas: 1})),
+			limits: {txIdleMs: 2000},
+		});
+	}
+
+	/** Writes a server's registration. */
+	register({group, server, relay: {port}}: Backend, state: 'ready' | 'draining'): void {
+		this.platform.put('servers', server.id, {
+			service: group.name, address: `127.0.0.1:${port}`, zone: server.place, version: '1', slots, state, coldRemainingMs: 0, sequence: 1, dbRole: server.role, born: server.startedAt,
+		});
+	}
+
+	/** Starts a host's process, which is started again a moment after it ends. */
+	run(host: Host): void {
+		const child = childProcess.spawn(process.execPath, [daemon], {env: {...process.env, SYCAMORERING_SETTINGS: host.file}, stdio: ['ignore', 'pipe', 'pipe']});
+		host.child = child;
+		host.isPaused = false;
+		const keep = (chunk: Uint8Array): void => {
+			const lines = this.logs.get(host.name) ?? [];
+			lines.push(...new TextDecoder().decode(chunk).split('\n').filter(text => text !== ''));
+			this.logs.set(host.name, lines.slice(-400));
+		};
+
+		child.stdout.on('data', keep);
+		child.stderr.on('data', keep);
+		child.on('exit', (code, signal) => {
+			if (signal === null && code !== 0) {
+				this.exits.push(`${host.name} ended by itself with code ${code}`);
+			}
+
+			if (host.child === child && !this.#stopped.signal.aborted) {
+				setTimeout(() => {
+					this.run(host);
+				}, this.#random.integer(50, 400));
+			}
+		});
+	}
+
+	/** Ends the callers, compares the logs with what they were told, and stops everything. */
+	async stop(): Promise<void> {
+		this.#callersStopped.abort();
+		await this.time.sleep(2500);
+		for (const group of this.#groups) {
+			const leader = group.servers.find(({role}) => role === 'primary');
+			this.judge.conclude(group.name, leader?.log ?? []);
+		}
+
+		this.#stopped.abort();
+		for (const {child} of this.hosts) {
+			child?.kill('SIGKILL');
+		}
+
+		for (const {relay: link, listener} of this.backends) {
+			link.stop();
+			listener.close();
+		}
+
+		for (const {peer} of this.hosts) {
+			peer.stop();
+		}
+
+		this.platform.close();
+		await Promise.all(this.#tasks);
+		await fs.rm(this.#folder, {recursive: true});
+	}
+
+	/** Servers write their role, and those that are dark lapse. */
+	async #report(): Promise<void> {
+		const told = new Map<string, string>();
+		while (!this.#stopped.signal.aborted) {
+			for (const backend of this.backends) {
+				const {server} = backend;
+				const state = server.isDark ? '' : server.role;
+				if (told.get(server.id) !== state) {
+					told.set(server.id, state);
+					if (state === '') {
+						this.platform.remove('servers', server.id);
+					} else {
+						this.register(backend, 'ready');
+					}
+				}
+			}
+
+			await this.time.sleep(200, this.#stopped.signal);
+		}
+	}
+
+	async #prepare(index: number): Promise<Host> {
+		const name = `entry-${index}`;
+		const [caller, peer, readiness, metrics] = await Promise.all([freePort(), freePort(), freePort(), freePort()]);
+		const store = await this.platform.listen(name);
+		const front = await relay.Relay.start({host: '127.0.0.1', port: peer}, 1);
+		const seeds = this.hosts.slice(0, 2).map(host => `127.0.0.1:${host.peer.port}`).join(',');
+		const file = path.join(this.#folder, `${name}.ini`);
+		await fs.writeFile(file, [
+			'[host]', `name = ${name}`, `place = ${places[index % places.length]!}`, 'region = all',
+			'[listen]', `caller = 127.0.0.1:${caller}`, `peer = 127.0.0.1:${peer}`, `readiness = 127.0.0.1:${readiness}`, `metrics = 127.0.0.1:${metrics}`,
+			'[endpoints]', `store = ${store}`, `authority = ${store}`,
+			'[shutdown]', `graceS = ${graceS}`,
+			'[peers]', `seeds = ${seeds}`,
+		].join('\n'));
+		this.platform.peers.set(`127.0.0.1:${peer}`, `127.0.0.1:${front.port}`);
+		return {
+			name, file, caller: `127.0.0.1:${caller}`, peer: front, child: undefined, isPaused: false,
+		};
+	}
+}
+
+/** A port that nobody listens on now. */
+async function freePort(): Promise<number> {
+	const server = net.createServer();
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const {port} = server.address() as net.AddressInfo;
+	await new Promise<void>(resolve => {
+		server.close(() => {
+			resolve();
+		});
+	});
+	return port;
+}
