Load less before callers are served

Change: validators hold only the definitions that they reach and stand in a file for each use (1.5 MB to 0.43 MB); links are loaded when the first one is needed, and 2.5 s later where every host works directly.

--- a/scripts/generate.js
+++ b/scripts/generate.js
@@ -15,27 +15,16 @@
 const schemaDirectory = path.join(root, 'schema');
 const outputDirectory = path.join(root, 'src', 'generated');
 
-/** Roots that get a validator. INI values are strings, so those two coerce types. */
-const validated = [
-	{name: 'Settings', coerced: true},
-	{name: 'Configuration', coerced: true},
-	{name: 'EntrySettings', coerced: true},
-	{name: 'Status', coerced: false},
-	{name: 'Grant', coerced: false},
-	{name: 'Message', coerced: false},
-	{name: 'EntryMessage', coerced: false},
-	{name: 'Entry', coerced: false},
-	{name: 'HostList', coerced: false},
-	{name: 'GroupStatus', coerced: false},
-	{name: 'Announcement', coerced: false},
-	{name: 'PromotionClaim', coerced: false},
-	{name: 'Deployment', coerced: false},
-	{name: 'StoredConfiguration', coerced: false},
-	{name: 'StoredServer', coerced: false},
-	{name: 'StoredObject', coerced: false},
-	{name: 'StoredPage', coerced: false},
-	{name: 'StoredEvents', coerced: false},
-];
+/**
+Roots that get a validator, by the file that holds it, so that a process loads only those that it needs. INI values are
+strings, so those in `inputs` coerce types.
+*/
+const validated = {
+	inputs: ['Settings', 'Configuration', 'EntrySettings'],
+	messages: ['Status', 'Grant', 'Message', 'Entry', 'HostList', 'GroupStatus'],
+	stored: ['Announcement', 'PromotionClaim', 'Deployment', 'StoredConfiguration', 'StoredServer', 'StoredObject', 'StoredPage', 'StoredEvents'],
+	forwarding: ['EntryMessage'],
+};
 
 /** Merges the definitions of all schema files; names are unique over all files. */
 async function readDefinitions() {
@@ -82,24 +71,33 @@
 	return lines.join('\n').replaceAll(/\/\*\*\n( \*\n)* \*\/\n/gv, '');
 }
 
+/** The definitions that a schema refers to, directly or through others. */
+function reach(schema, definitions, found = {}) {
+	for (const [, name] of JSON.stringify(schema).matchAll(/"#\/definitions\/(?<name>\w+)"/gv)) {
+		if (!(name in found)) {
+			found[name] = definitions[name];
+			reach(definitions[name], definitions, found);
+		}
+	}
+
+	return found;
+}
+
 function generateValidators(definitions) {
-	const parts = [];
-	for (const coerced of [true, false]) {
+	return Object.entries(validated).map(([file, names]) => {
+		const isCoerced = file === 'inputs';
 		const ajv = new Ajv({
-			allErrors: coerced, coerceTypes: coerced, useDefaults: true, strict: false, code: {source: true, esm: true, lines: true},
+			allErrors: isCoerced, coerceTypes: isCoerced, useDefaults: true, strict: false, code: {source: true, esm: true, lines: true},
 		});
 		const exported = {};
-		for (const {name, coerced: wanted} of validated) {
-			if (wanted === coerced) {
-				ajv.addSchema({$id: name, $ref: `#/definitions/${name}`, definitions});
-				exported[`validate${name}`] = name;
-			}
+		for (const name of names) {
+			const root = {$id: name, $ref: `#/definitions/${name}`};
+			ajv.addSchema({...root, definitions: reach(root, definitions)});
+			exported[`validate${name}`] = name;
 		}
 
-		parts.push({file: coerced ? 'inputs.ts' : 'messages.ts', text: finishValidators(standaloneCode(ajv, exported))});
-	}
-
-	return parts;
+		return {file: `${file}.ts`, text: finishValidators(standaloneCode(ajv, exported))};
+	});
 }
 
 /** Gives each exported validator its type; the code that ajv writes is untyped. */
--- a/src/cli/process.ts
+++ b/src/cli/process.ts
@@ -9,12 +9,12 @@
 import * as settings from '../core/settings.js';
 import * as entry from '../entry/entry.js';
 import * as journal from '../entry/journal.js';
-import * as messages from '../generated/messages.js';
 import type * as types from '../generated/types.js';
 import type * as metrics from '../host/metrics.js';
 import * as authority from '../platform/authority.js';
 import * as backend from '../platform/backend.js';
-import * as socket from '../peer/socket.js';
+import * as deferred from '../peer/deferred.js';
+import type * as link from '../peer/link.js';
 import * as caller from '../platform/caller.js';
 import * as http from '../platform/http.js';
 import * as objects from '../platform/objects.js';
@@ -53,14 +53,7 @@
 		},
 		store: new objects.Objects(clients[0]),
 		authority: new authority.Authority(clients[1]),
-		transport: new socket.Transport({
-			clock: time,
-			timeoutMs: linkTimeoutMs,
-			isMessage: messages.validateEntryMessage,
-			warn(_message, {reason}) {
-				record.record('link-closed', {reason});
-			},
-		}),
+		transport: new deferred.Transport(async () => loadTransport(time, record)),
 		connect: registration => new backend.Server(registration, time),
 		listener: accept => new caller.Listener(accept),
 	});
@@ -76,6 +69,18 @@
 	await measure(record);
 }
 
+async function loadTransport(time: clock.Clock, record: journal.Journal): Promise<link.Transport<types.EntryMessage>> {
+	const [socket, messages] = await Promise.all([import('../peer/socket.js'), import('../generated/forwarding.js')]);
+	return new socket.Transport({
+		clock: time,
+		timeoutMs: linkTimeoutMs,
+		isMessage: messages.validateEntryMessage,
+		warn(_message, {reason}) {
+			record.record('link-closed', {reason});
+		},
+	});
+}
+
 let measured: metrics.Metrics | undefined;
 
 /** The metrics of this process, made when they are first needed. */
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -77,6 +77,12 @@
 /** Time in ms in which peers learn that this host leaves, so that they send it nothing more. */
 const noticeMs = 300;
 
+/** Longest wait in ms for the store to tell of the other hosts, and between two looks. Without it, seeds are asked. */
+const fleetLimitMs = 1000;
+const fleetPollMs = 20;
+/** Time in ms after the start until links are opened where every host works directly. */
+const linkDelayMs = 2500;
+
 /** Bounds in ms of the random pause before a host announces itself again to a store that did not answer. */
 const leastAnnouncePauseMs = 200;
 const mostAnnouncePauseMs = 1000;
@@ -98,6 +104,8 @@
 	readonly #sessionParts: sessions.Parts;
 	readonly #replicas: notices.Replicas;
 	#isDraining = false;
+	/** Whether links to other hosts may be opened. */
+	#hasLinks = false;
 	/** Whether connections of the process before may still count at the servers. */
 	#isStarting = true;
 
@@ -148,7 +156,7 @@
 
 	/** Whether callers should be sent to this host. */
 	get isReady(): boolean {
-		return !this.#isDraining && this.#deployment.content !== undefined && this.#replicas.servers.revision !== undefined;
+		return !this.#isDraining && this.#deployment.content !== undefined && this.#replicas.servers.revision !== undefined && this.#replicas.hosts.revision !== undefined;
 	}
 
 	/** Listens and starts the tasks. */
@@ -159,7 +167,7 @@
 			replicas: this.#replicas,
 			clock: this.#parts.clock,
 			decisions: record,
-			observer: avoided => this.#fleet.observer(avoided) ?? this.#fleet.seed(avoided),
+			observer: avoided => this.#hasLinks ? this.#fleet.observer(avoided) ?? this.#fleet.seed(avoided) : undefined,
 			isObserved: () => [...this.#responders].some(({isSubscribed}) => isSubscribed),
 			follow: own => {
 				this.#follow(own);
@@ -168,12 +176,10 @@
 		void this.#announce();
 		await this.#serveHttp(listen.readiness, async () => [this.isReady ? 200 : 503, '']);
 		await this.#serveHttp(listen.metrics, async () => [200, await this.#parts.metrics()]);
-		await this.#parts.transport.listen(listen.peer, accepted => {
-			void this.#respond(accepted);
-		});
 		await this.#listener.listen(listen.caller);
 		record.record('started', {place: this.#parts.settings.host.place, caller: listen.caller});
 		void this.#settle();
+		void this.#openLinks();
 	}
 
 	/** Takes no new callers, lets requests and transactions end, and stops. */
@@ -235,6 +241,30 @@
 		this.#share();
 	}
 
+	/**
+	Takes links from other hosts and opens some. Where every host works directly, callers come first: loading what links
+	need takes processor time.
+	*/
+	async #openLinks(): Promise<void> {
+		const {clock: time, transport, settings: {listen}} = this.#parts;
+		const {signal} = this.#stopped;
+		const end = time.now() + fleetLimitMs;
+		while (!this.isReady && time.now() < end) {
+			await time.sleep(fleetPollMs, signal);
+		}
+
+		if (this.isReady && [...this.#groups.keys()].every(service => this.#fleet.isDirect(service))) {
+			await time.sleep(linkDelayMs, signal);
+		}
+
+		if (!signal.aborted) {
+			await transport.listen(listen.peer, accepted => {
+				void this.#respond(accepted);
+			});
+			this.#hasLinks = true;
+		}
+	}
+
 	async #serve(accepted: caller.Caller): Promise<void> {
 		const session = new sessions.Session(accepted, this.#sessionParts);
 		this.#sessions.add(session);
--- a/src/entry/fleet.ts
+++ b/src/entry/fleet.ts
@@ -80,6 +80,11 @@
 		this.#ranks.clear();
 	}
 
+	/** Whether every host works in a service on its own connections. */
+	isDirect(service: string): boolean {
+		return placement.isDirect({hosts: [...this.#hosts.values()], connectionLimit: this.#parts.connectionLimit(service)});
+	}
+
 	/** Connections that this host may have to each server of a service. */
 	share(service: string): group.Share {
 		const connectionLimit = this.#parts.connectionLimit(service);
--- a/src/platform/decode.ts
+++ b/src/platform/decode.ts
@@ -2,7 +2,7 @@
 Reads the platform's stored values into the project's types. Other writers may have stored anything, so every field is
 checked, by schemas of the stored forms.
 */
-import * as validators from '../generated/messages.js';
+import * as validators from '../generated/stored.js';
 import type * as types from '../generated/types.js';
 import type * as objects from '../entry/objects.js';
 
--- a/src/platform/objects.ts
+++ b/src/platform/objects.ts
@@ -3,7 +3,7 @@
 */
 import * as Either from 'fp-ts/lib/Either.js';
 import * as errors from '../core/errors.js';
-import * as validators from '../generated/messages.js';
+import * as validators from '../generated/stored.js';
 import type * as types from '../generated/types.js';
 import * as objects from '../entry/objects.js';
 import * as decode from './decode.js';
--- a/src/soak/caller.ts
+++ b/src/soak/caller.ts
@@ -48,7 +48,7 @@
 	async run(signal: AbortSignal): Promise<void> {
 		const {clock: time, random: source, hosts} = this.#parts;
 		while (!signal.aborted) {
-			const session = new Session(hosts[source.integer(0, hosts.length - 1)]!, this.#parts);
+			const session = new Session(hosts[source.integer(0, hosts.length - 1)], this.#parts);
 			if (await session.open()) {
 				const end = time.now() + source.integer(200, 6000);
 				while (!signal.aborted && session.isOpen && time.now() < end) {
@@ -137,7 +137,7 @@
 	readonly #values = new Map<string, string>();
 	readonly #prepared = new Map<string, string>();
 	readonly #own: string[] = [];
-	#lines: string[] = [];
+	readonly #lines: string[] = [];
 	#wake: (() => void) | undefined;
 	#isOpen = true;
 	/** The open transaction: when it began, and what it wrote. */
@@ -165,7 +165,8 @@
 
 	async open(): Promise<boolean> {
 		this.#socket.write(`STARTUP ${this.#parts.route.database} soak\r\n`);
-		return (await this.#line())?.startsWith('READY') ?? false;
+		const welcome = await this.#line();
+		return welcome?.startsWith('READY') ?? false;
 	}
 
 	close(): void {
--- a/src/soak/fault.ts
+++ b/src/soak/fault.ts
@@ -43,7 +43,12 @@
 
 /** Every host is killed. */
 class Outage extends Fault {
-	readonly text = 'SIGKILL to every host';
+	readonly text: string;
+
+	constructor() {
+		super();
+		this.text = 'SIGKILL to every host';
+	}
 
 	override begin(site: sites.Site): void {
 		for (const {child} of site.hosts) {
@@ -127,7 +132,7 @@
 	}
 
 	override begin(site: sites.Site): void {
-		const backend = site.backends[this.#index]!;
+		const backend = site.backends[this.#index];
 		switch (this.#harm) {
 			case 'dark': {
 				// A second server of a group that is down could take an acknowledged commit with it for good.
@@ -157,7 +162,7 @@
 	}
 
 	override end(site: sites.Site): void {
-		const backend = site.backends[this.#index]!;
+		const backend = site.backends[this.#index];
 		backend.server.isDark = false;
 		backend.server.lagMs = 5;
 		backend.server.lostShare = 0;
@@ -219,7 +224,7 @@
 	}
 
 	#relay(site: sites.Site): sites.Host['peer'] {
-		return this.#to === 'server' ? site.backends[this.#index]!.relay : site.hosts[this.#index]!.peer;
+		return this.#to === 'server' ? site.backends[this.#index].relay : site.hosts[this.#index].peer;
 	}
 }
 
@@ -230,7 +235,7 @@
 
 /** Draws a fault. */
 export function draw(source: random.Source, size: sites.Size): Fault {
-	const pick = <T>(all: readonly T[]): T => all[source.integer(0, all.length - 1)]!;
+	const pick = <T>(all: readonly T[]): T => all[source.integer(0, all.length - 1)];
 	const host = source.integer(0, size.hosts - 1);
 	const server = source.integer(0, (size.groups * 3) - 1);
 	const kind = source.integer(0, 19);
--- a/src/soak/judge.ts
+++ b/src/soak/judge.ts
@@ -73,7 +73,7 @@
 			this.faults.push(`changed: ${server.id} ran ${id} as "${text}" instead of "${sent.text}"`);
 		}
 
-		const [given, held] = [sent.values, values].map(all => JSON.stringify([...all].toSorted()));
+		const [given, held] = [sent.values, values].map(all => JSON.stringify([...all].toSorted(([one], [other]) => one < other ? -1 : 1)));
 		if (given !== held) {
 			this.faults.push(`values: ${server.id} ran ${id} with ${held} instead of ${given}`);
 		}
--- a/src/soak/replicated.ts
+++ b/src/soak/replicated.ts
@@ -3,7 +3,7 @@
 */
 import type * as types from '../generated/types.js';
 import type * as clock from '../core/clock.js';
-import * as position from '../core/position.js';
+import type * as position from '../core/position.js';
 
 /** One commit: the texts of its writes, by the ids of the requests that made them. */
 export type Entry = {readonly term: number; readonly writes: ReadonlyArray<{readonly id: string; readonly text: string}>};
--- a/src/soak/site.ts
+++ b/src/soak/site.ts
@@ -106,8 +106,8 @@
 	/** Lets callers work. */
 	open(): void {
 		for (let index = 0; index < this.#size.callers; index++) {
-			const group = this.#groups[index % this.#groups.length]!;
-			const {kind, ageMs} = routeKinds[Math.floor(index / this.#groups.length) % routeKinds.length]!;
+			const group = this.#groups[index % this.#groups.length];
+			const {kind, ageMs} = routeKinds[Math.floor(index / this.#groups.length) % routeKinds.length];
 			const caller = new callers.Caller(`c${index}`, {
 				clock: this.time,
 				random: this.#random,
@@ -133,7 +133,14 @@
 		this.platform.put('config', 'main', {
 			version: this.#version,
 			routes: this.#groups.flatMap(({name}) => routeKinds.map(({kind, type, ageMs}) => ({
-				name: `${name}-${kind}`, databaseName: `${name}-${kind}`, type, timeoutMs: 1500 + this.#random.integer(0, 100), targetLatencyMs: 500, priority: 1, service: name, ...(ageMs > 0 ? {maxStalenessMs: ageMs} : {}),
+				name: `${name}-${kind}`,
+				databaseName: `${name}-${kind}`,
+				type,
+				timeoutMs: 1500 + this.#random.integer(0, 100),
+				targetLatencyMs: 500,
+				priority: 1,
+				service: name,
+				...(ageMs > 0 ? {maxStalenessMs: ageMs} : {}),
 			}))),
 			services: this.#groups.map(({name}) => ({name, maxConnections: this.#size.connections, syncReplicas: 1})),
 			limits: {txIdleMs: 2000},
@@ -230,11 +237,22 @@
 		const seeds = this.hosts.slice(0, 2).map(host => `127.0.0.1:${host.peer.port}`).join(',');
 		const file = path.join(this.#folder, `${name}.ini`);
 		await fs.writeFile(file, [
-			'[host]', `name = ${name}`, `place = ${places[index % places.length]!}`, 'region = all',
-			'[listen]', `caller = 127.0.0.1:${caller}`, `peer = 127.0.0.1:${peer}`, `readiness = 127.0.0.1:${readiness}`, `metrics = 127.0.0.1:${metrics}`,
-			'[endpoints]', `store = ${store}`, `authority = ${store}`,
-			'[shutdown]', `graceS = ${graceS}`,
-			'[peers]', `seeds = ${seeds}`,
+			'[host]',
+			`name = ${name}`,
+			`place = ${places[index % places.length]}`,
+			'region = all',
+			'[listen]',
+			`caller = 127.0.0.1:${caller}`,
+			`peer = 127.0.0.1:${peer}`,
+			`readiness = 127.0.0.1:${readiness}`,
+			`metrics = 127.0.0.1:${metrics}`,
+			'[endpoints]',
+			`store = ${store}`,
+			`authority = ${store}`,
+			'[shutdown]',
+			`graceS = ${graceS}`,
+			'[peers]',
+			`seeds = ${seeds}`,
 		].join('\n'));
 		this.platform.peers.set(`127.0.0.1:${peer}`, `127.0.0.1:${front.port}`);
 		return {
