--- a/src/peer/tests/link.test.ts
+++ b/src/peer/tests/link.test.ts
@@ -210,10 +210,10 @@
 	const peer = await near.reach({address});
 	assert.ok(peer);
 	for (let count = 0; count < 3; count++) {
-		const outcome = await peer.ask({kind: 'configuration-query', object: 'configuration'}, 2000);
-		assert.ok(Either.isRight(outcome) && outcome.right.kind === 'configuration-report');
-		assert.equal(outcome.right.text.length, 480_000);
-		const answered = await peer.ask({kind: 'forward', request}, 2000);
+		const reported: errors.Outcome<conversation.Reply> = await peer.ask({kind: 'configuration-query', object: 'configuration'}, 2000);
+		assert.ok(Either.isRight(reported) && reported.right.kind === 'configuration-report');
+		assert.equal(reported.right.text.length, 480_000);
+		const answered: errors.Outcome<conversation.Reply> = await peer.ask({kind: 'forward', request}, 2000);
 		assert.ok(Either.isRight(answered));
 	}
 
