--- a/src/soak/fault.ts
+++ b/src/soak/fault.ts
@@ -4,6 +4,7 @@
 */
 import type * as random from '../core/random.js';
 import type * as platforms from './platform.js';
+import * as replicated from './replicated.js';
 import type * as sites from './site.js';
 
 /** A fault that begins, and ends by itself after a while. */
@@ -164,7 +165,7 @@
 	override end(site: sites.Site): void {
 		const backend = site.backends[this.#index];
 		backend.server.isDark = false;
-		backend.server.lagMs = 5;
+		backend.server.lagMs = replicated.usualLagMs;
 		backend.server.lostShare = 0;
 		site.register(backend, 'ready');
 	}
--- a/src/soak/replicated.ts
+++ b/src/soak/replicated.ts
@@ -11,6 +11,9 @@
 /** Told of what a promotion did to the logs. */
 export type Watcher = {promoted(group: string, kept: readonly Entry[]): void};
 
+/** Usual lag in ms of a replica. A commit waits for the faster one of two. */
+export const usualLagMs = 60;
+
 /** One replica of the log. */
 export class Server {
 	readonly id: string;
@@ -23,7 +26,7 @@
 	/** Neither answers nor receives. */
 	isDark = false;
 	/** Time in ms that it takes to receive a commit. */
-	lagMs = 5;
+	lagMs = usualLagMs;
 	/** Part of the answers to statements that are lost. */
 	lostShare = 0;
 
