Split the shutdown and the announcement from the entry host

A port for links that could not be taken would have ended the process.

Change: shutdown.ts and announcer.ts; listening for links is repeated and logged; the soak takes ports below those of outgoing connections.

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -2,13 +2,12 @@
 An entry host in front of groups whose promotions are ordered at an outside authority: wires the tasks together.
 */
 import * as http from 'node:http';
-import * as util from 'node:util';
-import * as Either from 'fp-ts/lib/Either.js';
 import type * as types from '../generated/types.js';
 import * as address from '../core/address.js';
 import type * as clock from '../core/clock.js';
 import type * as random from '../core/random.js';
 import type * as link from '../peer/link.js';
+import * as announcer from './announcer.js';
 import type * as authority from './authority.js';
 import type * as backend from './backend.js';
 import type * as caller from './caller.js';
@@ -27,6 +26,7 @@
 import * as replicas from './replica.js';
 import * as responders from './responder.js';
 import * as sessions from './session.js';
+import * as shutdowns from './shutdown.js';
 import * as synchronizer from './synchronizer.js';
 
 /** Accepts callers. */
@@ -68,24 +68,14 @@
 connections that are free must do for all of them.
 */
 const lingerMs = 3000;
-/** Part of the grace time that open transactions have, and time in ms kept for ending the process. */
-const transactionShare = 0.5;
-const exitReserveMs = 500;
-/** Time in ms over which idle sessions are closed, and between two looks. The platform needs 2 s to see a host as not ready. */
-const closeSpreadMs = 2000;
-const drainPollMs = 50;
-/** Time in ms in which peers learn that this host leaves, so that they send it nothing more. */
-const noticeMs = 300;
 
 /** Longest wait in ms for the store to tell of the other hosts, and between two looks. Without it, seeds are asked. */
 const fleetLimitMs = 1000;
 const fleetPollMs = 20;
 /** Time in ms after the start until links are opened where every host works directly. */
 const linkDelayMs = 2500;
-
-/** Bounds in ms of the random pause before a host announces itself again to a store that did not answer. */
-const leastAnnouncePauseMs = 200;
-const mostAnnouncePauseMs = 1000;
+/** Time in ms until a port for links that could not be taken is tried again. */
+const listenPauseMs = 500;
 
 /** One entry host. */
 export class Entry {
@@ -118,7 +108,7 @@
 		});
 		this.#context = {clock: time, place: host.place, decisions: record};
 		this.#fleet = new fleet.Fleet({
-			self: {name: host.name, ...describe(parts.settings)},
+			self: {name: host.name, ...announcer.describe(parts.settings)},
 			clock: time,
 			transport: parts.transport,
 			decisions: record,
@@ -173,7 +163,13 @@
 				this.#follow(own);
 			},
 		}).run(signal);
-		void this.#announce();
+		void new announcer.Announcer({
+			name: this.#parts.settings.host.name,
+			announcement: announcer.describe(this.#parts.settings),
+			store: this.#parts.store,
+			clock: this.#parts.clock,
+			random: this.#parts.random,
+		}).run(signal);
 		await this.#serveHttp(listen.readiness, async () => [this.isReady ? 200 : 503, '']);
 		await this.#serveHttp(listen.metrics, async () => [200, await this.#parts.metrics()]);
 		await this.#listener.listen(listen.caller);
@@ -185,43 +181,15 @@
 	/** Takes no new callers, lets requests and transactions end, and stops. */
 	async drain(): Promise<void> {
 		const {clock: time, settings: {shutdown}, decisions: record} = this.#parts;
-		const startedAt = time.now();
-		const graceMs = shutdown.graceS * 1000;
-		const end = startedAt + graceMs - exitReserveMs;
-		const abortAt = startedAt + (graceMs * transactionShare);
 		this.#isDraining = true;
 		record.record('draining', {sessions: this.#sessions.size, peers: this.#responders.size});
-		for (const responder of this.#responders) {
-			responder.leave();
-		}
-
-		let closed = 0;
-		const total = this.#sessions.size;
-		for (let now = startedAt; !this.#isDone(startedAt) && now < end; now = time.now()) {
-			const due = Math.ceil(total * Math.min(1, (now - startedAt) / closeSpreadMs)) - closed;
-			const idle = [...this.#sessions].filter(session => session.isIdle).slice(0, Math.max(0, due));
-			closed += idle.length;
-			const leaving = now - startedAt > closeSpreadMs ? [...this.#sessions] : idle;
-			for (const session of leaving) {
-				session.leave();
-			}
-
-			if (now >= abortAt) {
-				await Promise.all([...this.#sessions, ...this.#responders].map(async served => served.abort()));
-			}
-
-			await time.sleep(drainPollMs);
-		}
-
+		const ending = new shutdowns.Shutdown({
+			clock: time, graceMs: shutdown.graceS * 1000, sessions: this.#sessions, responders: this.#responders,
+		});
+		await ending.run();
 		this.#stop();
 	}
 
-	/** Whether a host that began to drain at `startedAt` may stop. Peers need a moment to learn that it leaves. */
-	#isDone(startedAt: number): boolean {
-		const isTold = this.#responders.size === 0 || this.#parts.clock.now() - startedAt > noticeMs;
-		return this.#sessions.size === 0 && isTold && [...this.#responders].every(({isIdle}) => isIdle);
-	}
-
 	#stop(): void {
 		this.#parts.decisions.record('stopped', {sessions: this.#sessions.size});
 		this.#listener.close();
@@ -246,7 +214,7 @@
 	need takes processor time.
 	*/
 	async #openLinks(): Promise<void> {
-		const {clock: time, transport, settings: {listen}} = this.#parts;
+		const {clock: time, transport, decisions: record, settings: {listen}} = this.#parts;
 		const {signal} = this.#stopped;
 		const end = time.now() + fleetLimitMs;
 		while (!this.isReady && time.now() < end) {
@@ -257,11 +225,17 @@
 			await time.sleep(linkDelayMs, signal);
 		}
 
-		if (!signal.aborted) {
-			await transport.listen(listen.peer, accepted => {
-				void this.#respond(accepted);
-			});
-			this.#hasLinks = true;
+		while (!signal.aborted && !this.#hasLinks) {
+			try {
+				await transport.listen(listen.peer, accepted => {
+					void this.#respond(accepted);
+				});
+				this.#hasLinks = true;
+			} catch (error) {
+				// The port may still belong to the process before.
+				record.record('listen-failed', {address: listen.peer, reason: String(error)});
+				await time.sleep(listenPauseMs, signal);
+			}
 		}
 	}
 
@@ -360,35 +334,6 @@
 		}
 	}
 
-	/** Writes this host's object, so that the others reckon with it. */
-	async #announce(): Promise<void> {
-		const {store, settings: {host}, clock: time, random: source} = this.#parts;
-		const value = describe(this.#parts.settings);
-		while (!this.#stopped.signal.aborted) {
-			const outcome = await store.create('hosts', host.name, value);
-			if (Either.isRight(outcome)) {
-				return;
-			}
-
-			if (outcome.left.kind === 'conflict' && await this.#replaceAnnouncement(value)) {
-				return;
-			}
-
-			await time.sleep(source.integer(leastAnnouncePauseMs, mostAnnouncePauseMs), this.#stopped.signal);
-		}
-	}
-
-	/** Renews the object of an earlier process of this host, whose address may differ. */
-	async #replaceAnnouncement(value: types.Announcement): Promise<boolean> {
-		const {store, settings: {host}} = this.#parts;
-		const found = await store.read('hosts', host.name);
-		if (Either.isLeft(found) || !found.right) {
-			return false;
-		}
-
-		return util.isDeepStrictEqual(found.right.value, value) || Either.isRight(await store.replace('hosts', host.name, value, found.right.revision));
-	}
-
 	async #serveHttp(text: string, answer: () => Promise<[number, string]>): Promise<void> {
 		const {host, port} = address.parse(text);
 		const server = http.createServer((_request, response) => {
@@ -410,10 +355,3 @@
 		});
 	}
 }
-
-/** What a host says of itself to the others. */
-function describe({host, listen, processor}: types.EntrySettings): types.Announcement {
-	return {
-		place: host.place, region: host.region, peer: listen.peer, capacity: processor.share * processor.cores,
-	};
-}
--- a/src/soak/site.ts
+++ b/src/soak/site.ts
@@ -11,6 +11,7 @@
 import * as url from 'node:url';
 import * as clock from '../core/clock.js';
 import type * as random from '../core/random.js';
+import * as randoms from '../core/random.js';
 import * as relay from '../standin/relay.js';
 import * as callers from './caller.js';
 import * as judges from './judge.js';
@@ -261,17 +262,27 @@
 	}
 }
 
+/** Ports below those that the system gives to outgoing connections, so that none of these takes one meanwhile. */
+const lowestPort = 15_000;
+const highestPort = 31_000;
+const ports = new randoms.System();
+
 /** A port that nobody listens on now. */
 async function freePort(): Promise<number> {
-	const server = net.createServer();
-	await new Promise<void>(resolve => {
-		server.listen(0, '127.0.0.1', resolve);
-	});
-	const {port} = server.address() as net.AddressInfo;
-	await new Promise<void>(resolve => {
-		server.close(() => {
-			resolve();
+	for (;;) {
+		const port = ports.integer(lowestPort, highestPort);
+		const server = net.createServer();
+		const isFree = await new Promise<boolean>(resolve => {
+			server.once('error', () => {
+				resolve(false);
+			});
+			server.listen(port, '127.0.0.1', () => {
+				resolve(true);
+			});
 		});
-	});
-	return port;
+		server.close();
+		if (isFree) {
+			return port;
+		}
+	}
 }
