Avoid a replica for a moment after it lacked a position

Ruled out: the last known end of the log alone, which is older than what the replica has after a moment without traffic.

Change: a replica that refused a read since its log lacked the position goes behind the others for 250 ms, unless it is known to have the position.

--- a/src/entry/member.ts
+++ b/src/entry/member.ts
@@ -23,6 +23,8 @@
 const unknownLatencyMs = 20;
 /** Time in ms for which reads rather go to another server after a failure. */
 const avoidMs = 1000;
+/** The same after it refused a read since its log lacked the position, unless it is known to have the position since. */
+const lagAvoidMs = 250;
 
 /** How a member begins. */
 export type Options = {
@@ -49,6 +51,7 @@
 	#position: statement.Position | undefined;
 	#isSynchronized: boolean;
 	#behindSince: number | undefined;
+	#laggedAt = Number.NEGATIVE_INFINITY;
 	readonly #commits = new Set<number>();
 	#lostCommitAt: number | undefined;
 
@@ -109,6 +112,12 @@
 		return this.#failingSince !== undefined && this.#clock.now() - this.#failedAt < avoidMs;
 	}
 
+	/** Whether a read that needs a position had better go to another server. */
+	lags(floor: statement.Position): boolean {
+		const lacksIt = this.#position === undefined || position.compare(this.#position, floor) < 0;
+		return lacksIt && this.#clock.now() - this.#laggedAt < lagAvoidMs;
+	}
+
 	/** Latency in ms that a statement is expected to have, from recent ones and from what waits. */
 	get expectedMs(): number {
 		return this.#latencyMs * (1 + this.pool.busy + this.pool.waiting);
@@ -157,6 +166,11 @@
 		}
 	}
 
+	/** Notes that it refused a read since its log lacked the position. */
+	lagged(): void {
+		this.#laggedAt = this.#clock.now();
+	}
+
 	/** Notes the end of its log. */
 	holds(end: statement.Position | null): void {
 		this.#position = end ?? this.#position;
--- a/src/entry/read.ts
+++ b/src/entry/read.ts
@@ -37,11 +37,12 @@
 	}
 
 	/** Servers that may hold a position, best first. The leader holds every one. */
-	candidates(job: jobs.Placed): member.Member[] {
+	candidates(job: jobs.Placed, floor: statement.Position): member.Member[] {
 		const cost = (server: member.Member): number => server.expectedMs + (server.registration.place === this.#context.place ? 0 : remoteCostMs);
 		const ready = job.group.members.filter(server => server.isReady && server.missingSince === undefined);
 		const usable = ready.length > 0 ? ready : job.group.members;
-		return usable.toSorted((one, other) => Number(one.isAvoided) - Number(other.isAvoided) || cost(one) - cost(other));
+		const isAvoided = (server: member.Member): number => Number(server.isAvoided || server.lags(floor));
+		return usable.toSorted((one, other) => isAvoided(one) - isAvoided(other) || cost(one) - cost(other));
 	}
 
 	/** A read inside a transaction of its own: a server that has been replaced refuses it. */
@@ -99,7 +100,7 @@
 
 		const decided = new AbortController();
 		const running = new Map<string, Promise<Result>>();
-		const untried = this.candidates(job);
+		const untried = this.candidates(job, floor);
 		let refused: statement.Reply | undefined;
 		while (jobs.left(this.#context, job) > 1 && (untried.length > 0 || running.size > 0)) {
 			const next = untried.shift();
@@ -147,6 +148,10 @@
 
 		const outcome = await lease.right.run(job.work, floor, jobs.left(this.#context, job));
 		await lease.right.release();
+		if (Either.isRight(outcome) && outcome.right.refusal === 'lagging') {
+			server.lagged();
+		}
+
 		return {server, reply: Either.isRight(outcome) ? outcome.right : undefined};
 	}
 
--- a/src/entry/tests/read.test.ts
+++ b/src/entry/tests/read.test.ts
@@ -80,3 +80,28 @@
 	assert.deepEqual(parts.cluster.ran, []);
 	await parts.stop();
 });
+
+test.test('a replica that lacked a position is not asked again at once by reads that need it', async () => {
+	const parts = new fixture.Fixture();
+	await parts.start();
+	parts.cluster.get('b').isDeaf = true;
+	parts.cluster.commit(parts.cluster.get('a'));
+	const own = parts.cluster.get('a').end;
+	const reader = new read.Reader(parts.context);
+	await parts.after(200, reader.execute(parts.run('READ 1', {own})));
+	let isAnswered = false;
+	const second = (async () => {
+		await reader.execute(parts.run('READ 2', {own}));
+		isAnswered = true;
+	})();
+	// One round trip and the work; a refusal before it would take another round trip.
+	await parts.time.advance(16);
+	assert.equal(isAnswered, true);
+	await parts.after(500, second);
+	parts.cluster.get('b').isDeaf = false;
+	parts.cluster.commit(parts.cluster.get('a'));
+	await parts.time.advance(2000);
+	await parts.after(100, reader.execute(parts.run('READ 3')));
+	assert.equal(parts.cluster.ran.at(-1)?.server, 'b');
+	await parts.stop();
+});
--- a/src/entry/transaction.ts
+++ b/src/entry/transaction.ts
@@ -181,7 +181,7 @@
 		}
 
 		let reason = 'no server is known';
-		for (const server of this.#reader.candidates(job)) {
+		for (const server of this.#reader.candidates(job, floor)) {
 			const lease = await leases.take(server, job.state, this.#context.clock, {timeoutMs: jobs.queueTime(this.#context, job)});
 			if (Either.isLeft(lease)) {
 				reason = lease.left.message;
@@ -196,6 +196,8 @@
 
 			if (Either.isLeft(begun)) {
 				server.failed(startedAt);
+			} else if (begun.right.refusal === 'lagging') {
+				server.lagged();
 			}
 
 			await lease.right.release();
