Give each attempt the session's values as they were when it began

A read that took long here was answered by another host within the hedge time; the session went on to SET, and the attempt left behind took the session's state as it was then.

Ruled out: a connection whose values were noted wrongly (the value was that of the same session, set after the read was answered).

Change: a statement outside a transaction carries a copy of the values.

Figures: the new test fails without the change.

--- a/src/entry/session.ts
+++ b/src/entry/session.ts
@@ -207,7 +207,7 @@
 			return this.#refuse('no-database', this.#database);
 		}
 
-		const reply = await this.#parts.executor.run(job, work);
+		const reply = await this.#parts.executor.run({...job, state: this.#state.copy()}, work);
 		if (work.mode === 'write') {
 			this.#remember(reply, job.route.service);
 		}
--- a/src/entry/state.ts
+++ b/src/entry/state.ts
@@ -20,6 +20,13 @@
 	readonly values = new Map<string, string>();
 	readonly prepared = new Map<string, Prepared>();
 
+	/** The state as it is now, for work that may go on after the session has been answered. */
+	copy(): State {
+		const copied = new State();
+		copied.assign([...this.values]);
+		return copied;
+	}
+
 	/** Takes the values of a session that another host serves. */
 	assign(values: ReadonlyArray<readonly [string, string]>): void {
 		this.values.clear();
--- a/src/entry/tests/session.test.ts
+++ b/src/entry/tests/session.test.ts
@@ -3,9 +3,11 @@
 import type * as types from '../../generated/types.js';
 import * as caller from '../caller.js';
 import * as deployments from '../deployment.js';
+import * as executor from '../executor.js';
+import type * as jobs from '../job.js';
 import * as local from '../local.js';
 import * as sessions from '../session.js';
-import type * as statement from '../statement.js';
+import * as statement from '../statement.js';
 import * as fixture from './fixture.js';
 
 /** Longer than a request may wait for a connection. */
@@ -206,3 +208,32 @@
 	assert.equal(given.isClosed, true);
 	await served.parts.stop();
 });
+
+/** Answers at once, and keeps the jobs. */
+class Kept extends executor.Executor {
+	readonly jobs: jobs.Job[] = [];
+
+	override expect(): void {
+		// Nothing to prepare.
+	}
+
+	override async run(job: jobs.Job): Promise<statement.Reply> {
+		this.jobs.push(job);
+		return statement.own('none');
+	}
+
+	override async begin(): Promise<statement.Reply> {
+		return statement.refuse('busy', 'not needed', 'none');
+	}
+}
+
+test.test('an attempt that goes on after its statement was answered does not see values that are set later', async () => {
+	const served = new Served();
+	await served.start('session');
+	const kept = new Kept();
+	const given = new Caller();
+	void new sessions.Session(given, {context: served.parts.context, deployment: served.deployment, executor: kept}).run();
+	await served.ask(given, direct('READ 1'), {kind: 'set', name: 'v1', value: '1'}, direct('READ 2'));
+	assert.deepEqual(kept.jobs.map(({state}) => [...state.values]), [[], [['v1', '1']]]);
+	await served.parts.stop();
+});
