Note a transaction that is given up while it opens before anything is awaited

Cause: the read-through. A rollback looked whether the transaction was still being opened only after an await; had the opening ended in between, the transaction would have kept its connection until it was idle for too long.

Change: the look comes first.

Figures: 59 tests of src/entry pass.

--- a/src/entry/responder.ts
+++ b/src/entry/responder.ts
@@ -175,12 +175,14 @@
 	}
 
 	async #rollback(transaction: number): Promise<void> {
-		const open = this.#transactions.get(transaction);
-		this.#transactions.delete(transaction);
-		await open?.transaction.rollback();
 		if (this.#opening.has(transaction)) {
 			this.#abandoned.add(transaction);
+			return;
 		}
+
+		const open = this.#transactions.get(transaction);
+		this.#transactions.delete(transaction);
+		await open?.transaction.rollback();
 	}
 
 	#subscribe(known: types.KnownRevisions | undefined): void {
