Make fewer store calls at the start of a fleet

A host that started made ten calls or more: four lists, a watch on each kind that the host left unfinished once it had found an observer, and two calls to announce what an earlier process had announced already. Observers watched for 1.5 s at most on every site, although only the smallest bound for a configuration needs that.

Change: the first watch follows the list by a second, in which most hosts find an observer; a host whose announcement is in the list of hosts makes no call for it; watches last up to half of the time in which a configuration must be in force, a new setting, and a host distrusts its observer half a second before that time. Ruled out: lists that may be stale, since a start could then act on a configuration that is seconds old.

The test of a fleet that starts at once counts 64 watches without the delay, above its bound of 42.

--- a/src/entry/cache.ts
+++ b/src/entry/cache.ts
@@ -59,6 +59,11 @@
 			};
 	}
 
+	/** The object of this name; `undefined` if there is none. */
+	item(name: string): objects.Item<K> | undefined {
+		return this.#items.get(name);
+	}
+
 	/** Applies an update that was the store's state at clock time `confirmedAt`. Returns false if an earlier update is missing. */
 	apply(update: Update<K>, confirmedAt: number): boolean {
 		const current = this.#revision;
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -51,19 +51,15 @@
 	readonly listener: (accept: (accepted: caller.Caller) => void) => Listener;
 };
 
-/** Maximum duration of a watch on one kind of object, and the pause after a change. */
-type WatchTiming = {readonly watchMs: number; readonly coalesceMs: number};
-
-/**
-Changes to the configuration and the servers must take effect within seconds, so their watches are short: a connection
-may be dead without an error. Other changes may be late. A pause after a change lets the next call return several at once.
-*/
-const watchTimings: Readonly<Record<objects.Kind, WatchTiming>> = {
-	configuration: {watchMs: 1500, coalesceMs: 0},
-	servers: {watchMs: 1500, coalesceMs: 20},
-	hosts: {watchMs: 20_000, coalesceMs: 500},
-	claims: {watchMs: 20_000, coalesceMs: 0},
+/** Longest duration of a watch on a kind of objects whose changes may be late. */
+const slowWatchMs = 20_000;
+/** Pause after a change, so that the next watch returns several changes at once. */
+const coalesceMs: Readonly<Record<objects.Kind, number>> = {
+	configuration: 0, servers: 20, hosts: 500, claims: 0,
 };
+/** Time for a host that starts to find an observer, before it watches the store itself. */
+const firstWatchDelayMs = 1000;
+
 /**
 Time for which servers still count the connections of a host that lost power. If all hosts restart after a power loss,
 they have to share the few connections that are free.
@@ -158,6 +154,7 @@
 			caches: this.#caches,
 			clock: this.#options.clock,
 			decisions: log,
+			configurationMs: this.#options.settings.consistency.configurationMs,
 			observer: excluded => this.#canOpenLinks ? this.#fleet.observer(excluded) ?? this.#fleet.seed(excluded) : undefined,
 			hasSubscribers: () => [...this.#responders].some(({isSubscribed}) => isSubscribed),
 			follow: followSignal => {
@@ -168,6 +165,7 @@
 			name: this.#options.settings.host.name,
 			announcement: announcer.describe(this.#options.settings),
 			store: this.#options.store,
+			hosts: this.#caches.hosts,
 			clock: this.#options.clock,
 			random: this.#options.random,
 		}).run(signal);
@@ -277,12 +275,27 @@
 		const {store, clock: time, random: source, decisions: log} = this.#options;
 		for (const cache of Object.values(this.#caches)) {
 			const cacheFollower = new follower.Follower<objects.Kind>({
-				cache: cache as caches.Cache<objects.Kind>, store, clock: time, random: source, decisions: log, ...watchTimings[cache.kind],
+				cache: cache as caches.Cache<objects.Kind>,
+				store,
+				clock: time,
+				random: source,
+				decisions: log,
+				watchMs: this.#watchMs(cache.kind),
+				firstWatchDelayMs,
+				coalesceMs: coalesceMs[cache.kind],
 			});
 			void cacheFollower.run(signal);
 		}
 	}
 
+	/**
+	Longest duration of a watch, which also bounds the time to detect a dead connection. The configuration and the servers
+	must be known in time, so their watches leave half of that time for detection and a second attempt.
+	*/
+	#watchMs(kind: objects.Kind): number {
+		return kind === 'configuration' || kind === 'servers' ? this.#options.settings.consistency.configurationMs / 2 : slowWatchMs;
+	}
+
 	#applyDeployment(content: types.Deployment): void {
 		this.#deployment.accept(content, 'store');
 		for (const {name} of this.#deployment.content?.databases ?? []) {
--- a/src/entry/follower.ts
+++ b/src/entry/follower.ts
@@ -17,6 +17,11 @@
 	readonly decisions: decisions.Decisions;
 	/** Longest wait of one watch, which also bounds the time to detect a dead connection. */
 	readonly watchMs: number;
+	/**
+	Delay between the list at the start and the first watch. Most hosts have found an observer by then and need no watch,
+	which matters when a whole fleet starts at once.
+	*/
+	readonly firstWatchDelayMs: number;
 	/** Delay after each change, so that changes in quick succession are fetched in one call. */
 	readonly coalesceMs: number;
 };
@@ -48,6 +53,7 @@
 		let failures = 0;
 		while (!signal.aborted) {
 			const {revision} = this.#options.cache;
+			const isFirst = revision === undefined;
 			const outcome: errors.Outcome<boolean> = mustList || revision === undefined ? await this.#list(signal) : await this.#watch(revision, signal);
 			if (signal.aborted) {
 				return;
@@ -61,6 +67,7 @@
 			} else {
 				failures = 0;
 				mustList = outcome.right;
+				await this.#options.clock.sleep(isFirst ? this.#options.firstWatchDelayMs : 0, signal);
 			}
 		}
 	}
--- a/src/entry/synchronizer.ts
+++ b/src/entry/synchronizer.ts
@@ -14,6 +14,8 @@
 	readonly caches: notices.Caches;
 	readonly clock: clock.Clock;
 	readonly decisions: decisions.Decisions;
+	/** Time within which a change of the configuration must be in force. */
+	readonly configurationMs: number;
 	/** The observer, except `excluded` hosts; `undefined` if it is this host. */
 	readonly observer: (excluded: ReadonlySet<string>) => peers.Peer | undefined;
 	/** Whether other hosts subscribe to this one. */
@@ -23,11 +25,8 @@
 };
 
 const tickMs = 200;
-/**
-Age of the configuration or the server list above which this host follows the store itself. It is above the longest watch
-of an observer, and half a second below the shortest time within which a configuration must take effect.
-*/
-const maxAgeMs = 2500;
+/** Time that a host which stops trusting its observer needs to get the configuration from the store itself. */
+const recoveryMs = 500;
 /** Time for a new observer to send a recent state, and the time for which an observer that doesn't is excluded. */
 const stateTimeoutMs = 1500;
 const exclusionMs = 5000;
@@ -48,6 +47,14 @@
 		this.#options = options;
 	}
 
+	/**
+	Age of the configuration or the server list above which this host follows the store itself. It is above the longest
+	watch of an observer.
+	*/
+	get #maxAgeMs(): number {
+		return this.#options.configurationMs - recoveryMs;
+	}
+
 	/** Whether this host follows the store itself. */
 	get isFollowingStore(): boolean {
 		return this.#storeController !== undefined;
@@ -98,7 +105,7 @@
 
 	/** Starts or stops following the store as needed. */
 	#updateFollowing(): void {
-		const isOld = Math.max(...urgentKinds.map(kind => this.#options.caches[kind].ageMs)) > maxAgeMs;
+		const isOld = Math.max(...urgentKinds.map(kind => this.#options.caches[kind].ageMs)) > this.#maxAgeMs;
 		const isNeeded = this.#options.hasSubscribers() || this.#observer === undefined || (this.#storeController ? !this.#isCurrent() : isOld);
 		if (isNeeded && !this.#storeController) {
 			this.#storeController = new AbortController();
@@ -115,7 +122,7 @@
 	#isCurrent(): boolean {
 		const now = this.#options.clock.now();
 		const isComplete = Object.keys(this.#options.caches).every(kind => this.#confirmedAt.has(kind as objects.Kind));
-		return isComplete && urgentKinds.every(kind => now - this.#confirmedAt.get(kind)! < maxAgeMs);
+		return isComplete && urgentKinds.every(kind => now - this.#confirmedAt.get(kind)! < this.#maxAgeMs);
 	}
 
 	#apply(observer: peers.Peer, notice: types.StateNotice): void {
--- a/src/entry/tests/follower.test.ts
+++ b/src/entry/tests/follower.test.ts
@@ -37,7 +37,7 @@
 		},
 	});
 	const hostFollower = new follower.Follower({
-		cache, store: new fakes.HostStore(store, time), clock: time, random: new random.Seeded(1), decisions: record, watchMs: 100, coalesceMs: 0,
+		cache, store: new fakes.HostStore(store, time), clock: time, random: new random.Seeded(1), decisions: record, watchMs: 100, firstWatchDelayMs: 0, coalesceMs: 0,
 	});
 	void hostFollower.run(stopped.signal);
 	await time.advance(500);
--- a/src/entry/tests/synchronizer.test.ts
+++ b/src/entry/tests/synchronizer.test.ts
@@ -59,6 +59,7 @@
 			caches: this.caches,
 			clock: time,
 			decisions: record,
+			configurationMs: 3000,
 			observer: excluded => hosts.observer(excluded) ?? hosts.seed(excluded),
 			hasSubscribers: () => [...this.#responders].some(({isSubscribed}) => isSubscribed),
 			follow: signal => {
@@ -70,6 +71,7 @@
 						random: new random.Seeded(index),
 						decisions: record,
 						watchMs: 1500,
+						firstWatchDelayMs: 1000,
 						coalesceMs: 0,
 					}).run(signal);
 				}
@@ -133,6 +135,16 @@
 	await region.stop();
 });
 
+// Pattern: thundering herd. All hosts start at once, or restart after a power loss.
+test.test('guards against store watches by every host of a fleet that starts at once', async () => {
+	const region = new Region();
+	await region.start(12);
+	const watches = region.store.calls.filter(call => call.startsWith('watch '));
+	const byObserver = 4 * 8000 / 1500;
+	assert.ok(watches.length <= 2 * byObserver, `${watches.length} watches`);
+	await region.stop();
+});
+
 test.test('when the observer fails, another host replaces it, and no change is missed', async () => {
 	const region = new Region();
 	await region.start(5);
