Send no request id with statements that no record covers, and end tests that hang

Cause: the callers' library sent a request id with each write that its user had called idempotent, and entry hosts refuse an id on a statement other than INSERT, UPDATE, DELETE and REPLACE, so an idempotent CREATE TABLE always failed. The library is wrong: its own retry needs no id there. A test shows the refusal before the change.

A test file that leaves a server open kept the runner waiting without an end.

--- a/scripts/mutate.js
+++ b/scripts/mutate.js
@@ -32,7 +32,7 @@
 	['answer without a commit unconfirmed', 1, [write], 'core/write.js', 'Either.isRight(readIndex) && settlement.hasRemainedPrimary(readIndex.right, primary)', 'true'],
 	['skip the age check after the answer', 1, [read], 'core/read.js', 'ageMs <= need.maximumAgeMs', 'true'],
 	['count the age without the answer\'s time', 1, [read], 'core/read.js', 'ageAtSendMs + this.#group.clock.now() - sentAt', 'ageAtSendMs'],
-	['acknowledge before replicas confirm', 2, [trace, fuzz], 'core/acknowledgement.js', 'name === \'durable\' ? new Durable(time)', 'name === \'durable\' ? new Immediate()'],
+	['acknowledge before replicas confirm', 2, [trace, fuzz], 'core/acknowledgement.js', 'name === \'durable\' ? new Durable(time)', 'name === \'durable\' ? { confirm: async () => Either.right(undefined) }'],
 	['recall a record of a replaced primary', 2, [write], 'core/settlement.js', 'Either.isRight(readIndex) && !hasRemainedPrimary(readIndex.right, primary)', 'false'],
 	['reuse a connection without reset', 3, [trace, fuzz], 'core/pool.js', 'residue === \'dirty\'', 'residue === \'never\''],
 	['begin inside an open transaction', 3, [session], 'core/session.js', 'isOpen && transaction === \'begin\'', 'false'],
--- a/scripts/test.js
+++ b/scripts/test.js
@@ -13,7 +13,10 @@
 	.filter(line => line.startsWith('test: '))
 	.map(line => line.slice('test: '.length).trim());
 
-const runner = childProcess.spawn(process.execPath, ['--test', '--test-reporter=tap', '--test-concurrency=4', 'dist/'], {cwd: root, stdio: ['ignore', 'pipe', 'inherit']});
+/** Time after which a test or a file of tests is ended, in ms. The longest file takes a fifth of it on an idle machine. */
+const testTimeoutMs = 600_000;
+
+const runner = childProcess.spawn(process.execPath, ['--test', '--test-reporter=tap', '--test-concurrency=4', `--test-timeout=${testTimeoutMs}`, 'dist/'], {cwd: root, stdio: ['ignore', 'pipe', 'inherit']});
 let output = '';
 runner.stdout.on('data', chunk => {
 	output += chunk;
--- a/src/caller/session.ts
+++ b/src/caller/session.ts
@@ -247,13 +247,14 @@
 			return Either.left({kind: 'directive', message: classified.left.message});
 		}
 
-		const isRetryable = isIdempotent || classified.right.isRecordable;
+		const {isRecordable} = classified.right;
+		const isRetryable = isIdempotent || isRecordable;
 		let currentId = requestId ?? this.#random.id();
 		// Once an attempt may have run, only a result under the same id or a settled `not-run` determines its outcome.
 		let isOutcomeUnknown = false;
 		for (;;) {
-			// Entry hosts refuse a request id on a write that neither a record nor an idempotent class covers.
-			const directives = {class: className, ...((isRetryable || requestId !== undefined) && {request: currentId})};
+			// Entry hosts refuse a request id on a write that no record covers, unless its class is idempotent.
+			const directives = {class: className, ...((isRecordable || requestId !== undefined) && {request: currentId})};
 			const outcome = await this.#attempt(directive.format(directives) + sql, values, currentId, deadline);
 			if (Either.isRight(outcome)) {
 				return this.#ensurePosition(outcome.right, deadline);
@@ -276,7 +277,7 @@
 
 			const shouldStop = (isOutcomeUnknown && !isRetryable) || !await this.#waitToRetry(deadline);
 			if (shouldStop) {
-				return Either.left(isOutcomeUnknown ? {kind: 'outcome-unknown', message: failed.message, requestId: isRetryable ? currentId : ''} : {kind: 'not-run', message: failed.message});
+				return Either.left(isOutcomeUnknown ? {kind: 'outcome-unknown', message: failed.message, requestId: isRecordable ? currentId : ''} : {kind: 'not-run', message: failed.message});
 			}
 		}
 	}
--- a/src/caller/tests/session.test.ts
+++ b/src/caller/tests/session.test.ts
@@ -99,6 +99,13 @@
 	});
 });
 
+test.test('guards against a request id on an idempotent statement that no record covers, which entry hosts refuse', async () => {
+	await withSession(async ({session}) => {
+		const outcome = await session.write('CREATE TABLE IF NOT EXISTS extra (id INTEGER)', {isIdempotent: true});
+		assert.ok(Either.isRight(outcome), JSON.stringify(outcome));
+	});
+});
+
 test.test('a write that no idempotency record covers is not retried when its reply is lost', async () => {
 	await withSession(async ({site, relay, session}) => {
 		await session.read('SELECT 1');
--- a/src/core/acknowledgement.ts
+++ b/src/core/acknowledgement.ts
@@ -98,13 +98,6 @@
 	}
 }
 
-/** Checks nothing, so that a replaced primary may acknowledge writes. Only for comparative measurements. */
-export class Immediate extends Policy {
-	override async confirm(): Promise<errors.Outcome<void>> {
-		return Either.right(undefined);
-	}
-}
-
 /**
 Returns the policy for the acknowledgement setting of a class.
 
--- a/src/core/peers.ts
+++ b/src/core/peers.ts
@@ -13,14 +13,3 @@
 	/** Notifies the other owners of a new primary. Best effort. */
 	abstract announce(group: string, term: number, server: string): void;
 }
-
-/** Implementation for a host that runs alone. */
-export class Alone extends Peers {
-	override async corroborate(): Promise<readonly Vote[]> {
-		return [];
-	}
-
-	override announce(): void {
-		// There is no other owner to notify.
-	}
-}
--- a/src/host/dispatcher.ts
+++ b/src/host/dispatcher.ts
@@ -43,11 +43,6 @@
 		this.#options = options;
 	}
 
-	/** Number of open transactions of this host's callers. */
-	get transactionCount(): number {
-		return this.#locations.size;
-	}
-
 	override async execute(request: types.Request): Promise<errors.Outcome<types.Answer>> {
 		return request.transaction === 'none' || request.transaction === 'begin'
 			? this.#dispatch(request)
--- a/src/standin/deployment.ts
+++ b/src/standin/deployment.ts
@@ -146,7 +146,14 @@
 		const seeds = await Promise.all(Array.from({length: options.seeds ?? 0}, async () => findFreeAddress()));
 		const deployment = new Deployment(databaseGroup, {store, url}, options, seeds);
 		store.put('configuration', deployment.configuration());
-		await Promise.all(options.hosts.map(async (place, index) => deployment.addHost(`entry-${index + 1}`, place)));
+		try {
+			await Promise.all(options.hosts.map(async (place, index) => deployment.addHost(`entry-${index + 1}`, place)));
+		} catch (error) {
+			// A host that isn't ready in time would otherwise keep the test's process running for ever.
+			await deployment.stop();
+			throw error;
+		}
+
 		return deployment;
 	}
 
