Queue after a start, and notice a freed connection limit at once

Probes for a leader failed without an attempt for 400 ms after each refusal, so hosts found leaders up to 0.8 s late; a read that began to wait for a read index before the limit was noticed was refused after its usual wait; and a host that had just started refused requests that queued for its one connection to a server.

Change: an attempt is made again after the backoff of 100 ms; the wait for a read index is extended like that for the leader; requests of a starting host may wait until their deadline less the time of an attempt. A test for each.

--- a/src/core/pool.ts
+++ b/src/core/pool.ts
@@ -99,6 +99,10 @@
 		return this.#held.size + this.#idle.length === 0 && this.isAtLimit;
 	}
 
+	get #isBackingOff(): boolean {
+		return this.#clock.now() - this.#refusedAt < limitBackoffMs;
+	}
+
 	/** Number of connections that pending attempts will provide; a hedge and the attempt that it hedges count once. */
 	get #expectedConnections(): number {
 		return this.#pending - this.#hedges;
@@ -123,7 +127,7 @@
 			return this.#refuse('the request for a connection was cancelled');
 		}
 
-		if (this.isShutOut && request.atLimit !== 'wait') {
+		if (this.isShutOut && this.#isBackingOff && request.atLimit !== 'wait') {
 			return errors.fail('not-run', 'admit', this.server.name, 'the server is at its connection limit');
 		}
 
@@ -284,7 +288,7 @@
 	}
 
 	#needsConnection(expectedConnections: number): boolean {
-		return !this.#isClosed && this.#waiters.length > expectedConnections && this.open < this.#connectionLimit && this.#clock.now() - this.#refusedAt >= limitBackoffMs;
+		return !this.#isClosed && this.#waiters.length > expectedConnections && this.open < this.#connectionLimit && !this.#isBackingOff;
 	}
 
 	/** Obtains a connection for the waiters, and opens a second one in parallel if a `first` attempt is slow. */
--- a/src/core/tests/pool.test.ts
+++ b/src/core/tests/pool.test.ts
@@ -212,6 +212,24 @@
 	assert.equal(connections.isShutOut, false);
 });
 
+test.test('guards against a leader that is probed again long after the limit has freed up', async () => {
+	const {time, server, connections} = make({connections: 1});
+	server.onConnect = () => ({kind: time.now() < 500 ? 'at-limit' : 'open', delayMs: 5});
+	let foundAt = Number.POSITIVE_INFINITY;
+	const probe = async (): Promise<void> => {
+		while (!Number.isFinite(foundAt)) {
+			const outcome = await connections.acquire(300);
+			foundAt = Either.isRight(outcome) ? time.now() : foundAt;
+			await time.sleep(50);
+		}
+	};
+
+	const probing = probe();
+	await time.advance(1000);
+	await probing;
+	assert.ok(foundAt <= 700, `found after ${foundAt} ms`);
+});
+
 test.test('guards against a read that waits at a server that is at its connection limit instead of going to another one', async () => {
 	const {time, server, connections} = make();
 	server.onConnect = () => ({kind: 'at-limit', delayMs: 5});
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -343,8 +343,7 @@
 	#updateQuotas(): void {
 		this.#fleet.invalidate();
 		for (const [name, group] of this.#groups) {
-			const {softLimit, hardLimit} = this.#fleet.quota(name);
-			group.resize({softLimit, hardLimit: this.#isStarting ? softLimit : hardLimit});
+			group.resize(this.#fleet.quota(name), this.#isStarting);
 		}
 	}
 
--- a/src/entry/group.ts
+++ b/src/entry/group.ts
@@ -69,6 +69,7 @@
 	/** Ids of servers with a leader probe in flight. */
 	readonly #probes = new Set<string>();
 	#quota: Quota = {softLimit: 1, hardLimit: 1};
+	#isStarting = false;
 	#lastAddedAt = Number.NEGATIVE_INFINITY;
 	#acknowledged: statement.Position | null = null;
 	#leader: member.Member | undefined;
@@ -118,6 +119,11 @@
 		return this.#leader ? this.#leader.pool.isShutOut : this.members.some(({pool}) => pool.isShutOut);
 	}
 
+	/** Whether this host has just started and stays within the soft limit, so that requests queue for its few connections. */
+	get isStarting(): boolean {
+		return this.#isStarting;
+	}
+
 	/** Clock time at which the most recent server was added. */
 	get lastAddedAt(): number {
 		return this.#lastAddedAt;
@@ -155,11 +161,12 @@
 		}
 	}
 
-	/** Sets the connection limits for each server. */
-	resize(quota: Quota): void {
-		this.#quota = quota;
+	/** Sets the connection limits for each server. While the host is starting, the soft limit is the maximum. */
+	resize({softLimit, hardLimit}: Quota, isStarting = false): void {
+		this.#isStarting = isStarting;
+		this.#quota = {softLimit, hardLimit: isStarting ? softLimit : hardLimit};
 		for (const {pool} of this.#members.values()) {
-			pool.resize(quota.hardLimit);
+			pool.resize(this.#quota.hardLimit);
 		}
 	}
 
--- a/src/entry/job.ts
+++ b/src/entry/job.ts
@@ -83,14 +83,14 @@
 connections.
 */
 export function connectionWaitMs(context: Context, job: GroupJob): number {
-	if (job.group.isShutOut) {
+	if (job.group.isShutOut || job.group.isStarting) {
 		return limitWaitMs(context, job);
 	}
 
 	return Math.max(1, Math.min((job.route.targetMs * connectionWaitRatio) - elapsedMs(context, job), remainingMs(context, job)));
 }
 
-/** Time that a job may wait while servers refuse connections at their limit: the limit frees up within seconds. */
+/** Time that a job may wait while connections are scarce after a start: the limits of the servers free up within seconds. */
 function limitWaitMs(context: Context, job: Job): number {
 	return Math.max(1, remainingMs(context, job) - minAttemptMs);
 }
--- a/src/entry/read.ts
+++ b/src/entry/read.ts
@@ -33,8 +33,19 @@
 
 	/** The position that a server's log must contain for a job; `undefined` if none was confirmed in time. */
 	async minPosition(job: jobs.GroupJob): Promise<statement.Position | undefined> {
-		const readIndex = await job.group.awaitReadIndex(job.arrivedAt, job.route.maximumAgeMs, jobs.serverWaitMs(this.#context, job));
-		return readIndex ? position.latest(readIndex.position, job.sessionPosition) ?? undefined : undefined;
+		for (;;) {
+			const readIndex = await job.group.awaitReadIndex(job.arrivedAt, job.route.maximumAgeMs, jobs.serverWaitMs(this.#context, job));
+			if (readIndex) {
+				return position.latest(readIndex.position, job.sessionPosition) ?? undefined;
+			}
+
+			// The limit may have been noticed only during the wait, which it then extends.
+			if (!job.group.isShutOut || !jobs.hasTime(this.#context, job)) {
+				return undefined;
+			}
+
+			await this.#context.clock.sleep(retryDelayMs);
+		}
 	}
 
 	/** Servers for a read at a minimum position, in order of preference. The leader's log contains every position. */
--- a/src/entry/tests/read.test.ts
+++ b/src/entry/tests/read.test.ts
@@ -105,3 +105,37 @@
 	assert.equal(harness.cluster.executions.at(-1)?.server, 'b');
 	await harness.stop();
 });
+
+// Pattern: connection storm. The limit is noticed only after the read has begun to wait for the leader's position.
+test.test('guards against a read that is refused for want of a read index although the leader becomes reachable in time', async () => {
+	const harness = new fixture.Fixture();
+	for (const server of harness.cluster.servers) {
+		server.isAtLimit = true;
+	}
+
+	const starting = harness.start();
+	await harness.time.advance(1);
+	await starting;
+	const reading = new read.Reader(harness.context).execute(harness.statementJob('READ 1'));
+	await harness.time.advance(500);
+	for (const server of harness.cluster.servers) {
+		server.isAtLimit = false;
+	}
+
+	const reply = await harness.runFor(300, reading);
+	assert.equal(reply.refusal, null, reply.message);
+	await harness.stop();
+});
+
+// Pattern: thundering herd. All callers return at once to a host that may open only its usual connections.
+test.test('guards against refusals while the requests of a host that has just started queue for its few connections', async () => {
+	const harness = new fixture.Fixture();
+	await harness.start(['a', 'b', 'c'], 1);
+	harness.group.resize({softLimit: 1, hardLimit: 4}, true);
+	const route = harness.route({kind: 'primary', maximumAgeMs: 0, targetMs: 100});
+	const reader = new read.Reader(harness.context);
+	const reads = Array.from({length: 12}, async () => reader.execute(harness.statementJob('READ 1', {route})));
+	await harness.time.advance(800);
+	assert.deepEqual((await Promise.all(reads)).map(({refusal}) => refusal).filter(refusal => refusal !== null), []);
+	await harness.stop();
+});
