--- a/scripts/mutate.js
+++ b/scripts/mutate.js
@@ -1,7 +1,7 @@
 /**
 Mutation testing: applies each mutation to a copy of the compiled code under `out/mutate`, runs the tests that must
-detect it, and prints a table. Exits with code 1 if a mutation survives or the unchanged code fails. `--only NAME` runs a
-single mutation, `--entry` only those of entry hosts on the users' platform.
+detect it, and prints a table. Exits with code 1 if a mutation survives or the unchanged code fails. `--only NAME`, which
+may be repeated, runs single mutations, `--entry` only those of entry hosts on the users' platform.
 */
 import * as childProcess from 'node:child_process';
 import * as fs from 'node:fs';
@@ -22,7 +22,7 @@
 const write = 'core/tests/write.test.js';
 const session = 'core/tests/session.test.js';
 const statement = 'core/tests/statement.test.js';
-const entry = ['group', 'read', 'write', 'session', 'failover', 'claims', 'follower'].map(name => `entry/tests/${name}.test.js`);
+const entry = ['group', 'read', 'write', 'session', 'failover', 'claims', 'follower', 'synchronizer', 'announcer'].map(name => `entry/tests/${name}.test.js`);
 const callers = 'platform/tests/caller.test.js';
 
 /** Name, number of the promise that it breaks, tests of which at least one must fail, file, text to replace, and replacement. */
@@ -71,6 +71,12 @@
 	['prepare all statements under one name', 'session', entry, 'entry/state.js', String.raw`return \`\${mode}_\${shape}\`;`.replaceAll('\\', ''), 'return mode;'],
 	['close a session inside a transaction', 'session', entry, 'entry/session.js', 'this.#transaction === undefined && !this.#caller.hasPendingRequest', '!this.#caller.hasPendingRequest'],
 	['apply an older configuration', 'configuration', entry, 'entry/deployment.js', 'content.version <= this.#content.version', 'false'],
+	['refuse at once while servers are at their connection limit', 'connection storm', entry, 'entry/job.js', 'job.group.isShutOut || job.group.isStarting', 'false'],
+	['stop waiting for a read index at a connection limit', 'connection storm', entry, 'entry/read.js', '!job.group.isShutOut || !jobs.hasTime(this.#context, job)', 'true'],
+	['attempt a connection for each waiting request', 'connection storm', [pool], 'core/pool.js', '&& !this.#isBackingOff', ''],
+	['refuse probes for as long as a refusal counts as recent', 'connection storm', [pool], 'core/pool.js', 'this.isShutOut && this.#isBackingOff', 'this.isShutOut'],
+	['watch the store at once after the list', 'fleet start', entry, 'entry/follower.js', 'isFirst ? this.#options.firstWatchDelayMs : 0', '0'],
+	['announce a host that is announced already', 'fleet start', entry, 'entry/announcer.js', '!this.#isAnnounced && ', ''],
 	['read from the socket after the session was closed', 'shutdown', [callers], 'platform/caller.js', 'this.#socket.pause();\n        this.#socket.destroySoon();', 'this.#socket.end();'],
 ];
 
@@ -116,9 +122,9 @@
 	return '';
 }
 
-const {values} = util.parseArgs({options: {only: {type: 'string'}, entry: {type: 'boolean', default: false}}});
+const {values} = util.parseArgs({options: {only: {type: 'string', multiple: true}, entry: {type: 'boolean', default: false}}});
 const pending = [baseline, ...(values.entry ? [] : mutations), ...entryMutations].map((mutation, index) => ({mutation, index}))
-	.filter(({mutation}) => mutation === baseline || values.only === undefined || mutation[0] === values.only);
+	.filter(({mutation}) => mutation === baseline || values.only === undefined || values.only.includes(mutation[0]));
 const results = [];
 await Promise.all(Array.from({length: concurrency}, async () => {
 	for (let next = pending.shift(); next; next = pending.shift()) {
--- a/src/entry/failover.ts
+++ b/src/entry/failover.ts
@@ -28,7 +28,7 @@
 };
 
 /** Why the leader has to be replaced. */
-export type Reason = 'silent' | 'leaderless' | 'stalled' | 'leaving' | 'gone';
+export type Reason = 'silent' | 'leaderless' | 'stalled' | 'leaving';
 
 /** A server and its status. */
 type Candidate = {readonly member: member.Member; readonly status: statement.ServerStatus};
