Let callers arrive one after the other in the tests of the connection storm

Two of the new mutations survived: all requests of the test arrived at once, so that none came during a backoff, and the read knew of the limit before it began to wait.

--- a/src/core/tests/pool.test.ts
+++ b/src/core/tests/pool.test.ts
@@ -202,13 +202,18 @@
 		await connections.release(outcome.right, 'clean');
 	};
 
-	const requests = Array.from({length: 50}, async () => use());
-	await time.advance(limitFreeAt);
+	// Callers return one after the other; each arrival must not cause an attempt of its own.
+	const requests: Array<Promise<void>> = [];
+	for (let index = 0; index < 100; index++) {
+		requests.push(use());
+		await time.advance(limitFreeAt / 100);
+	}
+
 	assert.ok(connections.isShutOut);
 	assert.ok(server.connectAttempts <= 2 * limitFreeAt / 100, `${server.connectAttempts} attempts`);
 	await time.advance(300);
 	await Promise.all(requests);
-	assert.equal(served, 50);
+	assert.equal(served, 100);
 	assert.equal(connections.isShutOut, false);
 });
 
--- a/src/entry/tests/read.test.ts
+++ b/src/entry/tests/read.test.ts
@@ -109,20 +109,18 @@
 // Pattern: connection storm. The limit is noticed only after the read has begun to wait for the leader's position.
 test.test('guards against a read that is refused for want of a read index although the leader becomes reachable in time', async () => {
 	const harness = new fixture.Fixture();
-	for (const server of harness.cluster.servers) {
-		server.isAtLimit = true;
-	}
-
-	const starting = harness.start();
-	await harness.time.advance(1);
-	await starting;
-	const reading = new read.Reader(harness.context).execute(harness.statementJob('READ 1'));
-	await harness.time.advance(500);
-	for (const server of harness.cluster.servers) {
-		server.isAtLimit = false;
+	await harness.start();
+	const leader = harness.cluster.get('a');
+	leader.isAtLimit = true;
+	for (const connection of leader.connections) {
+		connection.close();
 	}
 
-	const reply = await harness.runFor(300, reading);
+	const route = harness.route({maximumAgeMs: 0});
+	const reading = new read.Reader(harness.context).execute(harness.statementJob('READ 1', {route}));
+	await harness.time.advance(400);
+	leader.isAtLimit = false;
+	const reply = await harness.runFor(400, reading);
 	assert.equal(reply.refusal, null, reply.message);
 	await harness.stop();
 });
