--- a/src/core/pool.ts
+++ b/src/core/pool.ts
@@ -89,14 +89,9 @@
 		return this.#held.size + this.#idle.length + this.#pending;
 	}
 
-	/** Whether the server recently refused a connection at its limit. */
-	get isAtLimit(): boolean {
-		return this.#clock.now() - this.#refusedAt < limitMemoryMs;
-	}
-
 	/** Whether this pool has no connection and the server recently refused one at its limit. */
 	get isShutOut(): boolean {
-		return this.#held.size + this.#idle.length === 0 && this.isAtLimit;
+		return this.#held.size + this.#idle.length === 0 && this.#clock.now() - this.#refusedAt < limitMemoryMs;
 	}
 
 	get #isBackingOff(): boolean {
--- a/src/entry/tests/fake-cluster.ts
+++ b/src/entry/tests/fake-cluster.ts
@@ -52,6 +52,14 @@
 		return {term: this.term, index: this.index};
 	}
 
+	/** Closes all connections and refuses new ones, as after a power loss of the hosts, until `isAtLimit` is reset. */
+	fillConnectionLimit(): void {
+		this.isAtLimit = true;
+		for (const connection of this.connections) {
+			connection.close();
+		}
+	}
+
 	override async connect(timeoutMs: number): Promise<errors.Outcome<backend.Connection>> {
 		await this.cluster.clock.sleep(this.isUnresponsive ? timeoutMs : 2 * oneWayLatencyMs);
 		if (this.isUnresponsive) {
--- a/src/entry/tests/read.test.ts
+++ b/src/entry/tests/read.test.ts
@@ -111,10 +111,7 @@
 	const harness = new fixture.Fixture();
 	await harness.start();
 	const leader = harness.cluster.get('a');
-	leader.isAtLimit = true;
-	for (const connection of leader.connections) {
-		connection.close();
-	}
+	leader.fillConnectionLimit();
 
 	const route = harness.route({maximumAgeMs: 0});
 	const reading = new read.Reader(harness.context).execute(harness.statementJob('READ 1', {route}));
--- a/src/entry/tests/write.test.ts
+++ b/src/entry/tests/write.test.ts
@@ -39,10 +39,7 @@
 	const harness = new fixture.Fixture();
 	await harness.start();
 	const leader = harness.cluster.get('a');
-	leader.isAtLimit = true;
-	for (const connection of leader.connections) {
-		connection.close();
-	}
+	leader.fillConnectionLimit();
 
 	const waiting = new write.Writer(harness.context).execute(harness.statementJob('WRITE 1 x'));
 	await harness.time.advance(500);
@@ -55,11 +52,7 @@
 test.test('guards against a write that keeps waiting at a connection limit until its deadline has passed', async () => {
 	const harness = new fixture.Fixture();
 	await harness.start();
-	const leader = harness.cluster.get('a');
-	leader.isAtLimit = true;
-	for (const connection of leader.connections) {
-		connection.close();
-	}
+	harness.cluster.get('a').fillConnectionLimit();
 
 	const job = harness.statementJob('WRITE 1 x');
 	const reply = await harness.runFor(job.deadline - harness.time.now(), new write.Writer(harness.context).execute(job));
