--- a/src/core/pool.ts
+++ b/src/core/pool.ts
@@ -90,7 +90,7 @@
 	}
 
 	/** Whether this pool has no connection and the server recently refused one at its limit. */
-	get isShutOut(): boolean {
+	get isBlockedByLimit(): boolean {
 		return this.#held.size + this.#idle.length === 0 && this.#clock.now() - this.#refusedAt < limitMemoryMs;
 	}
 
@@ -122,7 +122,7 @@
 			return this.#refuse('the request for a connection was cancelled');
 		}
 
-		if (this.isShutOut && this.#isBackingOff && request.atLimit !== 'wait') {
+		if (this.isBlockedByLimit && this.#isBackingOff && request.atLimit !== 'wait') {
 			return errors.fail('not-run', 'admit', this.server.name, 'the server is at its connection limit');
 		}
 
--- a/src/core/tests/pool.test.ts
+++ b/src/core/tests/pool.test.ts
@@ -209,12 +209,12 @@
 		await time.advance(limitFreeAt / 100);
 	}
 
-	assert.ok(connections.isShutOut);
+	assert.ok(connections.isBlockedByLimit);
 	assert.ok(server.connectAttempts <= 2 * limitFreeAt / 100, `${server.connectAttempts} attempts`);
 	await time.advance(300);
 	await Promise.all(requests);
 	assert.equal(served, 100);
-	assert.equal(connections.isShutOut, false);
+	assert.equal(connections.isBlockedByLimit, false);
 });
 
 test.test('guards against a leader that is probed again long after the limit has freed up', async () => {
--- a/src/entry/group.ts
+++ b/src/entry/group.ts
@@ -115,8 +115,8 @@
 	}
 
 	/** Whether this host has no connection to the leader, or to a server that may lead, because of the servers' connection limits. */
-	get isShutOut(): boolean {
-		return this.#leader ? this.#leader.pool.isShutOut : this.members.some(({pool}) => pool.isShutOut);
+	get isBlockedByLimit(): boolean {
+		return this.#leader ? this.#leader.pool.isBlockedByLimit : this.members.some(({pool}) => pool.isBlockedByLimit);
 	}
 
 	/** Whether this host has just started and stays within the soft limit, so that requests queue for its few connections. */
--- a/src/entry/job.ts
+++ b/src/entry/job.ts
@@ -68,7 +68,7 @@
 
 /** Time that a job may still wait for a server that can run it. */
 export function serverWaitMs(context: Context, job: GroupJob): number {
-	if (job.group.isShutOut) {
+	if (job.group.isBlockedByLimit) {
 		return limitWaitMs(context, job);
 	}
 
@@ -83,7 +83,7 @@
 connections.
 */
 export function connectionWaitMs(context: Context, job: GroupJob): number {
-	if (job.group.isShutOut || job.group.isStarting) {
+	if (job.group.isBlockedByLimit || job.group.isStarting) {
 		return limitWaitMs(context, job);
 	}
 
--- a/src/entry/leader.ts
+++ b/src/entry/leader.ts
@@ -26,7 +26,7 @@
 export async function acquire(context: jobs.Context, job: jobs.GroupJob): Promise<errors.Outcome<leases.Lease>> {
 	for (;;) {
 		const outcome = await attempt(context, job);
-		if (Either.isRight(outcome) || !job.group.isShutOut || !jobs.hasTime(context, job)) {
+		if (Either.isRight(outcome) || !job.group.isBlockedByLimit || !jobs.hasTime(context, job)) {
 			return outcome;
 		}
 
--- a/src/entry/read.ts
+++ b/src/entry/read.ts
@@ -40,7 +40,7 @@
 			}
 
 			// The limit may have been noticed only during the wait, which it then extends.
-			if (!job.group.isShutOut || !jobs.hasTime(this.#context, job)) {
+			if (!job.group.isBlockedByLimit || !jobs.hasTime(this.#context, job)) {
 				return undefined;
 			}
 
