Leave more time to hosts that must follow the store themselves where the bound is long

A host that distrusted its observer half a second before the bound had that time for the list of the store, whatever the bound. The margin is a sixth of it now: 500 ms of 3 s as before, 1 s of 6 s.

--- a/src/entry/synchronizer.ts
+++ b/src/entry/synchronizer.ts
@@ -25,8 +25,11 @@
 };
 
 const tickMs = 200;
-/** Time that a host which stops trusting its observer needs to get the configuration from the store itself. */
-const recoveryMs = 500;
+/**
+Fraction of the time in which a configuration must be in force after which this host follows the store itself. The rest is
+for the list of the store, which is long where the bound is.
+*/
+const maxAgeFraction = 5 / 6;
 /** Time for a new observer to send a recent state, and the time for which an observer that doesn't is excluded. */
 const stateTimeoutMs = 1500;
 const exclusionMs = 5000;
@@ -52,7 +55,7 @@
 	watch of an observer.
 	*/
 	get #maxAgeMs(): number {
-		return this.#options.configurationMs - recoveryMs;
+		return this.#options.configurationMs * maxAgeFraction;
 	}
 
 	/** Whether this host follows the store itself. */
