--- a/src/entry/synchronizer.ts
+++ b/src/entry/synchronizer.ts
@@ -26,8 +26,8 @@
 
 const tickMs = 200;
 /**
-Fraction of the time in which a configuration must be in force after which this host follows the store itself. The rest is
-for the list of the store, which is long where the bound is.
+Fraction of `configurationMs` after which this host follows the store itself. The rest of that time is for the list of the
+store's objects, which takes longer in the large fleets that have a longer bound.
 */
 const maxAgeFraction = 5 / 6;
 /** Time for a new observer to send a recent state, and the time for which an observer that doesn't is excluded. */
