Back off when the store lists an older state than the cache

Cause: a watch whose history is gone is followed by a list, and a list by a watch, both without a pause. The logs did not show that the list was ignored.

Change: such a list counts as a failed call, is logged as list-ignored with both revisions, and is repeated after the backoff.

--- a/src/entry/follower.ts
+++ b/src/entry/follower.ts
@@ -72,15 +72,22 @@
 		}
 	}
 
-	/** Replaces the cache's contents by a list of all objects. */
+	/** Replaces the cache's contents by a list of all objects. Fails if the list is older than the cache was before the call; the cache ignores such a list. */
 	async #list(signal: AbortSignal): Promise<errors.Outcome<boolean>> {
-		const {cache, store, clock: time} = this.#options;
+		const {cache, store, clock: time, decisions: record} = this.#options;
 		const startedAt = time.now();
+		const {revision = 0} = cache;
 		const outcome = await store.list(cache.kind);
 		if (Either.isLeft(outcome) || signal.aborted) {
 			return Either.isLeft(outcome) ? outcome : Either.right(false);
 		}
 
+		const listed = outcome.right.revision;
+		if (listed < revision) {
+			record.record('list-ignored', {kind: cache.kind, revision, listed});
+			return errors.fail('store', 'store', cache.kind, `the list has revision ${listed}, the cache had ${revision} before`);
+		}
+
 		cache.apply({from: undefined, gone: [], ...outcome.right}, startedAt);
 		return Either.right(false);
 	}
--- a/src/entry/tests/follower.test.ts
+++ b/src/entry/tests/follower.test.ts
@@ -1,7 +1,9 @@
 import * as assert from 'node:assert/strict';
 import * as test from 'node:test';
+import * as Either from 'fp-ts/lib/Either.js';
 import type * as types from '../../generated/types.js';
 import * as clock from '../../core/clock.js';
+import type * as errors from '../../core/errors.js';
 import * as random from '../../core/random.js';
 import * as decisions from '../decisions.js';
 import * as deployments from '../deployment.js';
@@ -9,6 +11,9 @@
 import type * as objects from '../objects.js';
 import * as caches from '../cache.js';
 import * as fakes from './fake-cluster.js';
+import * as states from './fake-state.js';
+
+const storeLatencyMs = 4;
 
 function configuration(version: number): types.Deployment {
 	return {
@@ -56,6 +61,47 @@
 	await time.advance(1000);
 });
 
+/** A store that has lost its recent history: it lists an older revision and has none of the changes since. */
+class RegressedStore extends fakes.Objects {
+	readonly #time: clock.Clock;
+
+	constructor(time: clock.Clock) {
+		super();
+		this.#time = time;
+	}
+
+	override async list<K extends objects.Kind>(kind: K): Promise<errors.Outcome<objects.Listing<K>>> {
+		await this.#time.sleep(storeLatencyMs);
+		this.calls.push(`list ${kind}`);
+		return Either.right({items: [], revision: 1});
+	}
+
+	override async watch<K extends objects.Kind>(kind: K, revision: number): Promise<errors.Outcome<objects.Changes<K>>> {
+		await this.#time.sleep(storeLatencyMs);
+		this.calls.push(`watch ${kind}`);
+		return Either.right({changes: [], revision, isLost: true});
+	}
+}
+
+// Pattern: retry storm. A list that the cache ignores is followed by a watch that fails at once, and by the next list.
+test.test('guards against listing without a pause while the store lists a revision older than the cache', async () => {
+	const time = new clock.Manual();
+	const store = new RegressedStore(time);
+	const {hosts: cache} = states.caches(time, new decisions.Silent());
+	const stopped = new AbortController();
+	cache.apply({
+		from: undefined, revision: 21, items: [], gone: [],
+	}, time.now());
+	void new follower.Follower({
+		cache, store, clock: time, random: new random.Seeded(1), decisions: new decisions.Silent(), watchMs: 100, firstWatchDelayMs: 0, coalesceMs: 0,
+	}).run(stopped.signal);
+	await time.advance(5000);
+	stopped.abort();
+	await time.advance(2000);
+	assert.ok(store.calls.length > 3 && store.calls.length < 15, `${store.calls.length} calls in 5 s`);
+	assert.equal(cache.revision, 21);
+});
+
 test.test('an older configuration never replaces a newer one', () => {
 	const deployment = new deployments.Deployment(new clock.Manual(), new decisions.Silent());
 	deployment.accept(configuration(7), 'store');
