Order the store's revisions across a restoration from a copy

Cause: revisions were taken for a clock that never runs backwards. A restored store counts again from the copy's revision, so caches ignored all of its lists and events, hosts would have rejected each other's updates, and a watch or a conditional update could meet a revision that was given out twice.

Change: a revision is the store's generation (from the header that counts restorations) and its counter in one number. The adapter makes it from each response, ends watches of an older generation, reports their history as lost and refuses conditional updates at a revision from before. Caches, updates between hosts, and fencing tokens compare the same numbers as before, and messages keep their form: until the first restoration the numbers are those of older builds. Caches log store-restored.

--- a/src/entry/cache.ts
+++ b/src/entry/cache.ts
@@ -5,6 +5,7 @@
 import type * as clock from '../core/clock.js';
 import type * as decisions from './decisions.js';
 import type * as objects from './objects.js';
+import * as revisions from './revision.js';
 
 export type Options<K extends objects.Kind> = {
 	readonly kind: K;
@@ -75,6 +76,7 @@
 		this.#confirmedAt = Math.max(this.#confirmedAt, confirmedAt);
 		const isNew = current === undefined || update.revision > current;
 		if (isNew) {
+			this.#recordRestoration(current, update.revision);
 			this.#revision = update.revision;
 			this.#update(update);
 		}
@@ -99,6 +101,15 @@
 		};
 	}
 
+	#recordRestoration(current: number | undefined, next: number): void {
+		const [{generation: known, counter: lost}, {generation, counter}] = [revisions.split(current ?? next), revisions.split(next)];
+		if (generation > known) {
+			this.#options.decisions.record('store-restored', {
+				kind: this.#options.kind, generation, counter, lost,
+			});
+		}
+	}
+
 	#update({from, items, gone}: Update<K>): void {
 		const listed = new Set(items.map(({name}) => name));
 		const removed = from === undefined ? [...this.#items.keys()].filter(name => !listed.has(name)) : gone;
--- a/src/entry/objects.ts
+++ b/src/entry/objects.ts
@@ -1,5 +1,6 @@
 /**
-Interface of the platform's object store: objects by kind and name, with one revision counter for all of them.
+Interface of the platform's object store: objects by kind and name, with one revision counter for all of them. Revisions
+increase also when the store is restored from a copy, see `revision.ts`.
 */
 import type * as errors from '../core/errors.js';
 import type * as types from '../generated/types.js';
@@ -28,7 +29,7 @@
 /** A change of an object; without `item`, the object was removed. */
 export type Change<K extends Kind> = {readonly name: string; readonly item: Item<K> | undefined};
 
-/** Changes after a requested revision, up to `revision`. `isLost` if the store no longer has all of them. */
+/** Changes after a requested revision, up to `revision`. `isLost` if the store no longer has all of them, or was restored since. */
 export type Changes<K extends Kind> = {
 	readonly changes: ReadonlyArray<Change<K>>;
 	readonly revision: number;
--- a/src/entry/tests/fake-cluster.ts
+++ b/src/entry/tests/fake-cluster.ts
@@ -9,6 +9,7 @@
 import * as authority from '../authority.js';
 import * as backend from '../backend.js';
 import * as objects from '../objects.js';
+import * as revisions from '../revision.js';
 import * as position from '../../core/position.js';
 import type * as statement from '../statement.js';
 
@@ -365,9 +366,10 @@
 	/** Makes the next watch report that the history was discarded. */
 	isHistoryLost = false;
 	readonly calls: string[] = [];
-	readonly #items = new Map<string, objects.Item<objects.Kind>>();
-	readonly #log: Array<{revision: number; key: string}> = [];
+	#items = new Map<string, objects.Item<objects.Kind>>();
+	#log: Array<{revision: number; key: string}> = [];
 	#revision = 10;
+	#copy: {readonly items: ReadonlyMap<string, objects.Item<objects.Kind>>; readonly revision: number} = {items: new Map(), revision: 10};
 
 	/** Writes an object unconditionally. */
 	put<K extends objects.Kind>(kind: K, name: string, value: objects.Values[K] | undefined, fault = ''): objects.Item<K> {
@@ -380,6 +382,20 @@
 		return item;
 	}
 
+	/** Takes a copy of the current state, to which `restore` returns. */
+	copy(): void {
+		this.#copy = {items: new Map(this.#items), revision: this.#revision};
+	}
+
+	/** Returns to the copy: what was written since is gone, and its revisions are given out again in the next generation. */
+	restore(): void {
+		const generation = revisions.split(this.#revision).generation + 1;
+		const renew = (revision: number): number => revisions.combine({generation, counter: revisions.split(revision).counter});
+		this.#items = new Map([...this.#copy.items].map(([key, item]) => [key, {...item, revision: renew(item.revision)}]));
+		this.#revision = renew(this.#copy.revision);
+		this.#log = [];
+	}
+
 	remove(kind: objects.Kind, name: string): void {
 		this.#revision++;
 		this.#items.delete(`${kind}/${name}`);
@@ -398,7 +414,7 @@
 			return this.#unavailable();
 		}
 
-		if (this.isHistoryLost) {
+		if (this.isHistoryLost || revisions.split(revision).generation < revisions.split(this.#revision).generation) {
 			this.isHistoryLost = false;
 			return Either.right({changes: [], revision, isLost: true});
 		}
--- a/src/entry/tests/synchronizer.test.ts
+++ b/src/entry/tests/synchronizer.test.ts
@@ -171,6 +171,24 @@
 	await region.stop();
 });
 
+test.test('guards against a configuration that is not in force on every host after the store was restored from a copy', async () => {
+	const region = new Region();
+	await region.start(6);
+	region.store.copy();
+	for (let version = 2; version < 8; version++) {
+		region.store.put('configuration', 'main', configuration(version));
+	}
+
+	await region.time.advance(3000);
+	region.store.restore();
+	region.store.put('configuration', 'main', configuration(7));
+	region.store.put('configuration', 'main', configuration(9));
+	await region.time.advance(3000);
+	assert.deepEqual(region.hosts.map(({version}) => version), [9, 9, 9, 9, 9, 9]);
+	assert.equal(region.followerCount, 1);
+	await region.stop();
+});
+
 test.test('a host that cannot reach the store receives changes from the observer', async () => {
 	const region = new Region();
 	await region.start(5);
--- a/src/platform/http.ts
+++ b/src/platform/http.ts
@@ -14,10 +14,12 @@
 	readonly headers?: Readonly<Record<string, string>>;
 	readonly body?: unknown;
 	readonly timeoutMs: number;
+	/** Ends the call early, which then fails. */
+	readonly signal?: AbortSignal;
 };
 
-/** The status of a response and its parsed body, which is `undefined` if it isn't JSON. */
-export type Response = {readonly status: number; readonly body: unknown};
+/** A response with its parsed body, which is `undefined` if it isn't JSON. */
+export type Response = {readonly status: number; readonly headers: http.IncomingHttpHeaders; readonly body: unknown};
 
 /** Maximum number of open connections: one for each pending watch, and a few for other calls. */
 const maxOpenSockets = 12;
@@ -37,7 +39,9 @@
 	}
 
 	/** Makes a call. Errors: `store` if no complete response arrives; the call may still take effect. */
-	async call({method, path, headers = {}, body, timeoutMs}: Call): Promise<errors.Outcome<Response>> {
+	async call({
+		method, path, headers = {}, body, timeoutMs, signal,
+	}: Call): Promise<errors.Outcome<Response>> {
 		const {host, port} = address.parse(this.#address);
 		const text = body === undefined ? undefined : JSON.stringify(body);
 		return new Promise(resolve => {
@@ -52,6 +56,7 @@
 				port,
 				method,
 				path,
+				signal,
 				headers: text === undefined ? headers : {...headers, 'content-type': 'application/json', 'content-length': buffer.Buffer.byteLength(text)},
 			}, response => {
 				const chunks: Uint8Array[] = [];
@@ -63,7 +68,7 @@
 				});
 				response.on('end', () => {
 					clearTimeout(timer);
-					resolve(Either.right({status: response.statusCode ?? 0, body: parse(buffer.Buffer.concat(chunks).toString())}));
+					resolve(Either.right({status: response.statusCode ?? 0, headers: response.headers, body: parse(buffer.Buffer.concat(chunks).toString())}));
 				});
 			});
 			// A connection that lost one response delivers no later ones, so it is destroyed rather than reused.
--- a/src/platform/objects.ts
+++ b/src/platform/objects.ts
@@ -1,11 +1,13 @@
 /**
-Client of the platform's object store.
+Client of the platform's object store. The store's revisions and its era, which rises each time the store is restored from
+a copy, become revisions that increase across restorations.
 */
 import * as Either from 'fp-ts/lib/Either.js';
 import * as errors from '../core/errors.js';
 import * as validators from '../generated/stored.js';
 import type * as types from '../generated/types.js';
 import * as objects from '../entry/objects.js';
+import * as revisions from '../entry/revision.js';
 import * as decode from './decode.js';
 import type * as http from './http.js';
 
@@ -22,9 +24,23 @@
 const statusConflict = 409;
 const statusGone = 410;
 
+const eraHeader = 'store-era';
+/**
+Era of a store that was never restored. Its revisions are used as they are, so hosts of builds that don't know the header
+understand them. A response without the header counts as one of this era.
+*/
+const firstEra = 1;
+
+/** A response, and the generation of the store that sent it. */
+type Answer = {readonly status: number; readonly body: unknown; readonly generation: number};
+
 /** The object store over HTTP. */
 export class Objects extends objects.Objects {
 	readonly #client: http.Client;
+	/** Highest generation of the store seen so far. */
+	#generation = 0;
+	/** Aborts when the store answers in a newer generation. */
+	#restored = new AbortController();
 
 	constructor(client: http.Client) {
 		super();
@@ -42,13 +58,17 @@
 				return outcome;
 			}
 
-			const {status, body} = outcome.right;
+			const {status, body, generation} = outcome.right;
 			if (status !== statusOk || !validators.validateStoredPage(body)) {
 				return unexpectedResponse(kind, status);
 			}
 
-			items.push(...body.items.map(item => toItem(kind, item)));
-			revision ??= body.storeRevision;
+			revision ??= revisions.combine({generation, counter: body.storeRevision});
+			if (revisions.split(revision).generation !== generation) {
+				return errors.fail('store', 'store', kind, 'the store was restored between two pages of the list');
+			}
+
+			items.push(...body.items.map(item => toItem(kind, item, generation)));
 			const last = body.items.at(-1)?.meta.name;
 			if (!body.more || last === undefined) {
 				return Either.right({items, revision});
@@ -59,20 +79,33 @@
 	}
 
 	override async watch<K extends objects.Kind>(kind: K, revision: number, waitMs: number): Promise<errors.Outcome<objects.Changes<K>>> {
-		const outcome = await this.#call({method: 'GET', path: `${pathOf(kind)}?watch=${revision}&waitMs=${waitMs}`, timeoutMs: timeoutMs + waitMs});
+		const {generation, counter} = revisions.split(revision);
+		const lost = Either.right({changes: [], revision, isLost: true});
+		if (generation < this.#generation) {
+			return lost;
+		}
+
+		const outcome = await this.#call({
+			method: 'GET', path: `${pathOf(kind)}?watch=${counter}&waitMs=${waitMs}`, timeoutMs: timeoutMs + waitMs, signal: this.#restored.signal,
+		});
+		// The counter has another meaning since, whether this response or one to another call showed the restoration.
+		if (generation < this.#generation) {
+			return lost;
+		}
+
 		if (Either.isLeft(outcome)) {
 			return outcome;
 		}
 
-		const {status, body} = outcome.right;
+		const {status, body, generation: answered} = outcome.right;
 		if (status === statusGone) {
-			return Either.right({changes: [], revision, isLost: true});
+			return lost;
 		}
 
-		return status === statusOk && validators.validateStoredEvents(body)
+		return status === statusOk && answered === generation && validators.validateStoredEvents(body)
 			? Either.right({
-				changes: body.events.map(({object, tombstone}) => ({name: object.meta.name, item: tombstone ? undefined : toItem(kind, object)})),
-				revision: body.storeRevision,
+				changes: body.events.map(({object, tombstone}) => ({name: object.meta.name, item: tombstone ? undefined : toItem(kind, object, generation)})),
+				revision: revisions.combine({generation, counter: body.storeRevision}),
 				isLost: false,
 			})
 			: unexpectedResponse(kind, status);
@@ -91,14 +124,38 @@
 	}
 
 	override async replace<K extends objects.Kind>(kind: K, name: string, value: objects.Values[K], revision: number): Promise<errors.Outcome<objects.Item<K>>> {
-		const body = {meta: {name, revision}, spec: value};
+		const {generation, counter} = revisions.split(revision);
+		if (generation < this.#generation) {
+			// Another object may have the counter in the store's current generation.
+			return errors.fail('conflict', 'store', kind, `the store was restored since ${name} had the revision`);
+		}
+
+		const body = {meta: {name, revision: counter}, spec: value};
 		return parseItem(kind, await this.#call({
 			method: 'PUT', path: pathOf(kind, name), body, timeoutMs,
 		}));
 	}
 
-	async #call(call: http.Call): Promise<errors.Outcome<http.Response>> {
-		return this.#client.call(call);
+	/** Makes a call, and ends watches of an older generation if the response shows that the store was restored. */
+	async #call(call: http.Call): Promise<errors.Outcome<Answer>> {
+		const outcome = await this.#client.call(call);
+		if (Either.isLeft(outcome)) {
+			return outcome;
+		}
+
+		const {status, body, headers} = outcome.right;
+		const generation = Math.max(0, Number(headers[eraHeader] ?? firstEra) - firstEra);
+		if (!Number.isInteger(generation) || generation > revisions.maxGeneration) {
+			return errors.fail('store', 'store', call.path, `invalid header ${eraHeader}: ${String(headers[eraHeader])}`);
+		}
+
+		if (generation > this.#generation) {
+			this.#generation = generation;
+			this.#restored.abort();
+			this.#restored = new AbortController();
+		}
+
+		return Either.right({status, body, generation});
 	}
 }
 
@@ -106,23 +163,23 @@
 	return `/objects/${storedNames[kind]}${name === undefined ? '' : `/${encodeURIComponent(name)}`}`;
 }
 
-function toItem<K extends objects.Kind>(kind: K, {meta, spec}: types.StoredObject): objects.Item<K> {
-	return {name: meta.name, revision: meta.revision, ...decode.decoders[kind](meta.name, spec)};
+function toItem<K extends objects.Kind>(kind: K, {meta, spec}: types.StoredObject, generation: number): objects.Item<K> {
+	return {name: meta.name, revision: revisions.combine({generation, counter: meta.revision}), ...decode.decoders[kind](meta.name, spec)};
 }
 
 /** Parses the response to a call for one object. */
-function parseItem<K extends objects.Kind>(kind: K, outcome: errors.Outcome<http.Response>): errors.Outcome<objects.Item<K>> {
+function parseItem<K extends objects.Kind>(kind: K, outcome: errors.Outcome<Answer>): errors.Outcome<objects.Item<K>> {
 	if (Either.isLeft(outcome)) {
 		return outcome;
 	}
 
-	const {status, body} = outcome.right;
+	const {status, body, generation} = outcome.right;
 	if (status === statusConflict || status === statusNotFound) {
 		return errors.fail('conflict', 'store', kind, `HTTP status ${status}`);
 	}
 
 	return (status === statusOk || status === statusCreated) && validators.validateStoredObject(body)
-		? Either.right(toItem(kind, body))
+		? Either.right(toItem(kind, body, generation))
 		: unexpectedResponse(kind, status);
 }
 
--- a/src/platform/tests/http.test.ts
+++ b/src/platform/tests/http.test.ts
@@ -6,14 +6,15 @@
 import * as authorities from '../authority.js';
 import * as clients from '../http.js';
 import * as objects from '../objects.js';
+import * as revisions from '../../entry/revision.js';
 
 const testTimeoutMs = 5000;
 
-type Reply = {readonly status: number; readonly body?: unknown};
+type Reply = {readonly status: number; readonly body?: unknown; readonly era?: number};
 type ReceivedCall = {readonly method: string; readonly path: string; readonly headers: http.IncomingHttpHeaders; readonly body: string};
 
 /** Starts a server that responds with the result of `respond` and records the calls that it receives. */
-async function serve(context: test.TestContext, respond: (call: ReceivedCall) => Reply): Promise<{client: clients.Client; calls: ReceivedCall[]}> {
+async function serve(context: test.TestContext, respond: (call: ReceivedCall) => Reply | Promise<Reply>): Promise<{client: clients.Client; calls: ReceivedCall[]}> {
 	const calls: ReceivedCall[] = [];
 	const server = http.createServer(async (request, response) => {
 		const chunks: Uint8Array[] = [];
@@ -25,8 +26,8 @@
 			method: request.method ?? '', path: request.url ?? '', headers: request.headers, body: chunks.map(chunk => new TextDecoder().decode(chunk)).join(''),
 		};
 		calls.push(call);
-		const {status, body} = respond(call);
-		response.writeHead(status, {'content-type': 'application/json'});
+		const {status, body, era} = await respond(call);
+		response.writeHead(status, {'content-type': 'application/json', ...(era === undefined ? {} : {'store-era': String(era)})});
 		response.end(body === undefined ? '' : JSON.stringify(body));
 	});
 	await new Promise<void>(resolve => {
@@ -108,6 +109,66 @@
 	assert.equal(down.left.kind, 'store');
 });
 
+test.test('guards against a lower revision after the store was restored from a copy', {timeout: testTimeoutMs}, async context => {
+	const replies: Reply[] = [
+		{status: 200, body: {items: [], more: false, storeRevision: 21}, era: 1},
+		{status: 200, body: {items: [stored('main', {})], more: false, storeRevision: 14}, era: 2},
+	];
+	const {client} = await serve(context, () => replies.shift() ?? {status: 500});
+	const store = new objects.Objects(client);
+	const [before, after] = [await store.list('configuration'), await store.list('configuration')];
+	assert.ok(Either.isRight(before) && Either.isRight(after));
+	assert.equal(before.right.revision, 21);
+	assert.ok(after.right.revision > before.right.revision);
+	assert.deepEqual(revisions.split(after.right.revision), {generation: 1, counter: 14});
+	assert.deepEqual(revisions.split(after.right.items[0]?.revision ?? 0), {generation: 1, counter: 5});
+});
+
+test.test('guards against changes missed by a watch from a revision that the restored store has given out again', {timeout: testTimeoutMs}, async context => {
+	const {client, calls} = await serve(context, () => ({status: 200, body: {events: [], storeRevision: 25}, era: 2}));
+	const store = new objects.Objects(client);
+	const first = await store.watch('configuration', 21, 100);
+	assert.ok(Either.isRight(first) && first.right.isLost);
+	const second = await store.watch('configuration', 21, 100);
+	assert.ok(Either.isRight(second) && second.right.isLost);
+	assert.equal(calls.length, 1);
+	const current = revisions.combine({generation: 1, counter: 25});
+	const third = await store.watch('configuration', current, 100);
+	assert.ok(Either.isRight(third) && !third.right.isLost);
+	assert.equal(third.right.revision, current);
+	assert.equal(calls[1]?.path, '/objects/config?watch=25&waitMs=100');
+});
+
+test.test('guards against a watch that waits on while another call shows that the store was restored', {timeout: testTimeoutMs}, async context => {
+	const {client} = await serve(context, async ({path}) => path.includes('watch=')
+		? new Promise(() => {
+			// The watch gets no response.
+		})
+		: {status: 404, era: 2});
+	const store = new objects.Objects(client);
+	const watch = store.watch('hosts', 21, 60_000);
+	await store.read('claims', 'ledgers');
+	const outcome = await watch;
+	assert.ok(Either.isRight(outcome) && outcome.right.isLost);
+});
+
+test.test('guards against an object replaced because it has the revision of a lost one', {timeout: testTimeoutMs}, async context => {
+	const {client, calls} = await serve(context, () => ({status: 404, era: 2}));
+	const store = new objects.Objects(client);
+	await store.read('claims', 'ledgers');
+	const outcome = await store.replace('claims', 'ledgers', {holder: 'a', nonce: 'm'}, 4);
+	assert.ok(Either.isLeft(outcome) && outcome.left.kind === 'conflict');
+	assert.equal(calls.length, 1);
+});
+
+test.test('guards against a list whose pages come from before and after a restoration', {timeout: testTimeoutMs}, async context => {
+	const {client} = await serve(context, ({path}) => path.includes('after=')
+		? {status: 200, body: {items: [], more: false, storeRevision: 12}, era: 2}
+		: {status: 200, body: {items: [stored('i-1', server)], more: true, storeRevision: 21}, era: 1});
+	const outcome = await new objects.Objects(client).list('servers');
+	assert.ok(Either.isLeft(outcome) && outcome.left.kind === 'store');
+});
+
 test.test('a conditional update that loses the race is a conflict', {timeout: testTimeoutMs}, async context => {
 	const {client, calls} = await serve(context, () => ({status: 409, body: stored('ledgers', {holder: 'b', nonce: 'n'})}));
 	const outcome = await new objects.Objects(client).replace('claims', 'ledgers', {holder: 'a', nonce: 'm'}, 4);
--- a/src/platform/tests/names.test.ts
+++ b/src/platform/tests/names.test.ts
@@ -9,7 +9,7 @@
 const platformNames = new RegExp([
 	'MINLSN|STEPDOWN|DATAROW|WRONGNODE|CONNLIMIT|NOPREPARED|INDOUBT|READONLY',
 	'databaseName|maxStaleness|bounded_staleness|read_your_writes|targetLatency|txIdle|syncReplicas|maxConnections|dbRole',
-	String.raw`storeRevision|waitMs=|\/objects\/|\/promotion(?!\.js)|[Xx]-[Ll]ease-[Hh]older|[Xx]-[Ff]encing-[Tt]oken|tombstone`,
+	String.raw`storeRevision|waitMs=|\/objects\/|\/promotion(?!\.js)|[Xx]-[Ll]ease-[Hh]older|[Xx]-[Ff]encing-[Tt]oken|[Ss]tore-[Ee]ra|tombstone`,
 ].join('|'), 'v');
 /** The adapter, the code generated from its schema, the client of the store API, and the stand-ins of the platform. */
 const exemptPattern = /^(?:platform|generated|store|standin|soak)\//v;
