Claim a promotion anew when the store has lost the earlier claim

Cause: every host replaced the claim at the revision it remembered. The restored store has no such object, each call got 404, and nothing ever removed the remembered entry, since removals were ignored.

Change: an entry whose object is gone is created again, at once if the claim itself found it missing. Its holder stays known for the duration of a claim, as it may still be carrying out its promotion. A claim that is listed again under a new revision does not count as a new one.

The fencing token rises with the generation of the store.

--- a/src/entry/claims.ts
+++ b/src/entry/claims.ts
@@ -1,6 +1,7 @@
 /**
 Claims of the right to request a promotion in a service. A claim is a conditional update of the service's object in the
-store. The object's new revision is the fencing token, so tokens increase whenever the holder changes.
+store. The object's new revision is the fencing token, so tokens increase whenever the holder changes, also when the store
+was restored from a copy and has lost earlier claims.
 */
 import * as Either from 'fp-ts/lib/Either.js';
 import type * as types from '../generated/types.js';
@@ -21,7 +22,8 @@
 /** A claim held by this host, with its fencing token. */
 export type Claim = {readonly service: string; readonly token: number};
 
-type Entry = {readonly revision: number; readonly value: types.PromotionClaim | undefined; readonly receivedAt: number};
+/** The last claim in a service; without `revision`, the store no longer has it. */
+type Entry = {readonly revision: number | undefined; readonly value: types.PromotionClaim | undefined; readonly receivedAt: number};
 
 /** Time after receiving another host's claim during which this host starts no promotion in that service. */
 const claimDurationMs = 4000;
@@ -35,11 +37,23 @@
 		this.#options = options;
 	}
 
-	/** Updates a service's claim from the store. Older revisions and removals are ignored. */
+	/**
+	Updates a service's claim from the store; without an item, the store has none. Older revisions are ignored. A claim that
+	is gone keeps its holder, who may still be carrying out the promotion.
+	*/
 	update(service: string, item: objects.Item<'claims'> | undefined): void {
 		const entry = this.#entries.get(service);
-		if (item && item.revision > (entry?.revision ?? 0)) {
-			this.#entries.set(service, {revision: item.revision, value: item.value, receivedAt: this.#options.clock.now()});
+		if (!item) {
+			if (entry) {
+				this.#entries.set(service, {...entry, revision: undefined});
+			}
+
+			return;
+		}
+
+		if (item.revision > (entry?.revision ?? 0)) {
+			const isKnown = item.value !== undefined && item.value.nonce === entry?.value?.nonce;
+			this.#entries.set(service, {revision: item.revision, value: item.value, receivedAt: isKnown ? entry.receivedAt : this.#options.clock.now()});
 		}
 	}
 
@@ -61,29 +75,47 @@
 	Errors: `conflict` when another host claimed first, `store`.
 	*/
 	async claim(service: string): Promise<errors.Outcome<Claim>> {
-		const value = {holder: this.#options.host, nonce: this.#options.random.id()};
+		const {store, host, random: source} = this.#options;
+		const value = {holder: host, nonce: source.id()};
 		const entry = this.#entries.get(service);
-		const outcome = entry
-			? await this.#options.store.replace('claims', service, value, entry.revision)
-			: await this.#options.store.create('claims', service, value);
+		const outcome = await this.#write(service, value);
 		if (Either.isRight(outcome)) {
-			this.update(service, outcome.right);
 			return this.#grant(service, outcome.right.revision, 'stored');
 		}
 
-		const found = await this.#options.store.read('claims', service);
+		const found = await store.read('claims', service);
 		if (Either.isRight(found)) {
 			this.update(service, found.right);
-			return found.right?.value?.nonce === value.nonce
-				? this.#grant(service, found.right.revision, 'stored, response lost')
-				: outcome;
+			if (found.right?.value?.nonce === value.nonce) {
+				return this.#grant(service, found.right.revision, 'stored, response lost');
+			}
+
+			return found.right === undefined && outcome.left.kind === 'conflict' ? this.#claimLost(service, value) : outcome;
 		}
 
-		return entry?.value?.holder === this.#options.host && outcome.left.kind === 'store'
+		return entry?.revision !== undefined && entry.value?.holder === host && outcome.left.kind === 'store'
 			? this.#grant(service, entry.revision, 'kept from an earlier claim, store unavailable')
 			: outcome;
 	}
 
+	/** Claims the promotion in a service whose earlier claim the store has lost. */
+	async #claimLost(service: string, value: types.PromotionClaim): Promise<errors.Outcome<Claim>> {
+		const outcome = await this.#write(service, value);
+		return Either.isRight(outcome) ? this.#grant(service, outcome.right.revision, 'stored, the earlier claim was gone') : outcome;
+	}
+
+	/** Writes a claim in place of the last known one. */
+	async #write(service: string, value: types.PromotionClaim): Promise<errors.Outcome<objects.Item<'claims'>>> {
+		const {store} = this.#options;
+		const revision = this.#entries.get(service)?.revision;
+		const outcome = await (revision === undefined ? store.create('claims', service, value) : store.replace('claims', service, value, revision));
+		if (Either.isRight(outcome)) {
+			this.update(service, outcome.right);
+		}
+
+		return outcome;
+	}
+
 	#grant(service: string, token: number, how: string): errors.Outcome<Claim> {
 		this.#options.decisions.record('promotion-claimed', {service, token, how});
 		return Either.right({service, token});
--- a/src/entry/tests/claims.test.ts
+++ b/src/entry/tests/claims.test.ts
@@ -41,3 +41,64 @@
 	assert.deepEqual(await one.claim('ledgers'), claimed);
 	assert.ok(Either.isLeft(await other.claim('ledgers')));
 });
+
+test.test('guards against a service that can never be claimed again because the restored store has lost its claim', async () => {
+	const store = new fakes.Objects();
+	const [one, other] = [make(store, 'entry-1', 1), make(store, 'entry-2', 2)];
+	store.copy();
+	const first = await one.claim('ledgers');
+	const found = await store.read('claims', 'ledgers');
+	assert.ok(Either.isRight(first) && Either.isRight(found));
+	other.update('ledgers', found.right);
+	store.restore();
+	const second = await other.claim('ledgers');
+	assert.ok(Either.isRight(second), JSON.stringify(second));
+	assert.ok(second.right.token > first.right.token);
+	const third = await one.claim('ledgers');
+	assert.ok(Either.isLeft(third) && third.left.kind === 'conflict');
+});
+
+test.test('guards against a fencing token that the authority has seen already, when the restored store counts again', async () => {
+	const store = new fakes.Objects();
+	const one = make(store, 'entry-1', 1);
+	const tokens: number[] = [];
+	store.copy();
+	for (let claim = 0; claim < 6; claim++) {
+		if (claim === 3) {
+			store.restore();
+		}
+
+		const outcome = await one.claim('ledgers');
+		assert.ok(Either.isRight(outcome));
+		tokens.push(outcome.right.token);
+	}
+
+	assert.deepEqual(tokens, tokens.toSorted((left, right) => left - right));
+	assert.equal(new Set(tokens).size, tokens.length);
+});
+
+test.test('guards against a second promotion beside that of a holder whose claim the restored store has lost', async () => {
+	const store = new fakes.Objects();
+	const other = make(store, 'entry-2', 2);
+	other.update('ledgers', store.put('claims', 'ledgers', {holder: 'entry-1', nonce: 'x'}));
+	other.update('ledgers', undefined);
+	assert.ok(other.isClaimedByOther('ledgers'));
+	assert.ok(other.wasClaimed('ledgers'));
+});
+
+test.test('guards against a failover that waits for a claim which is listed again after a restoration', async () => {
+	const store = new fakes.Objects();
+	const time = new clock.Manual();
+	const other = new claims.Claims({
+		host: 'entry-2', store, clock: time, random: new random.Seeded(2), decisions: new decisions.Silent(),
+	});
+	other.update('ledgers', store.put('claims', 'ledgers', {holder: 'entry-1', nonce: 'x'}));
+	await time.advance(5000);
+	assert.ok(!other.isClaimedByOther('ledgers'));
+	store.copy();
+	store.restore();
+	const listed = await store.read('claims', 'ledgers');
+	assert.ok(Either.isRight(listed));
+	other.update('ledgers', listed.right);
+	assert.ok(!other.isClaimedByOther('ledgers'));
+});
