Announce a host again when the store has lost its announcement

Cause: a host announced itself once, at its start. If the store was restored from a copy taken before, no list had the host again: hosts that started later never found it, and in fleets that forward work each host placed it with another set of hosts.

Change: the announcer runs as long as the host and announces it whenever the list lacks the announcement. After a restoration an object counts as stored only at a revision of the store's new generation. Each write is logged as host-announced.

Evidence: new test, fails on the old code (no announcement 2 s after the restoration); a restart still makes no call, and nor does an announced host.

--- a/src/entry/announcer.ts
+++ b/src/entry/announcer.ts
@@ -1,13 +1,17 @@
 /**
-Announces a host's address, place and capacity to other hosts through an object in the store.
+Announces a host's address, place and capacity to other hosts through an object in the store, and again if the store has
+lost the object.
 */
 import * as util from 'node:util';
 import * as Either from 'fp-ts/lib/Either.js';
 import type * as types from '../generated/types.js';
 import type * as clock from '../core/clock.js';
+import * as errors from '../core/errors.js';
 import type * as random from '../core/random.js';
 import type * as caches from './cache.js';
+import type * as decisions from './decisions.js';
 import type * as objects from './objects.js';
+import * as revisions from './revision.js';
 
 export type Options = {
 	readonly name: string;
@@ -16,14 +20,15 @@
 	readonly hosts: caches.Cache<'hosts'>;
 	readonly clock: clock.Clock;
 	readonly random: random.Source;
+	readonly decisions: decisions.Decisions;
 };
 
 /** Maximum wait for the list of hosts, which usually has the announcement of an earlier process of this host. */
 const listTimeoutMs = 1000;
 const listPollMs = 20;
-/** Bounds of the random delay before a failed announcement is retried. */
-const minBackoffMs = 200;
-const maxBackoffMs = 1000;
+/** Bounds of the random delay before a failed announcement is retried, or before the list of hosts is checked again. */
+const minDelayMs = 200;
+const maxDelayMs = 1000;
 
 /** Creates a host's announcement from its settings. */
 export function describe({host, listen, processor}: types.EntrySettings): types.Announcement {
@@ -32,21 +37,30 @@
 	};
 }
 
-/** Writes a host's announcement to the store. */
+/** Keeps a host's announcement in the store. */
 export class Announcer {
 	readonly #options: Options;
+	/** Revision at which the store had the announcement; newer than the list of hosts just after a write. */
+	#announcedAt = Number.NEGATIVE_INFINITY;
 
 	constructor(options: Options) {
 		this.#options = options;
 	}
 
-	/** Whether the list of hosts has this announcement already. A restart then needs no call to the store. */
+	/**
+	Whether the store has this announcement, as far as is known. A restart then needs no call to the store. A restored store
+	has an object only if the list has it at a revision of the store's current generation.
+	*/
 	get #isAnnounced(): boolean {
 		const {hosts, name, announcement} = this.#options;
-		return util.isDeepStrictEqual(hosts.item(name)?.value, announcement);
+		const {revision: listedAt = 0} = hosts;
+		const listed = hosts.item(name);
+		return listedAt <= this.#announcedAt || (listed !== undefined
+			&& revisions.split(listed.revision).generation === revisions.split(listedAt).generation
+			&& util.isDeepStrictEqual(listed.value, announcement));
 	}
 
-	/** Announces the host, with retries until it succeeds or `signal` aborts. */
+	/** Announces the host whenever the store lacks the announcement, until `signal` aborts. */
 	async run(signal: AbortSignal): Promise<void> {
 		const {clock: time, random: source, hosts} = this.#options;
 		const deadline = time.now() + listTimeoutMs;
@@ -54,29 +68,39 @@
 			await time.sleep(listPollMs, signal);
 		}
 
-		while (!signal.aborted && !this.#isAnnounced && !await this.#announce()) {
-			await time.sleep(source.integer(minBackoffMs, maxBackoffMs), signal);
+		while (!signal.aborted) {
+			if (!this.#isAnnounced) {
+				await this.#announce();
+			}
+
+			await time.sleep(source.integer(minDelayMs, maxDelayMs), signal);
 		}
 	}
 
-	async #announce(): Promise<boolean> {
-		const {store, name, announcement} = this.#options;
-		const outcome = await store.create('hosts', name, announcement);
-		if (Either.isLeft(outcome) && outcome.left.kind === 'conflict') {
-			return this.#replace();
+	async #announce(): Promise<void> {
+		const {store, name, announcement, decisions: record} = this.#options;
+		const created = await store.create('hosts', name, announcement);
+		const outcome = Either.isLeft(created) && created.left.kind === 'conflict' ? await this.#replace() : created;
+		record.record('host-announced', {
+			peer: announcement.peer, result: Either.isRight(outcome) ? 'stored' : 'failed', reason: Either.isLeft(outcome) ? errors.describe(outcome.left) : '',
+		});
+		if (Either.isRight(outcome)) {
+			this.#announcedAt = outcome.right.revision;
 		}
-
-		return Either.isRight(outcome);
 	}
 
 	/** Replaces the announcement of an earlier process of this host, whose address may differ. */
-	async #replace(): Promise<boolean> {
+	async #replace(): Promise<errors.Outcome<objects.Item<'hosts'>>> {
 		const {store, name, announcement} = this.#options;
 		const found = await store.read('hosts', name);
-		if (Either.isLeft(found) || !found.right) {
-			return false;
+		if (Either.isLeft(found)) {
+			return found;
+		}
+
+		if (!found.right) {
+			return errors.fail('store', 'store', name, 'the announcement is gone');
 		}
 
-		return util.isDeepStrictEqual(found.right.value, announcement) || Either.isRight(await store.replace('hosts', name, announcement, found.right.revision));
+		return util.isDeepStrictEqual(found.right.value, announcement) ? Either.right(found.right) : store.replace('hosts', name, announcement, found.right.revision);
 	}
 }
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -168,6 +168,7 @@
 			hosts: this.#caches.hosts,
 			clock: this.#options.clock,
 			random: this.#options.random,
+			decisions: log,
 		}).run(signal);
 		await this.#serveHttp(listen.readiness, async () => [this.isReady ? 200 : 503, '']);
 		await this.#serveHttp(listen.metrics, async () => [200, await this.#options.metrics()]);
--- a/src/entry/tests/announcer.test.ts
+++ b/src/entry/tests/announcer.test.ts
@@ -1,9 +1,11 @@
 import * as assert from 'node:assert/strict';
 import * as test from 'node:test';
+import * as Either from 'fp-ts/lib/Either.js';
 import type * as types from '../../generated/types.js';
 import * as clock from '../../core/clock.js';
 import * as random from '../../core/random.js';
 import * as announcer from '../announcer.js';
+import type * as caches from '../cache.js';
 import * as decisions from '../decisions.js';
 import * as fakes from './fake-cluster.js';
 import * as states from './fake-state.js';
@@ -33,7 +35,7 @@
 	const {hosts} = states.caches(time, new decisions.Silent());
 	const stopped = new AbortController();
 	void new announcer.Announcer({
-		name: 'entry-1', announcement, store, hosts, clock: time, random: new random.Seeded(1),
+		name: 'entry-1', announcement, store, hosts, clock: time, random: new random.Seeded(1), decisions: new decisions.Silent(),
 	}).run(stopped.signal);
 	await time.advance(listedAfterMs);
 	const listing = await store.list('hosts');
@@ -65,3 +67,37 @@
 	await run(unlisted, 5000);
 	assert.equal(unlisted.writes, 1);
 });
+
+/** Applies the store's list of hosts to a host's cache, as its follower does. */
+async function follow(store: CountingStore, hosts: caches.Cache<'hosts'>, time: clock.Manual): Promise<void> {
+	const listing = await store.list('hosts');
+	assert.ok(Either.isRight(listing));
+	hosts.apply({from: undefined, gone: [], ...listing.right}, time.now());
+}
+
+test.test('guards against a host that others no longer know because the restored store has lost its announcement', async () => {
+	const time = new clock.Manual();
+	const store = new CountingStore();
+	const {hosts} = states.caches(time, new decisions.Silent());
+	const stopped = new AbortController();
+	store.copy();
+	void new announcer.Announcer({
+		name: 'entry-1', announcement, store, hosts, clock: time, random: new random.Seeded(1), decisions: new decisions.Silent(),
+	}).run(stopped.signal);
+	await follow(store, hosts, time);
+	await time.advance(2000);
+	await follow(store, hosts, time);
+	await time.advance(10_000);
+	assert.equal(store.writes, 1);
+	store.restore();
+	await follow(store, hosts, time);
+	await time.advance(2000);
+	const found = await store.read('hosts', 'entry-1');
+	assert.ok(Either.isRight(found));
+	assert.deepEqual(found.right?.value, announcement);
+	await follow(store, hosts, time);
+	await time.advance(10_000);
+	assert.equal(store.writes, 2);
+	stopped.abort();
+	await time.advance(1000);
+});
