Keep what a restored store may have lost until its writer is heard

Cause: the state of a restored store replaced a cache's contents at once. The copy may have a configuration that was replaced since, which an observer then passed on to hosts that had just started; and hosts whose announcements were lost counted as removed, so their links and the requests on them were closed.

Change: what outlasts a restoration depends on the kind (retention.ts): the configuration of the highest version, and announcements that are missing. Server registrations and claims are taken as they are; a missing server has its usual grace period.

--- a/src/entry/cache.ts
+++ b/src/entry/cache.ts
@@ -5,12 +5,14 @@
 import type * as clock from '../core/clock.js';
 import type * as decisions from './decisions.js';
 import type * as objects from './objects.js';
+import type * as retentions from './retention.js';
 import * as revisions from './revision.js';
 
 export type Options<K extends objects.Kind> = {
 	readonly kind: K;
 	readonly clock: clock.Clock;
 	readonly decisions: decisions.Decisions;
+	readonly retention: retentions.Retention<K>;
 	/** Called with each changed object; without an item, the object was removed. */
 	readonly onChange: (name: string, item: objects.Item<K> | undefined) => void;
 };
@@ -75,19 +77,12 @@
 
 		this.#confirmedAt = Math.max(this.#confirmedAt, confirmedAt);
 		const isNew = current === undefined || update.revision > current;
-		if (isNew) {
-			this.#recordRestoration(current, update.revision);
-			this.#revision = update.revision;
-			this.#update(update);
-		}
-
-		const notification = isNew
-			? {...update, from: update.from === undefined ? undefined : current}
-			: {
-				from: current, revision: current, items: [], gone: [],
-			};
+		const unchanged = {
+			from: current, revision: update.revision, items: [], gone: [],
+		};
+		const applied = isNew ? this.#advance(update) : unchanged;
 		for (const listener of this.#listeners) {
-			listener(notification);
+			listener(applied);
 		}
 
 		return true;
@@ -101,13 +96,33 @@
 		};
 	}
 
-	#recordRestoration(current: number | undefined, next: number): void {
-		const [{generation: known, counter: lost}, {generation, counter}] = [revisions.split(current ?? next), revisions.split(next)];
-		if (generation > known) {
+	/** Advances to the revision of an update. Returns what changed for those who have followed this cache so far. */
+	#advance(update: Update<K>): Update<K> {
+		const current = this.#revision;
+		const [before, after] = [revisions.split(current ?? update.revision), revisions.split(update.revision)];
+		const isRestored = after.generation > before.generation;
+		this.#revision = update.revision;
+		if (isRestored) {
 			this.#options.decisions.record('store-restored', {
-				kind: this.#options.kind, generation, counter, lost,
+				kind: this.#options.kind, generation: after.generation, counter: after.counter, lost: before.counter,
 			});
 		}
+
+		const applied = isRestored && update.from === undefined ? this.#retain(update) : update;
+		this.#update(applied);
+		return {...applied, from: update.from === undefined ? undefined : current};
+	}
+
+	/** Adds the known objects that outlast the restoration of the store to the state of the restored store. */
+	#retain(restored: Update<K>): Update<K> {
+		const items = new Map(restored.items.map(item => [item.name, item]));
+		for (const known of this.#items.values()) {
+			if (this.#options.retention.isKept(known, items.get(known.name))) {
+				items.set(known.name, known);
+			}
+		}
+
+		return {...restored, items: [...items.values()]};
 	}
 
 	#update({from, items, gone}: Update<K>): void {
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -26,6 +26,7 @@
 import type * as notices from './notice.js';
 import * as caches from './cache.js';
 import * as responders from './responder.js';
+import * as retentions from './retention.js';
 import * as sessions from './session.js';
 import * as shutdowns from './shutdown.js';
 import * as synchronizer from './synchronizer.js';
@@ -123,19 +124,19 @@
 			void this.#serveCaller(accepted);
 		});
 		this.#caches = {
-			configuration: this.#createCache('configuration', (_name, item) => {
+			configuration: this.#createCache('configuration', new retentions.Newest(), (_name, item) => {
 				if (item?.value) {
 					this.#applyDeployment(item.value);
 				}
 			}),
-			servers: this.#createCache('servers', (name, item) => {
+			servers: this.#createCache('servers', new retentions.Nothing(), (name, item) => {
 				this.#updateServer(name, item?.value);
 			}),
-			hosts: this.#createCache('hosts', (name, item) => {
+			hosts: this.#createCache('hosts', new retentions.Missing(), (name, item) => {
 				this.#fleet.update(name, item?.value);
 				this.#updateQuotas();
 			}),
-			claims: this.#createCache('claims', (name, item) => {
+			claims: this.#createCache('claims', new retentions.Nothing(), (name, item) => {
 				this.#claims.update(name, item);
 			}),
 		};
@@ -264,10 +265,10 @@
 		}
 	}
 
-	#createCache<K extends objects.Kind>(kind: K, onChange: caches.Options<K>['onChange']): caches.Cache<K> {
+	#createCache<K extends objects.Kind>(kind: K, retention: retentions.Retention<K>, onChange: caches.Options<K>['onChange']): caches.Cache<K> {
 		const {clock: time, decisions: log} = this.#options;
 		return new caches.Cache<K>({
-			kind, clock: time, decisions: log, onChange,
+			kind, clock: time, decisions: log, retention, onChange,
 		});
 	}
 
--- a/src/entry/tests/fake-state.ts
+++ b/src/entry/tests/fake-state.ts
@@ -5,12 +5,14 @@
 import type * as decisions from '../decisions.js';
 import type * as notices from '../notice.js';
 import type * as objects from '../objects.js';
+import * as retentions from '../retention.js';
 import * as cache from '../cache.js';
 
 /** Creates empty caches of all kinds. */
 export function caches(time: clock.Clock, record: decisions.Decisions): notices.Caches {
-	const make = <K extends objects.Kind>(kind: K): cache.Cache<K> => new cache.Cache({
+	const make = <K extends objects.Kind>(kind: K, retention: retentions.Retention<K> = new retentions.Nothing<K>()): cache.Cache<K> => new cache.Cache({
 		kind,
+		retention,
 		clock: time,
 		decisions: record,
 		onChange() {
@@ -18,6 +20,6 @@
 		},
 	});
 	return {
-		configuration: make('configuration'), servers: make('servers'), hosts: make('hosts'), claims: make('claims'),
+		configuration: make('configuration', new retentions.Newest()), servers: make('servers'), hosts: make('hosts', new retentions.Missing()), claims: make('claims'),
 	};
 }
--- a/src/entry/tests/follower.test.ts
+++ b/src/entry/tests/follower.test.ts
@@ -10,6 +10,7 @@
 import * as follower from '../follower.js';
 import type * as objects from '../objects.js';
 import * as caches from '../cache.js';
+import * as retentions from '../retention.js';
 import * as fakes from './fake-cluster.js';
 import * as states from './fake-state.js';
 
@@ -35,6 +36,7 @@
 	const record = new decisions.Silent();
 	const cache = new caches.Cache<'hosts'>({
 		kind: 'hosts',
+		retention: new retentions.Missing(),
 		clock: time,
 		decisions: record,
 		onChange(name, item) {
