Resume paused replicas also where no claim is known

Cause: replicas that a host paused and did not resume are resumed by the others only if these know of a claim in the service. A restored store may have lost the claim, and a host that started since knows of none, so the replicas stayed paused for good. Found in the search for other places that trust what the store acknowledged.

Change: without a known claim, hosts wait longer than a failover takes before they resume a replica that is behind, as its holder may still be at work.

--- a/src/entry/failover.ts
+++ b/src/entry/failover.ts
@@ -58,6 +58,8 @@
 const maxBackoffMs = 600;
 /** Time for which a replica is behind before this host checks whether its replication is paused, and the interval of these checks. */
 const resumeIntervalMs = 3000;
+/** The same time without a known claim: longer than a failover, whose claim a restored store may have lost. */
+const unclaimedResumeMs = 15_000;
 /** Time for the authority to respond, and the delay between retries of the same request. */
 const promoteTimeoutMs = 8000;
 const promoteRetryMs = 150;
@@ -221,8 +223,9 @@
 	/** Resumes replication on replicas that are behind because another host paused them and did not finish the promotion. */
 	async #resumePaused(): Promise<void> {
 		const {group: {name, members, leader}, clock: time, claims: promotionClaims} = this.#options;
-		const behind = members.filter(server => server !== leader && server.behindSince !== undefined && time.now() - server.behindSince > resumeIntervalMs);
-		if (!leader || behind.length === 0 || !promotionClaims.wasClaimed(name) || promotionClaims.isClaimedByOther(name)) {
+		const patienceMs = promotionClaims.wasClaimed(name) ? resumeIntervalMs : unclaimedResumeMs;
+		const behind = members.filter(server => server !== leader && server.behindSince !== undefined && time.now() - server.behindSince > patienceMs);
+		if (!leader || behind.length === 0 || promotionClaims.isClaimedByOther(name)) {
 			return;
 		}
 
--- a/src/entry/tests/failover.test.ts
+++ b/src/entry/tests/failover.test.ts
@@ -105,3 +105,38 @@
 	assert.deepEqual(setup.authority.requests, []);
 	await setup.stop();
 });
+
+test.test('guards against replicas that stay paused because the restored store has lost the claim of the host that paused them', async () => {
+	const setup = new fixture.Fixture();
+	await setup.start();
+	await setup.startFailover();
+	setup.cluster.get('c').heldTerm = 2;
+	for (let second = 0; second < 22; second++) {
+		setup.cluster.commit(setup.cluster.get('a'));
+		await setup.time.advance(1000);
+	}
+
+	assert.equal(setup.cluster.get('c').heldTerm, 0);
+	assert.deepEqual(setup.authority.requests, []);
+	await setup.stop();
+});
+
+test.test('guards against a failover that never comes because the restored store has lost the claim of an earlier one', async () => {
+	const setup = new fixture.Fixture();
+	await setup.start();
+	await setup.startFailover();
+	setup.store.copy();
+	setup.cluster.get('a').isUnresponsive = true;
+	await setup.time.advance(3000);
+	const first = setup.group.leader?.id ?? '';
+	assert.notEqual(first, 'a');
+	setup.cluster.get('a').isUnresponsive = false;
+	await setup.time.advance(5000);
+	setup.store.restore();
+	setup.cluster.get(first).isUnresponsive = true;
+	await setup.time.advance(4000);
+	assert.notEqual(setup.group.leader?.id, first);
+	assert.equal(setup.authority.requests.length, 2);
+	assert.ok(setup.authority.requests[1].token > setup.authority.requests[0].token);
+	await setup.stop();
+});
