--- a/scripts/mutate.js
+++ b/scripts/mutate.js
@@ -22,8 +22,9 @@
 const write = 'core/tests/write.test.js';
 const session = 'core/tests/session.test.js';
 const statement = 'core/tests/statement.test.js';
-const entry = ['group', 'read', 'write', 'session', 'failover', 'claims', 'follower', 'synchronizer', 'announcer'].map(name => `entry/tests/${name}.test.js`);
+const entry = ['group', 'read', 'write', 'session', 'failover', 'claims', 'follower', 'synchronizer', 'announcer', 'cache', 'revision'].map(name => `entry/tests/${name}.test.js`);
 const callers = 'platform/tests/caller.test.js';
+const objects = 'platform/tests/http.test.js';
 
 /** Name, number of the promise that it breaks, tests of which at least one must fail, file, text to replace, and replacement. */
 const mutations = [
@@ -76,12 +77,20 @@
 	['attempt a connection for each waiting request', 'connection storm', [pool], 'core/pool.js', '&& !this.#isBackingOff', ''],
 	['refuse probes for as long as a refusal counts as recent', 'connection storm', [pool], 'core/pool.js', 'this.isBlockedByLimit && this.#isBackingOff', 'this.isBlockedByLimit'],
 	['watch the store at once after the list', 'fleet start', entry, 'entry/follower.js', 'isFirst ? this.#options.firstWatchDelayMs : 0', '0'],
-	['announce a host that is announced already', 'fleet start', entry, 'entry/announcer.js', '!this.#isAnnounced && ', ''],
+	['announce a host that is announced already', 'fleet start', entry, 'entry/announcer.js', '!this.#isAnnounced', 'true'],
+	['compare the counter of a restored store alone', 'restored store', entry, 'entry/revision.js', '(generation * (maxCounter + 1)) + counter', 'counter'],
+	['apply changes of the time before a restoration', 'restored store', [objects], 'platform/objects.js', 'answered === generation && ', ''],
+	['leave a watch waiting through a restoration', 'restored store', [objects], 'platform/objects.js', 'this.#restored.abort();', ''],
+	['list without a pause while the list is older', 'restored store', entry, 'entry/follower.js', 'listed < revision', 'false'],
+	['replace a claim that the store has lost', 'restored store', entry, 'entry/claims.js', '{ ...entry, revision: undefined }', 'entry'],
+	['announce a host only once', 'restored store', entry, 'entry/announcer.js', 'revisions.split(listed.revision).generation === revisions.split(listedAt).generation', 'true'],
+	['take an older configuration from a restored store', 'restored store', entry, 'entry/retention.js', 'restored.value.version < value.version', 'false'],
+	['leave replicas paused whose claim is lost', 'restored store', entry, 'entry/failover.js', 'resumeIntervalMs : unclaimedResumeMs', 'resumeIntervalMs : Number.POSITIVE_INFINITY'],
 	['read from the socket after the session was closed', 'shutdown', [callers], 'platform/caller.js', 'this.#socket.pause();\n        this.#socket.destroySoon();', 'this.#socket.end();'],
 ];
 
 /** Leaves the code unchanged, so all tests must pass; otherwise a failure for another reason would count as a detection. */
-const baseline = ['(none)', '', [trace, fuzz, session, statement, observer, pool, read, write, ...entry, callers], 'core/read.js', 'ageAtSendMs + ', 'ageAtSendMs + '];
+const baseline = ['(none)', '', [trace, fuzz, session, statement, observer, pool, read, write, ...entry, callers, objects], 'core/read.js', 'ageAtSendMs + ', 'ageAtSendMs + '];
 
 function prepare(index, mutation) {
 	const [name, file, from, to] = [mutation[0], ...mutation.slice(3)];
--- a/src/platform/tests/http.test.ts
+++ b/src/platform/tests/http.test.ts
@@ -139,6 +139,12 @@
 	assert.equal(calls[1]?.path, '/objects/config?watch=25&waitMs=100');
 });
 
+test.test('guards against changes of the time before a restoration, in a response that arrives late', {timeout: testTimeoutMs}, async context => {
+	const {client} = await serve(context, () => ({status: 200, body: {events: [{object: stored('main', {})}], storeRevision: 30}, era: 1}));
+	const outcome = await new objects.Objects(client).watch('configuration', revisions.combine({generation: 1, counter: 25}), 100);
+	assert.ok(Either.isLeft(outcome) && outcome.left.kind === 'store');
+});
+
 test.test('guards against a watch that waits on while another call shows that the store was restored', {timeout: testTimeoutMs}, async context => {
 	const {client} = await serve(context, async ({path}) => path.includes('watch=')
 		? new Promise(() => {
