Let the soak's store return from an older copy, and check configurations and failovers

Cause: in a drill the store may come back from a copy that is some seconds old. What hosts wrote since is gone, revisions are given out again, and the header Store-Era rises. The soak could do none of this, and it checked neither when a configuration is in force nor when a lost primary is replaced.

Change: - src/soak/history.ts holds the stand-in's objects with their events, each with the object that it replaced, so the state of an earlier time is reached by undoing events. platform.ts keeps HTTP and failures. Every response of the store has its era; the operator and the servers repeat their writes 20 to 400 ms after a restore. Promotion tokens stay with the authority. - A plan (src/soak/plan.ts) draws the faults. `mixed` is what the soak did: its draws and their order are the same. `restores` draws series of a lost primary, a restore and another lost primary, with new configurations, from a random source of its own. A lost primary stays dark until it is replaced or overdue. A probe at each host opens sessions for the route that was added last and for the one that was removed. Checked: a configuration is in force 3 s after its acknowledgement at hosts that, like the store, were left alone for 4 s; a process never returns to an older one. These checks run in every soak. - A primary that is lost must be replaced, and a write acknowledged after that, within 15 s, counted from the last disturbance of the store, of all hosts or of the other two servers.

--- a/src/soak/checker.ts
+++ b/src/soak/checker.ts
@@ -54,6 +54,11 @@
 		return this.#acknowledged.length;
 	}
 
+	/** Clock time of the last acknowledgement of a write in the group. */
+	lastAcknowledgedAt(group: string): number {
+		return this.#acknowledged.findLast(write => write.group === group)?.at ?? Number.NEGATIVE_INFINITY;
+	}
+
 	/** Records a request that a caller is about to send. */
 	recordRequest(request: Request): void {
 		this.#requests.set(request.id, request);
--- a/src/soak/fault.ts
+++ b/src/soak/fault.ts
@@ -3,6 +3,7 @@
 store, servers that crash or lose responses, and relays that delay, close or silence connections.
 */
 import type * as random from '../core/random.js';
+import type * as contacts from './contact.js';
 import type * as platforms from './platform.js';
 import * as replicated from './replicated.js';
 import type * as sites from './site.js';
@@ -11,6 +12,13 @@
 export abstract class Fault {
 	/** Description for the report. */
 	abstract readonly text: string;
+	/** What the fault disturbs from its begin to its end, so that bounds of time don't hold there. */
+	abstract readonly scopes: readonly contacts.Scope[];
+
+	/** Resolves when the fault has lasted long enough to end. */
+	async hold(site: sites.Site, durationMs: number): Promise<void> {
+		await site.time.sleep(durationMs);
+	}
 
 	abstract begin(site: sites.Site): void;
 
@@ -21,6 +29,7 @@
 /** Sends a signal to one entry host; a host stopped by SIGSTOP is continued at the end. */
 class Signal extends Fault {
 	readonly text: string;
+	readonly scopes: readonly contacts.Scope[];
 	readonly #host: number;
 	readonly #signal: NodeJS.Signals;
 
@@ -29,6 +38,7 @@
 		this.#host = host;
 		this.#signal = signal;
 		this.text = `${signal} to host ${host}`;
+		this.scopes = signal === 'SIGHUP' ? [] : [`host ${host}`];
 	}
 
 	override begin(site: sites.Site): void {
@@ -45,6 +55,7 @@
 /** Kills all entry hosts at once. */
 class Outage extends Fault {
 	readonly text: string;
+	readonly scopes = ['hosts'] as const;
 
 	constructor() {
 		super();
@@ -65,14 +76,16 @@
 /** Puts the store into a failure state for all hosts, or makes it refuse the requests of one. */
 class StoreFault extends Fault {
 	readonly text: string;
+	readonly scopes: readonly contacts.Scope[];
 	readonly #state: platforms.State;
 	readonly #host: string | undefined;
 
-	constructor(state: platforms.State, host: string | undefined) {
+	constructor(state: platforms.State, host: number | undefined) {
 		super();
 		this.#state = state;
-		this.#host = host;
-		this.text = host === undefined ? `the store is ${state}` : `the store refuses requests of ${host}`;
+		this.#host = host === undefined ? undefined : `entry-${host}`;
+		this.text = host === undefined ? `the store is ${state}` : `the store refuses requests of entry-${host}`;
+		this.scopes = [host === undefined ? 'store' : `host ${host}`];
 	}
 
 	override begin(site: sites.Site): void {
@@ -92,9 +105,37 @@
 	}
 }
 
+/** Makes the store refuse requests or not respond, and then return from a copy of its state some time before the fault. */
+export class Restoration extends Fault {
+	readonly text: string;
+	readonly scopes = ['store'] as const;
+	readonly #state: platforms.State;
+	readonly #copyAgeMs: number;
+	#startedAt = 0;
+
+	constructor(state: 'refused' | 'silent', copyAgeMs: number) {
+		super();
+		this.#state = state;
+		this.#copyAgeMs = copyAgeMs;
+		this.text = `the store is ${state} and returns from a copy ${copyAgeMs} ms old`;
+	}
+
+	override begin(site: sites.Site): void {
+		this.#startedAt = site.time.now();
+		site.platform.state = this.#state;
+		site.platform.cutWatches();
+	}
+
+	override end(site: sites.Site): void {
+		site.platform.state = 'well';
+		void site.platform.restore(Math.max(this.#startedAt - this.#copyAgeMs, site.preparedAt));
+	}
+}
+
 /** Compacts the store's history, or writes a new configuration. */
-class StoreChange extends Fault {
+export class StoreChange extends Fault {
 	readonly text: string;
+	readonly scopes = [] as const;
 	readonly #kind: 'compact' | 'configure';
 
 	constructor(kind: 'compact' | 'configure') {
@@ -121,11 +162,13 @@
 /** Makes one server of a group crash, lag or lose responses, or registers it as draining so that it is replaced as primary. */
 class ServerFault extends Fault {
 	readonly text: string;
+	readonly scopes: readonly contacts.Scope[];
 	readonly #index: number;
 	readonly #kind: ServerFaultKind;
 
 	constructor(index: number, kind: ServerFaultKind) {
 		super();
+		this.scopes = [`server ${index}`];
 		this.#index = index;
 		this.#kind = kind;
 		this.text = `server ${index} is ${kind}`;
@@ -135,12 +178,7 @@
 		const backend = site.backends[this.#index];
 		switch (this.#kind) {
 			case 'dark': {
-				// At most one server of a group is down: with two, an acknowledged commit could be lost for good.
-				if (site.backends.every(other => other.group !== backend.group || !other.server.isUnresponsive)) {
-					backend.server.isUnresponsive = true;
-					backend.listener.crash();
-				}
-
+				crash(site, backend);
 				break;
 			}
 
@@ -170,11 +208,48 @@
 	}
 }
 
+/** Crashes a group's primary, until another server is primary or the bound for that has passed. */
+export class PrimaryLoss extends Fault {
+	readonly text: string;
+	readonly scopes = [] as const;
+	readonly #group: number;
+	#lost: sites.Backend | undefined;
+
+	constructor(group: number) {
+		super();
+		this.#group = group;
+		this.text = `the primary of group ${group} is dark`;
+	}
+
+	override begin(site: sites.Site): void {
+		const {name} = site.groups[this.#group];
+		const primary = site.backends.find(({group, server}) => group.name === name && server.role === 'primary');
+		if (primary && crash(site, primary)) {
+			this.#lost = primary;
+		}
+	}
+
+	override async hold(site: sites.Site, durationMs: number): Promise<void> {
+		await super.hold(site, durationMs);
+		while (this.#lost?.server.isUnresponsive && this.#lost.server.role === 'primary' && !site.failovers.isOverdue(this.#lost.group.name)) {
+			await site.time.sleep(replacementPollMs);
+		}
+	}
+
+	override end(site: sites.Site): void {
+		if (this.#lost) {
+			this.#lost.server.isUnresponsive = false;
+			site.register(this.#lost, 'ready');
+		}
+	}
+}
+
 type ConnectionFaultKind = 'reset' | 'silenced' | 'one-way' | 'delayed' | 'refused';
 
 /** Disturbs the connections to one server, or the links to one entry host. */
 class ConnectionFault extends Fault {
 	readonly text: string;
+	readonly scopes: readonly contacts.Scope[];
 	readonly #target: 'server' | 'host';
 	readonly #index: number;
 	readonly #kind: ConnectionFaultKind;
@@ -185,6 +260,7 @@
 		this.#index = index;
 		this.#kind = kind;
 		this.text = `connections to ${target} ${index} are ${kind}`;
+		this.scopes = [`${target} ${index}`];
 	}
 
 	override begin(site: sites.Site): void {
@@ -227,6 +303,18 @@
 	}
 }
 
+/** Crashes a server, unless another one of its group is down: with two, an acknowledged commit could be lost for good. */
+function crash(site: sites.Site, backend: sites.Backend): boolean {
+	const isAllowed = site.backends.every(other => other.group !== backend.group || !other.server.isUnresponsive);
+	if (isAllowed) {
+		backend.server.isUnresponsive = true;
+		backend.listener.crash();
+	}
+
+	return isAllowed;
+}
+
+const replacementPollMs = 50;
 const signals = ['SIGKILL', 'SIGTERM', 'SIGSTOP', 'SIGHUP'] as const;
 const storeStates = ['refused', 'silent', 'slow', 'answers-lost'] as const;
 const serverFaultKinds = ['dark', 'lagging', 'losing answers', 'draining'] as const;
@@ -243,7 +331,7 @@
 	}
 
 	if (kind < 9) {
-		return new StoreFault(pick(storeStates), source.integer(0, 1) === 0 ? `entry-${host}` : undefined);
+		return new StoreFault(pick(storeStates), source.integer(0, 1) === 0 ? host : undefined);
 	}
 
 	if (kind < 13) {
--- /dev/null
+++ b/src/soak/plan.ts
@@ -0,0 +1,109 @@
+/**
+Plans of a soak test: which faults are injected, for how long, and at which intervals.
+*/
+import type * as random from '../core/random.js';
+import * as randoms from '../core/random.js';
+import * as faults from './fault.js';
+import type * as sites from './site.js';
+
+/** Name of a plan. */
+export type Kind = 'mixed' | 'restores';
+
+/** A fault and its duration. */
+export type Step = {readonly fault: faults.Fault; readonly durationMs: number};
+
+const maxGapMs = 1500;
+const minDurationMs = 100;
+const maxDurationMs = 4000;
+const maxOutageMs = 1500;
+const minCopyAgeMs = 1000;
+const maxCopyAgeMs = 9000;
+
+/** Draws one fault after another. */
+export abstract class Plan {
+	readonly #source: random.Source;
+
+	constructor(source: random.Source) {
+		this.#source = source;
+	}
+
+	next(): Step {
+		const fault = this.draw();
+		const durationMs = this.#source.integer(minDurationMs, fault instanceof faults.Restoration ? maxOutageMs : maxDurationMs);
+		return {fault, durationMs};
+	}
+
+	/** Draws the time from the begin of one fault to that of the next. */
+	drawGapMs(): number {
+		return this.#source.integer(0, maxGapMs);
+	}
+
+	protected abstract draw(): faults.Fault;
+}
+
+/**
+Any faults but restores. The draws come from the random source of the whole run, as they did when the seeds of the
+regression tests were recorded, so a seed keeps the size of its deployment and its first fault; the draws of callers and
+servers, which depend on the timing, come in between the later ones.
+*/
+class Mixed extends Plan {
+	readonly #draw: () => faults.Fault;
+
+	constructor(source: random.Source, size: sites.Size) {
+		super(source);
+		this.#draw = () => faults.draw(source, size);
+	}
+
+	protected override draw(): faults.Fault {
+		return this.#draw();
+	}
+}
+
+/**
+Series with a restore of the store: a primary is lost before it and another one after it, with a new configuration on
+either side, and any fault follows. The draws come from a source of their own, so a seed has the same faults in each run;
+they share no seeds with `Mixed`.
+*/
+class Restores extends Plan {
+	readonly #random: random.Source;
+	readonly #size: sites.Size;
+	readonly #series: faults.Fault[] = [];
+
+	constructor(source: random.Source, size: sites.Size) {
+		super(source);
+		this.#random = source;
+		this.#size = size;
+	}
+
+	protected override draw(): faults.Fault {
+		const next = this.#series.shift();
+		if (next) {
+			return next;
+		}
+
+		const group = this.#random.integer(0, this.#size.groups - 1);
+		this.#series.push(
+			...this.#shuffle(new faults.StoreChange('configure'), new faults.PrimaryLoss(group)),
+			new faults.Restoration(this.#random.integer(0, 1) === 0 ? 'refused' : 'silent', this.#random.integer(minCopyAgeMs, maxCopyAgeMs)),
+			...this.#shuffle(new faults.StoreChange('configure'), new faults.PrimaryLoss(group)),
+		);
+		return faults.draw(this.#random, this.#size);
+	}
+
+	#shuffle(one: faults.Fault, other: faults.Fault): readonly faults.Fault[] {
+		return this.#random.integer(0, 1) === 0 ? [one, other] : [other, one];
+	}
+}
+
+/** Creates a plan. `source` is the random source of the run with this seed. */
+export function create(kind: Kind, {seed, source, size}: {readonly seed: number; readonly source: random.Source; readonly size: sites.Size}): Plan {
+	switch (kind) {
+		case 'mixed': {
+			return new Mixed(source, size);
+		}
+
+		case 'restores': {
+			return new Restores(new randoms.Seeded(seed), size);
+		}
+	}
+}
--- a/src/soak/platform.ts
+++ b/src/soak/platform.ts
@@ -2,10 +2,12 @@
 A stand-in for the platform's object store and promotion authority, as far as the soak test needs their published
 interfaces: objects with revisions and watches, promotions with fencing tokens, and failures of the store.
 */
+import * as util from 'node:util';
 import * as http from 'node:http';
 import type * as net from 'node:net';
 import type * as clock from '../core/clock.js';
 import type * as random from '../core/random.js';
+import * as history from './history.js';
 
 /**
 How the store treats requests: served, refused, left without a response, served late, or (for half of the writes) applied
@@ -13,13 +15,14 @@
 */
 export type State = 'well' | 'refused' | 'silent' | 'slow' | 'answers-lost';
 
-type Meta = {name: string; revision: number; created: number; finalizers: string[]; deleting: boolean};
-type Stored = {meta: Meta; spec: unknown; status: unknown};
-type Event = {readonly revision: number; readonly kind: string; readonly object: Stored; readonly isDeleted: boolean};
 type Response = {readonly status: number; readonly body: unknown};
 
 const slowResponseMs = 400;
 const watchPollIntervalMs = 10;
+const firstEra = 1;
+/** Bounds of the delay between the return of an older copy of the store and the repeated writes of the operator and the servers. */
+const minRewriteDelayMs = 20;
+const maxRewriteDelayMs = 400;
 
 /** Starts a promotion; returns false if the server isn't running. */
 export type Promote = (service: string, server: string) => boolean;
@@ -33,17 +36,20 @@
 	readonly #clock: clock.Clock;
 	readonly #random: random.Source;
 	readonly #promote: Promote;
-	readonly #objects = new Map<string, Stored>();
-	readonly #events: Event[] = [];
+	readonly #history: history.History;
+	/** The last writes of the operator and the servers; without a value, the object was removed. They are repeated if the store loses them. */
+	readonly #outsideWrites = new Map<string, {readonly kind: string; readonly name: string; readonly spec: unknown}>();
 	readonly #fencingTokens = new Map<string, number>();
 	readonly #servers: http.Server[] = [];
-	#revision = 1;
-	#compactedRevision = 0;
+	#era = firstEra;
+	/** Number of times that waiting watches were cut. */
+	#cuts = 0;
 
 	constructor(time: clock.Clock, source: random.Source, promote: Promote) {
 		this.#clock = time;
 		this.#random = source;
 		this.#promote = promote;
+		this.#history = new history.History(time);
 	}
 
 	/** Listens for one host on a port of its own, and returns the address. */
@@ -58,36 +64,44 @@
 		return `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
 	}
 
-	/** Writes an object without a check of its revision. */
-	put(kind: string, name: string, spec: unknown): Stored {
-		this.#revision++;
-		const stored = {
-			meta: {
-				name, revision: this.#revision, created: 1, finalizers: [], deleting: false,
-			}, spec, status: null,
-		};
-		this.#objects.set(`${kind}/${name}`, stored);
-		this.#events.push({
-			revision: this.#revision, kind, object: stored, isDeleted: false,
-		});
-		return stored;
+	/** Writes an object for the operator or a server. */
+	put(kind: string, name: string, spec: unknown): void {
+		this.#outsideWrites.set(`${kind}/${name}`, {kind, name, spec});
+		this.#history.put(kind, name, spec);
 	}
 
+	/** Removes an object for the operator or a server. */
 	remove(kind: string, name: string): void {
-		const stored = this.#objects.get(`${kind}/${name}`);
-		if (stored) {
-			this.#revision++;
-			this.#objects.delete(`${kind}/${name}`);
-			this.#events.push({
-				revision: this.#revision, kind, object: stored, isDeleted: true,
-			});
-		}
+		this.#outsideWrites.set(`${kind}/${name}`, {kind, name, spec: undefined});
+		this.#history.remove(kind, name);
 	}
 
 	/** Drops the event history, so that watches from earlier revisions fail with 410 and must list again. */
 	compact(): void {
-		this.#compactedRevision = this.#revision;
-		this.#events.length = 0;
+		this.#history.compact();
+	}
+
+	/** Closes the connections of waiting watches without a response. */
+	cutWatches(): void {
+		this.#cuts++;
+	}
+
+	/**
+	Returns the store to its state at the clock time `at`, in a new era. What hosts wrote since is gone; the operator and
+	the servers repeat their writes a moment later.
+	*/
+	async restore(at: number): Promise<void> {
+		this.#history.restore(at);
+		this.#era++;
+		this.cutWatches();
+		await this.#clock.sleep(this.#random.integer(minRewriteDelayMs, maxRewriteDelayMs));
+		for (const {kind, name, spec} of this.#outsideWrites.values()) {
+			if (spec === undefined) {
+				this.#history.remove(kind, name);
+			} else if (!util.isDeepStrictEqual(this.#history.read(kind, name)?.spec, spec)) {
+				this.#history.put(kind, name, spec);
+			}
+		}
 	}
 
 	close(): void {
@@ -110,7 +124,7 @@
 
 		const state = this.refusedHosts.has(name) ? 'refused' : this.state;
 		if (state === 'refused') {
-			response.writeHead(503);
+			response.writeHead(503, this.#headers(request));
 			response.end();
 			return;
 		}
@@ -121,16 +135,23 @@
 
 		await this.#clock.sleep(state === 'slow' ? slowResponseMs : 1);
 		const result = await this.#handle(request, text === '' ? undefined : JSON.parse(text));
-		if (state === 'answers-lost' && request.method !== 'GET' && this.#random.integer(0, 1) === 0) {
+		const isLost = state === 'answers-lost' && request.method !== 'GET' && this.#random.integer(0, 1) === 0;
+		if (!result || isLost) {
 			response.destroy();
 			return;
 		}
 
-		response.writeHead(result.status, {'content-type': 'application/json'});
+		response.writeHead(result.status, {...this.#headers(request), 'content-type': 'application/json'});
 		response.end(JSON.stringify(result.body));
 	}
 
-	async #handle(request: http.IncomingMessage, body: unknown): Promise<Response> {
+	/** The authority for promotions is no part of the store, so its responses carry no era. */
+	#headers({url: path = ''}: http.IncomingMessage): http.OutgoingHttpHeaders {
+		return path.startsWith('/objects/') ? {'store-era': this.#era} : {};
+	}
+
+	/** Returns `undefined` for a watch that was cut. */
+	async #handle(request: http.IncomingMessage, body: unknown): Promise<Response | undefined> {
 		const url = new URL(request.url ?? '/', 'http://store');
 		const [, root, kind = '', name] = url.pathname.split('/');
 		if (root === 'promotion') {
@@ -138,17 +159,17 @@
 		}
 
 		if (request.method !== 'GET') {
-			return this.#write(request.method === 'POST', kind, body as {meta: Meta; spec: unknown});
+			return this.#write(request.method === 'POST', kind, body as {meta: history.Meta; spec: unknown});
 		}
 
 		if (name !== undefined) {
-			const found = this.#objects.get(`${kind}/${decodeURIComponent(name)}`);
+			const found = this.#history.read(kind, decodeURIComponent(name));
 			return found ? {status: 200, body: found} : {status: 404, body: {}};
 		}
 
 		const revision = url.searchParams.get('watch');
 		return revision === null
-			? {status: 200, body: {items: this.#list(kind), more: false, storeRevision: this.#revision}}
+			? {status: 200, body: {items: this.#history.list(kind), more: false, storeRevision: this.#history.revision}}
 			: this.#watch(kind, Number(revision), Number(url.searchParams.get('waitMs')));
 	}
 
@@ -161,8 +182,8 @@
 		return this.#promote(service, id) ? {status: 200, body: {}} : {status: 409, body: {error: 'not running'}};
 	}
 
-	#write(isNew: boolean, kind: string, {meta, spec}: {meta: Meta; spec: unknown}): Response {
-		const current = this.#objects.get(`${kind}/${meta.name}`);
+	#write(isNew: boolean, kind: string, {meta, spec}: {meta: history.Meta; spec: unknown}): Response {
+		const current = this.#history.read(kind, meta.name);
 		const isConflict = current && meta.revision !== undefined && meta.revision !== current.meta.revision;
 		if (isNew ? current : isConflict) {
 			return {status: 409, body: current};
@@ -174,26 +195,25 @@
 
 		const {peer} = spec as {peer?: string};
 		const written = peer === undefined ? spec : {...(spec as object), peer: this.peerRelays.get(peer) ?? peer};
-		return {status: isNew ? 201 : 200, body: this.put(kind, meta.name, written)};
+		return {status: isNew ? 201 : 200, body: this.#history.put(kind, meta.name, written)};
 	}
 
-	#list(kind: string): Stored[] {
-		return [...this.#objects].filter(([key]) => key.startsWith(`${kind}/`)).map(([, stored]) => stored);
-	}
-
-	async #watch(kind: string, revision: number, waitMs: number): Promise<Response> {
+	async #watch(kind: string, revision: number, waitMs: number): Promise<Response | undefined> {
 		const end = this.#clock.now() + waitMs;
-		for (;;) {
-			if (revision < this.#compactedRevision) {
+		const cuts = this.#cuts;
+		while (cuts === this.#cuts) {
+			const changes = this.#history.changes(kind, revision);
+			if (!changes) {
 				return {status: 410, body: {}};
 			}
 
-			const events = this.#events.filter(change => change.kind === kind && change.revision > revision);
-			if (events.length > 0 || this.#clock.now() >= end) {
-				return {status: 200, body: {events: events.map(({object, isDeleted}) => ({object, tombstone: isDeleted})), storeRevision: this.#revision}};
+			if (changes.length > 0 || this.#clock.now() >= end) {
+				return {status: 200, body: {events: changes.map(({object, isDeleted}) => ({object, tombstone: isDeleted})), storeRevision: this.#history.revision}};
 			}
 
 			await this.#clock.sleep(watchPollIntervalMs);
 		}
+
+		return undefined;
 	}
 }
--- a/src/soak/site.ts
+++ b/src/soak/site.ts
@@ -15,7 +15,12 @@
 import * as relay from '../standin/relay.js';
 import * as callers from './caller.js';
 import * as checkers from './checker.js';
+import * as configurations from './configurations.js';
+import * as contacts from './contact.js';
+import * as failovers from './failovers.js';
+import type * as faults from './fault.js';
 import * as platforms from './platform.js';
+import * as probes from './probe.js';
 import * as replicated from './replicated.js';
 import * as servers from './server.js';
 
@@ -48,6 +53,7 @@
 const graceS = 3;
 const slots = 4;
 const maxWorkMs = 8;
+const failoverCheckIntervalMs = 50;
 const routeKinds = [
 	{kind: 'primary', type: 'primary', maxAgeMs: 0},
 	{kind: 'aged', type: 'bounded_staleness', maxAgeMs: 1500},
@@ -58,6 +64,10 @@
 export class Site {
 	readonly time = new clock.System();
 	readonly checker = new checkers.Checker(this.time);
+	readonly contact = new contacts.Contact(this.time);
+	readonly configurations = new configurations.Configurations(this.time, this.contact);
+	readonly failovers: failovers.Failovers;
+	readonly groups: readonly replicated.Group[];
 	readonly hosts: Host[] = [];
 	readonly backends: Backend[] = [];
 	readonly callers: callers.Caller[] = [];
@@ -68,26 +78,37 @@
 	readonly unexpectedExits: string[] = [];
 	readonly #random: random.Source;
 	readonly #size: Size;
-	readonly #groups: replicated.Group[];
 	readonly #stopped = new AbortController();
 	readonly #callersStopped = new AbortController();
 	readonly #tasks: Array<Promise<void>> = [];
 	readonly #daemon: Daemon;
 	#folder = '';
+	#preparedAt = 0;
 	#version = 1;
 
 	constructor(size: Size, source: random.Source, daemon: Daemon) {
 		this.#daemon = daemon;
 		this.#size = size;
 		this.#random = source;
-		this.#groups = Array.from({length: size.groups}, (_, index) => new replicated.Group(`ledgers${index}`, places, this.time, this.checker));
-		this.platform = new platforms.Platform(this.time, source, (service, server) => this.#groups.find(({name}) => name === service)?.promote(server) ?? false);
+		this.groups = Array.from({length: size.groups}, (_, index) => new replicated.Group(`ledgers${index}`, places, this.time, this.checker));
+		this.platform = new platforms.Platform(this.time, source, (service, server) => this.groups.find(({name}) => name === service)?.promote(server) ?? false);
+		this.failovers = new failovers.Failovers({clock: this.time, contact: this.contact, lastAcknowledgedAt: group => this.checker.lastAcknowledgedAt(group)});
+	}
+
+	/** Clock time at which the store had the first configuration and all servers, before any host process was started. */
+	get preparedAt(): number {
+		return this.#preparedAt;
+	}
+
+	/** Violations found so far, those of all checks. */
+	get violations(): readonly string[] {
+		return [...this.checker.violations, ...this.configurations.violations, ...this.failovers.violations, ...this.unexpectedExits];
 	}
 
 	/** Starts the stand-ins, writes the configuration and starts the host processes, without waiting until they are ready. */
 	async start(): Promise<void> {
 		this.#folder = await fs.mkdtemp(path.join(os.tmpdir(), 'sycamorering-soak-'));
-		for (const group of this.#groups) {
+		for (const group of this.groups) {
 			this.#tasks.push(group.run(this.#stopped.signal));
 			for (const server of group.servers) {
 				const limits = {connections: this.#size.connections, slots, maxWorkMs};
@@ -103,7 +124,8 @@
 			this.register(backend, 'ready');
 		}
 
-		this.#tasks.push(this.#publishRoles());
+		this.#preparedAt = this.time.now();
+		this.#tasks.push(this.#publishRoles(), this.#watchFailovers());
 		for (let index = 0; index < this.#size.hosts; index++) {
 			this.hosts.push(await this.#prepareHost(index));
 		}
@@ -113,11 +135,20 @@
 		}
 	}
 
+	/** Injects a fault and ends it. */
+	async inject(fault: faults.Fault, durationMs: number): Promise<void> {
+		this.contact.begin(fault.scopes);
+		fault.begin(this);
+		await fault.hold(this, durationMs);
+		fault.end(this);
+		this.contact.end(fault.scopes);
+	}
+
 	/** Starts the callers. */
 	startCallers(): void {
 		for (let index = 0; index < this.#size.callers; index++) {
-			const group = this.#groups[index % this.#groups.length];
-			const {kind, maxAgeMs} = routeKinds[Math.floor(index / this.#groups.length) % routeKinds.length];
+			const group = this.groups[index % this.groups.length];
+			const {kind, maxAgeMs} = routeKinds[Math.floor(index / this.groups.length) % routeKinds.length];
 			const caller = new callers.Caller(`c${index}`, {
 				clock: this.time,
 				random: this.#random,
@@ -130,6 +161,13 @@
 			this.callers.push(caller);
 			this.#tasks.push(caller.run(this.#callersStopped.signal));
 		}
+
+		for (const [host, {callerAddress: address}] of this.hosts.entries()) {
+			const probe = new probes.Probe({
+				clock: this.time, configurations: this.configurations, address, process: () => this.#findProcess(host),
+			});
+			this.#tasks.push(probe.run(this.#callersStopped.signal));
+		}
 	}
 
 	/** Number of operations that succeeded at or after the clock time `at`. */
@@ -137,24 +175,31 @@
 		return this.callers.reduce((sum, {servedAt}) => sum + servedAt.filter(time => time >= at).length, 0);
 	}
 
-	/** Writes a new version of the configuration. */
+	/** Writes a new version of the configuration, with a route of its own in place of that of the last version. */
 	configure(): void {
 		this.#version += this.#random.integer(1, 3);
+		const database = probes.databaseName(this.configurations.latest + 1);
 		this.platform.put('config', 'main', {
 			version: this.#version,
-			routes: this.#groups.flatMap(({name}) => routeKinds.map(({kind, type, maxAgeMs}) => ({
-				name: `${name}-${kind}`,
-				databaseName: `${name}-${kind}`,
-				type,
-				timeoutMs: 1500 + this.#random.integer(0, 100),
-				targetLatencyMs: 500,
-				priority: 1,
-				service: name,
-				...(maxAgeMs > 0 ? {maxStalenessMs: maxAgeMs} : {}),
-			}))),
-			services: this.#groups.map(({name}) => ({name, maxConnections: this.#size.connections, syncReplicas: 1})),
+			routes: [
+				...this.groups.flatMap(({name}) => routeKinds.map(({kind, type, maxAgeMs}) => ({
+					name: `${name}-${kind}`,
+					databaseName: `${name}-${kind}`,
+					type,
+					timeoutMs: 1500 + this.#random.integer(0, 100),
+					targetLatencyMs: 500,
+					priority: 1,
+					service: name,
+					...(maxAgeMs > 0 ? {maxStalenessMs: maxAgeMs} : {}),
+				}))),
+				{
+					name: database, databaseName: database, type: 'primary', timeoutMs: 1500, targetLatencyMs: 500, priority: 1, service: this.groups[0].name,
+				},
+			],
+			services: this.groups.map(({name}) => ({name, maxConnections: this.#size.connections, syncReplicas: 1})),
 			limits: {txIdleMs: 2000},
 		});
+		this.configurations.acknowledge();
 	}
 
 	/** Writes a server's registration. */
@@ -169,6 +214,9 @@
 		const child = childProcess.spawn(process.execPath, [daemonFiles[this.#daemon]], {env: {...process.env, SYCAMORERING_SETTINGS: host.settingsFile}, stdio: ['ignore', 'pipe', 'pipe']});
 		host.child = child;
 		host.isPaused = false;
+		const scopes = [`host ${this.hosts.indexOf(host)}`] as const;
+		this.contact.begin(scopes);
+		this.contact.end(scopes);
 		const appendLog = (chunk: Uint8Array): void => {
 			const lines = this.logs.get(host.name) ?? [];
 			lines.push(...new TextDecoder().decode(chunk).split('\n').filter(text => text !== ''));
@@ -194,7 +242,7 @@
 	async stop(): Promise<void> {
 		this.#callersStopped.abort();
 		await this.time.sleep(2500);
-		for (const group of this.#groups) {
+		for (const group of this.groups) {
 			const primary = group.servers.find(({role}) => role === 'primary');
 			this.checker.checkFinalLog(group.name, primary?.log ?? []);
 		}
@@ -239,6 +287,23 @@
 		}
 	}
 
+	/** Checks the failovers of all groups until the deployment is stopped. */
+	async #watchFailovers(): Promise<void> {
+		while (!this.#stopped.signal.aborted) {
+			for (const group of this.groups) {
+				const others = [...this.backends.entries()].filter(([, {server}]) => group.servers.includes(server) && server.role !== 'primary');
+				this.failovers.update(group, ['store', 'hosts', ...others.map(([index]) => `server ${index}` as const)]);
+			}
+
+			await this.time.sleep(failoverCheckIntervalMs, this.#stopped.signal);
+		}
+	}
+
+	#findProcess(host: number): configurations.Process | undefined {
+		const pid = this.hosts[host].child?.pid;
+		return pid === undefined ? undefined : {host, pid};
+	}
+
 	async #prepareHost(index: number): Promise<Host> {
 		const name = `entry-${index}`;
 		const [caller, peer, readiness, metrics] = await Promise.all([findFreePort(), findFreePort(), findFreePort(), findFreePort()]);
--- a/src/soak/soak.ts
+++ b/src/soak/soak.ts
@@ -4,7 +4,7 @@
 */
 import type * as random from '../core/random.js';
 import * as randoms from '../core/random.js';
-import * as faults from './fault.js';
+import * as plans from './plan.js';
 import * as sites from './site.js';
 
 /** Results of one seed. */
@@ -18,22 +18,33 @@
 	readonly attempts: number;
 	readonly acknowledged: number;
 	readonly executions: number;
+	/** Number of sessions that showed the configuration of a host. */
+	readonly probes: number;
+	/** Number of those for which the bound of time held. */
+	readonly boundProbes: number;
 	readonly logs: ReadonlyMap<string, readonly string[]>;
 };
 
+export type Options = {
+	/** Time for which faults are injected. */
+	readonly faultsMs: number;
+	readonly plan?: plans.Kind;
+	/** Program of the hosts. */
+	readonly daemon?: sites.Daemon;
+};
+
 /** Time between the start of the host processes and that of the callers. */
 const startupMs = 3000;
 /** Time without faults at the end. */
 const recoveryMs = 10_000;
 /** The last part of the recovery time, in which each caller must be served. */
 const servedWindowMs = 4000;
-const maxGapMs = 1500;
-const maxFaultDurationMs = 4000;
 
-/** Runs one seed, injecting faults for `faultsMs`. `daemon` is the program of the hosts. */
-export async function run(seed: number, faultsMs: number, daemon: sites.Daemon = 'compiled'): Promise<Report> {
+/** Runs one seed. */
+export async function run(seed: number, {faultsMs, plan: planKind = 'mixed', daemon = 'compiled'}: Options): Promise<Report> {
 	const source = new randoms.Seeded(seed);
 	const size = drawSize(source);
+	const plan = plans.create(planKind, {seed, source, size});
 	const site = new sites.Site(size, source, daemon);
 	const events: string[] = [];
 	await site.start();
@@ -42,15 +53,10 @@
 	const startedAt = site.time.now();
 	const tasks: Array<Promise<void>> = [];
 	while (site.time.now() - startedAt < faultsMs) {
-		const fault = faults.draw(source, size);
-		const durationMs = source.integer(100, maxFaultDurationMs);
+		const {fault, durationMs} = plan.next();
 		events.push(`${((site.time.now() - startedAt) / 1000).toFixed(2)} ${fault.text} for ${durationMs} ms`);
-		tasks.push((async () => {
-			fault.begin(site);
-			await site.time.sleep(durationMs);
-			fault.end(site);
-		})());
-		await site.time.sleep(source.integer(0, maxGapMs));
+		tasks.push(site.inject(fault, durationMs));
+		await site.time.sleep(plan.drawGapMs());
 	}
 
 	await Promise.all(tasks);
@@ -61,11 +67,13 @@
 		seed,
 		size,
 		events,
-		violations: [...site.checker.violations, ...site.unexpectedExits, ...(unserved > 0 ? [`recovery: ${unserved} of ${size.callers} callers were not served again after the faults`] : [])],
+		violations: [...site.violations, ...(unserved > 0 ? [`recovery: ${unserved} of ${size.callers} callers were not served again after the faults`] : [])],
 		served: site.servedSince(startedAt),
 		attempts: site.callers.reduce((sum, {attempts}) => sum + attempts, 0),
 		acknowledged: site.checker.acknowledged,
 		executions: site.checker.executions,
+		probes: site.configurations.answers,
+		boundProbes: site.configurations.boundAnswers,
 		logs: site.logs,
 	};
 }
--- a/src/soak/tests/checker.test.ts
+++ b/src/soak/tests/checker.test.ts
@@ -2,6 +2,9 @@
 import * as test from 'node:test';
 import * as clock from '../../core/clock.js';
 import * as checkers from '../checker.js';
+import * as configurations from '../configurations.js';
+import * as contacts from '../contact.js';
+import * as failovers from '../failovers.js';
 import * as replicated from '../replicated.js';
 
 /** A checker with one group whose first server is the primary. */
@@ -75,3 +78,153 @@
 	fixture.checker.checkResponse('r2', signature, [signature]);
 	assert.deepEqual(fixture.checker.violations.map(text => text.split(':')[0]), ['unasked', 'changed', 'values', 'mixed']);
 });
+
+/** The check of configurations, with the first configuration acknowledged. */
+class ConfigurationFixture {
+	readonly time = new clock.Manual();
+	readonly contact = new contacts.Contact(this.time);
+	readonly checked = new configurations.Configurations(this.time, this.contact);
+
+	constructor() {
+		this.checked.acknowledge();
+	}
+
+	/** A session at process `pid` of host 0. */
+	ask(number: number, answer: configurations.Answer, pid = 1): void {
+		this.checked.request({host: 0, pid}, number)(answer);
+	}
+
+	get causes(): string[] {
+		return this.checked.violations.map(text => text.split(':')[0]);
+	}
+}
+
+test.test('a host may answer by the old or the new configuration within the bound, and only by the new one after it', async () => {
+	const fixture = new ConfigurationFixture();
+	fixture.ask(0, 'known');
+	await fixture.time.advance(10_000);
+	fixture.checked.acknowledge();
+	fixture.ask(1, 'unknown');
+	fixture.ask(0, 'known');
+	await fixture.time.advance(configurations.configurationMs);
+	fixture.ask(1, 'unknown');
+	assert.deepEqual(fixture.causes, []);
+	await fixture.time.advance(1);
+	fixture.ask(1, 'unknown');
+	fixture.ask(0, 'known');
+	assert.deepEqual(fixture.causes, ['outdated', 'outdated']);
+	fixture.ask(1, 'known');
+	fixture.ask(0, 'unknown');
+	assert.equal(fixture.causes.length, 2);
+});
+
+test.test('a host is not held to the bound during a disturbance of the store or of its own and shortly after, but never to return to an older configuration', async () => {
+	for (const scope of ['store', 'hosts', 'host 0'] as const) {
+		const fixture = new ConfigurationFixture();
+		fixture.contact.begin([scope]);
+		await fixture.time.advance(10_000);
+		fixture.ask(0, 'unknown');
+		fixture.contact.end([scope]);
+		await fixture.time.advance(configurations.contactMs - 1);
+		fixture.ask(0, 'unknown');
+		assert.deepEqual(fixture.causes, []);
+		await fixture.time.advance(1);
+		fixture.ask(0, 'unknown');
+		assert.deepEqual(fixture.causes, ['outdated']);
+	}
+
+	const fixture = new ConfigurationFixture();
+	fixture.contact.begin(['store']);
+	fixture.checked.acknowledge();
+	fixture.ask(1, 'known');
+	fixture.ask(0, 'known');
+	assert.deepEqual(fixture.causes, ['reverted']);
+	fixture.ask(1, 'unknown');
+	assert.deepEqual(fixture.causes, ['reverted', 'reverted']);
+	fixture.ask(0, 'known', 2);
+	assert.equal(fixture.causes.length, 2, 'another process may have the older configuration');
+});
+
+test.test('a host that replaced a configuration must not return to it, although no answer showed its successor', () => {
+	const fixture = new ConfigurationFixture();
+	fixture.ask(0, 'known');
+	fixture.checked.acknowledge();
+	fixture.ask(0, 'unknown');
+	assert.deepEqual(fixture.causes, []);
+	fixture.ask(0, 'known');
+	assert.deepEqual(fixture.causes, ['reverted']);
+});
+
+/** The check of failovers, with one group whose first server is lost. */
+class FailoverFixture extends Fixture {
+	readonly contact = new contacts.Contact(this.time);
+	readonly checked = new failovers.Failovers({clock: this.time, contact: this.contact, lastAcknowledgedAt: group => this.checker.lastAcknowledgedAt(group)});
+
+	constructor() {
+		super();
+		this.primary.isUnresponsive = true;
+		this.update();
+	}
+
+	update(): void {
+		this.checked.update(this.group, ['store']);
+	}
+
+	promote(): void {
+		this.primary.role = 'replica';
+		this.replica.role = 'primary';
+		this.update();
+	}
+}
+
+test.test('a lost primary that is not replaced in time is found; disturbances of the store extend the time', async () => {
+	const fixture = new FailoverFixture();
+	await fixture.time.advance(5000);
+	fixture.contact.begin(['store']);
+	await fixture.time.advance(failovers.failoverMs);
+	fixture.update();
+	fixture.contact.end(['store']);
+	await fixture.time.advance(failovers.failoverMs);
+	fixture.update();
+	assert.equal(fixture.checked.isOverdue('g'), false);
+	await fixture.time.advance(1);
+	fixture.update();
+	fixture.update();
+	assert.equal(fixture.checked.isOverdue('g'), true);
+	assert.deepEqual(fixture.checked.violations.map(text => text.split(':')[0]), ['failover']);
+});
+
+test.test('a new primary ends a loss only once a write is acknowledged at it', async () => {
+	const fixture = new FailoverFixture();
+	fixture.write('w1');
+	await fixture.time.advance(1);
+	fixture.promote();
+	await fixture.time.advance(failovers.failoverMs);
+	fixture.update();
+	assert.equal(fixture.checked.isOverdue('g'), true);
+
+	const served = new FailoverFixture();
+	served.promote();
+	await served.time.advance(1);
+	served.write('w1');
+	served.update();
+	await served.time.advance(failovers.failoverMs);
+	served.update();
+	assert.deepEqual(served.checked.violations, []);
+});
+
+test.test('the loss of the next primary counts anew, and a primary that returns by itself ends the loss', async () => {
+	const fixture = new FailoverFixture();
+	await fixture.time.advance(failovers.failoverMs);
+	fixture.primary.isUnresponsive = false;
+	fixture.replica.isUnresponsive = true;
+	fixture.promote();
+	await fixture.time.advance(failovers.failoverMs);
+	fixture.update();
+	assert.deepEqual(fixture.checked.violations, []);
+	fixture.replica.isUnresponsive = false;
+	fixture.update();
+	await fixture.time.advance(failovers.failoverMs);
+	fixture.update();
+	assert.deepEqual(fixture.checked.violations, []);
+});
--- a/src/soak/tests/soak.test.ts
+++ b/src/soak/tests/soak.test.ts
@@ -15,8 +15,21 @@
 for (const seed of seeds) {
 	const daemon = bundledSeeds.has(seed) ? 'bundled' : 'compiled';
 	test.test(`soak of seed ${seed}: ${daemon} entry hosts keep all consistency guarantees under faults and serve all callers afterwards`, {timeout: testTimeoutMs}, async () => {
-		const report = await soak.run(seed, faultsMs, daemon);
+		const report = await soak.run(seed, {faultsMs, daemon});
 		assert.deepEqual(report.violations, [], report.events.join('\n'));
 		assert.ok(report.served > 0);
 	});
 }
+
+const restoresMs = 8000;
+/** 502 and 504: hosts kept the old configuration after a restore, and a primary lost after it was never replaced. */
+const restoreSeeds = [502, 504];
+
+for (const seed of restoreSeeds) {
+	test.test(`soak of seed ${seed} with restores: entry hosts keep all guarantees when the store loses what it has acknowledged`, {timeout: testTimeoutMs}, async () => {
+		const report = await soak.run(seed, {faultsMs: restoresMs, plan: 'restores'});
+		assert.deepEqual(report.violations, [], report.events.join('\n'));
+		assert.ok(report.served > 0);
+		assert.ok(report.boundProbes > 0);
+	});
+}
