Check that the store lists every host after a soak, and describe the restores

Cause: announcements of hosts are lost with a restore as well, and no check would have seen hosts that are missing in the store's list.

Change: after the recovery time each host must be in the store's list.

--- a/src/soak/platform.ts
+++ b/src/soak/platform.ts
@@ -76,6 +76,11 @@
 		this.#history.remove(kind, name);
 	}
 
+	/** Whether the store has an object. */
+	has(kind: string, name: string): boolean {
+		return this.#history.read(kind, name) !== undefined;
+	}
+
 	/** Drops the event history, so that watches from earlier revisions fail with 410 and must list again. */
 	compact(): void {
 		this.#history.compact();
--- a/src/soak/site.ts
+++ b/src/soak/site.ts
@@ -100,6 +100,11 @@
 		return this.#preparedAt;
 	}
 
+	/** Names of the hosts that are missing in the store's list, so that hosts that start don't find them. */
+	get unlistedHosts(): string[] {
+		return this.hosts.map(({name}) => name).filter(name => !this.platform.has('sycamorering-hosts', name));
+	}
+
 	/** Violations found so far, those of all checks. */
 	get violations(): readonly string[] {
 		return [...this.checker.violations, ...this.configurations.violations, ...this.failovers.violations, ...this.unexpectedExits];
--- a/src/soak/soak.ts
+++ b/src/soak/soak.ts
@@ -61,13 +61,13 @@
 
 	await Promise.all(tasks);
 	await site.time.sleep(recoveryMs);
-	const unserved = site.callers.filter(({servedAt}) => (servedAt.at(-1) ?? 0) < site.time.now() - servedWindowMs).length;
+	const unrecovered = findUnrecovered(site);
 	await site.stop();
 	return {
 		seed,
 		size,
 		events,
-		violations: [...site.violations, ...(unserved > 0 ? [`recovery: ${unserved} of ${size.callers} callers were not served again after the faults`] : [])],
+		violations: [...site.violations, ...unrecovered],
 		served: site.servedSince(startedAt),
 		attempts: site.callers.reduce((sum, {attempts}) => sum + attempts, 0),
 		acknowledged: site.checker.acknowledged,
@@ -78,6 +78,15 @@
 	};
 }
 
+/** Describes what has not recovered from the faults. */
+function findUnrecovered(site: sites.Site): string[] {
+	const unserved = site.callers.filter(({servedAt}) => (servedAt.at(-1) ?? 0) < site.time.now() - servedWindowMs);
+	return [
+		...(unserved.length > 0 ? [`recovery: ${unserved.length} of ${site.callers.length} callers were not served again after the faults`] : []),
+		...site.unlistedHosts.map(name => `recovery: ${name} is missing in the store's list of hosts after the faults`),
+	];
+}
+
 /** Draws the size of a deployment. With as many connections as hosts, hosts forward requests to each other; with 24, each uses connections of its own. */
 function drawSize(source: random.Source): sites.Size {
 	const hosts = source.integer(3, 6);
--- a/src/soak/tests/soak.test.ts
+++ b/src/soak/tests/soak.test.ts
@@ -22,7 +22,7 @@
 }
 
 const restoresMs = 8000;
-/** 502 and 504: hosts kept the old configuration after a restore, and a primary lost after it was never replaced. */
+/** 502 and 504: after a restore hosts kept the old configuration, did not announce themselves again, and did not replace a lost primary. */
 const restoreSeeds = [502, 504];
 
 for (const seed of restoreSeeds) {
