Promote no server that is behind a replica which has been removed

Cause: a failover asks every other server in the host's list, since one of them has each acknowledged commit beside the primary. A replica whose registration is gone leaves the list, and the commits that only it had received beside the primary leave with it. The replica that remained counted as complete although it was behind, and was promoted when the primary failed next.

Change: after the removal of a replica, the servers that remain count as synchronized only once their logs have reached a position that the leader's log had after the registration was gone and after the removed server's last response.

Conclusion: the class of the fault is a quorum counted over the current list of servers instead of those that took part in the commit.

--- a/src/entry/failover.ts
+++ b/src/entry/failover.ts
@@ -169,7 +169,8 @@
 
 	/**
 	The servers other than the leader and their status, if together they hold every acknowledged commit. A commit is on at
-	least two servers, so all servers but one must respond, and none of these may have lost its log since the commit.
+	least two servers, so all servers but one must respond, and none of these may have lost its log since the commit,
+	or be behind a replica that has been removed since.
 	*/
 	async #findCandidates(leader: member.Member | undefined): Promise<errors.Outcome<Candidate[]>> {
 		const {group: {name, members, acknowledged}} = this.#options;
--- a/src/entry/group.ts
+++ b/src/entry/group.ts
@@ -401,12 +401,24 @@
 		return startedAt - earliest < startupWindowMs;
 	}
 
+	/**
+	Removes servers whose registration stays missing. A replica takes the copies of acknowledged commits in its log along. If
+	the leader is removed, every commit is still in the log of one of the replicas.
+	*/
 	#removeMissing(): void {
 		for (const server of this.#members.values()) {
-			if (server.missingSince !== undefined && this.#options.clock.now() - server.missingSince > missingGraceMs) {
-				this.#members.delete(server.id);
-				this.#remove(server, 'its registration is missing from the store');
+			if (server.missingSince === undefined || this.#options.clock.now() - server.missingSince <= missingGraceMs) {
+				continue;
 			}
+
+			this.#members.delete(server.id);
+			if (this.#leader !== server) {
+				for (const other of this.#members.values()) {
+					other.recordLostLog(Math.max(server.missingSince, server.lastResponseAt));
+				}
+			}
+
+			this.#remove(server, 'its registration is missing from the store');
 		}
 	}
 
--- a/src/entry/member.ts
+++ b/src/entry/member.ts
@@ -36,8 +36,6 @@
 export class Member {
 	readonly pool: pool.Pool<backend.Connection>;
 	readonly server: backend.Server;
-	/** Clock time at which this host discovered this incarnation of the server. */
-	readonly addedAt: number;
 	/** Clock time at which the registration was first missing; `undefined` while it is present. */
 	missingSince: number | undefined;
 	readonly #clock: clock.Clock;
@@ -48,6 +46,10 @@
 	#lastFailureAt = Number.NEGATIVE_INFINITY;
 	#position: statement.Position | undefined;
 	#isSynchronized: boolean;
+	/** Clock time from which on a position of the leader's log shows that this log is synchronized. */
+	#unverifiedSince: number;
+	/** Latest clock time at which the leader's log had a position that this log has reached; `undefined` before the first comparison. */
+	#verifiedAt: number | undefined;
 	#behindSince: number | undefined;
 	#lastLagAt = Number.NEGATIVE_INFINITY;
 	readonly #pendingCommits = new Set<number>();
@@ -58,7 +60,7 @@
 		this.#clock = time;
 		this.server = server;
 		this.#isSynchronized = options.isSynchronized;
-		this.addedAt = time.now();
+		this.#unverifiedSince = time.now();
 		this.pool = new pool.Pool<backend.Connection>(server, time, {
 			connections: options.connectionLimit, connectTimeoutMs, hedgeAfterMs, validateAfterMs, idleLimitMs, resetTimeoutMs,
 		});
@@ -84,12 +86,19 @@
 
 	/**
 	Whether the server's log has reached a position that the leader's log held after this host discovered the server. Until
-	then, an incarnation that started with an empty log may lack commits that its predecessor acknowledged.
+	then, an incarnation that started with an empty log may lack commits that its predecessor acknowledged. The same holds
+	after the removal of another server, whose log may have been the only other one with a commit.
 	*/
 	get isSynchronized(): boolean {
 		return this.#isSynchronized;
 	}
 
+	/** Records that the log of another server was lost at clock time `lostAt`. */
+	recordLostLog(lostAt: number): void {
+		this.#unverifiedSince = Math.max(this.#unverifiedSince, lostAt);
+		this.#isSynchronized &&= this.#verifiedAt !== undefined && this.#verifiedAt >= lostAt;
+	}
+
 	/** Clock time since which the server's log has been behind an earlier end of the leader's log; `undefined` if it isn't. */
 	get behindSince(): number | undefined {
 		return this.#behindSince;
@@ -177,7 +186,10 @@
 	compareLog(leaderPosition: statement.Position, reachedAt: number): void {
 		const isBehind = this.#position === undefined || position.compare(this.#position, leaderPosition) < 0;
 		this.#behindSince = isBehind ? this.#behindSince ?? this.#clock.now() : undefined;
-		this.#isSynchronized ||= !isBehind && reachedAt >= this.addedAt;
+		if (!isBehind) {
+			this.#verifiedAt = reachedAt;
+			this.#isSynchronized ||= reachedAt >= this.#unverifiedSince;
+		}
 	}
 
 	/** Records that a request sent at `sentAt` got no response, or that no connection could be opened since then. */
--- a/src/entry/tests/failover.test.ts
+++ b/src/entry/tests/failover.test.ts
@@ -59,6 +59,38 @@
 	await setup.stop();
 });
 
+// Guards against the loss of a commit whose only other copy left with a replica that is no longer registered.
+test.test('a commit that only a removed replica had received is not lost with the leader', async () => {
+	const setup = new fixture.Fixture();
+	await setup.start();
+	await setup.startFailover();
+	setup.cluster.get('c').isReplicationCut = true;
+	setup.cluster.commit(setup.cluster.get('a'));
+	await setup.time.advance(500);
+	setup.cluster.get('b').isUnresponsive = true;
+	setup.group.markMissing('b');
+	await setup.time.advance(5000);
+	assert.deepEqual(setup.group.members.map(({id}) => id), ['a', 'c']);
+	setup.cluster.get('a').isUnresponsive = true;
+	await setup.time.advance(5000);
+	assert.deepEqual(setup.authority.requests, []);
+	await setup.stop();
+});
+
+// Guards against a service that stays without failover after a replica was removed.
+test.test('a replica that caught up after another one was removed can replace the leader', async () => {
+	const setup = new fixture.Fixture();
+	await setup.start();
+	await setup.startFailover();
+	setup.cluster.get('b').isUnresponsive = true;
+	setup.group.markMissing('b');
+	await setup.time.advance(8000);
+	setup.cluster.get('a').isUnresponsive = true;
+	await setup.time.advance(3000);
+	assert.equal(setup.group.leader?.id, 'c');
+	await setup.stop();
+});
+
 test.test('a replica paused for a promotion resumes replication afterwards', async () => {
 	const setup = new fixture.Fixture();
 	await setup.start();
