Ask every replica once the failed leader has been removed from the list

Found with a test.

Cause: while no leader is known, a failover lets one server be silent, since the unknown leader may be that server. If the failed leader itself has been removed, since its registration expired, the servers left are all replicas, and a silent one may hold the only other copy of a commit. The one that responded was promoted without it.

Change: a group remembers that its leader was removed while it led, until that server or another leader is back. Meanwhile every server must respond.

--- a/src/entry/failover.ts
+++ b/src/entry/failover.ts
@@ -168,16 +168,16 @@
 	}
 
 	/**
-	The servers other than the leader and their status, if together they hold every acknowledged commit. A commit is on at
-	least two servers, so all servers but one must respond, and none of these may have lost its log since the commit,
-	or be behind a replica that has been removed since.
+	The servers other than the leader and their status, if together they hold every acknowledged commit. A commit is on the
+	leader and at least one replica, so all servers but the leader must respond, and none of these may have lost its log since
+	the commit, or be behind a replica that has been removed since.
 	*/
 	async #findCandidates(leader: member.Member | undefined): Promise<errors.Outcome<Candidate[]>> {
-		const {group: {name, members, acknowledged}} = this.#options;
+		const {group: {name, members, acknowledged, mayHaveLeader}} = this.#options;
 		const replicas = members.filter(server => server !== leader);
 		const candidates = await this.#queryStatuses(replicas);
 		const synchronized = candidates.filter(({member: server}) => server.isSynchronized);
-		if (synchronized.length < replicas.length - (leader ? 0 : 1)) {
+		if (synchronized.length < replicas.length - (mayHaveLeader ? 1 : 0)) {
 			const missing = replicas.filter(server => !synchronized.some(entry => entry.member === server));
 			return errors.fail('not-run', 'observe', name, `${missing.map(({id}) => id).join(', ')} may hold acknowledged commits but did not respond, or lost its log`);
 		}
--- a/src/entry/group.ts
+++ b/src/entry/group.ts
@@ -73,6 +73,8 @@
 	#lastAddedAt = Number.NEGATIVE_INFINITY;
 	#acknowledged: statement.Position | null = null;
 	#leader: member.Member | undefined;
+	/** Id of the last leader if it was removed while it led; `undefined` once it or another leader is back. */
+	#removedLeader: string | undefined;
 	/** Clock time at which this host last received the confirmation of a leader. */
 	#confirmedAt = Number.NEGATIVE_INFINITY;
 	#leaderEpoch = 0;
@@ -99,6 +101,11 @@
 		return this.#leader;
 	}
 
+	/** Whether one of the servers may lead without this host knowing it. */
+	get mayHaveLeader(): boolean {
+		return this.#leader === undefined && this.#removedLeader === undefined;
+	}
+
 	/** Number of leader changes this host has observed. A position obtained in an earlier epoch is no longer valid. */
 	get leaderEpoch(): number {
 		return this.#leaderEpoch;
@@ -195,6 +202,7 @@
 		const server = this.#options.connect(registration);
 		this.#members.set(id, new member.Member(registration, server, this.#options.clock, {connectionLimit: this.#quota.hardLimit, isSynchronized: this.#isInitialMember(registration)}));
 		this.#lastAddedAt = this.#options.clock.now();
+		this.#removedLeader = this.#removedLeader === id ? undefined : this.#removedLeader;
 		this.#options.decisions.record('server-added', {
 			service: this.name, server: id, address, place: registration.place, state: registration.state, role: registration.role,
 		});
@@ -412,7 +420,9 @@
 			}
 
 			this.#members.delete(server.id);
-			if (this.#leader !== server) {
+			if (this.#leader === server) {
+				this.#removedLeader = server.id;
+			} else {
 				for (const other of this.#members.values()) {
 					other.recordLostLog(Math.max(server.missingSince, server.lastResponseAt));
 				}
@@ -436,6 +446,7 @@
 	#setLeader(server: member.Member): void {
 		const replaced = this.#leader;
 		this.#leader = server;
+		this.#removedLeader = undefined;
 		this.#leaderEpoch++;
 		this.#readIndexes = [];
 		this.#options.decisions.record('leader-found', {
--- a/src/entry/tests/failover.test.ts
+++ b/src/entry/tests/failover.test.ts
@@ -91,6 +91,23 @@
 	await setup.stop();
 });
 
+// Guards against the loss of a commit held by a silent replica once the registration of the failed leader has expired.
+test.test('no server is promoted without a silent replica after the failed leader was removed', async () => {
+	const setup = new fixture.Fixture();
+	await setup.start();
+	await setup.startFailover();
+	setup.cluster.get('c').isReplicationCut = true;
+	setup.cluster.commit(setup.cluster.get('a'));
+	await setup.time.advance(500);
+	setup.cluster.get('a').isUnresponsive = true;
+	setup.cluster.get('b').isUnresponsive = true;
+	setup.group.markMissing('a');
+	await setup.time.advance(8000);
+	assert.deepEqual(setup.group.members.map(({id}) => id), ['b', 'c']);
+	assert.deepEqual(setup.authority.requests, []);
+	await setup.stop();
+});
+
 test.test('a replica paused for a promotion resumes replication afterwards', async () => {
 	const setup = new fixture.Fixture();
 	await setup.start();
