Keep every other server paused until the promoted one leads

Cause: a promotion takes effect 300 to 1,000 ms after the order. Until then the old primary, if it lives, acknowledges commits through any replica that receives them. The other replicas were paused once, before the order. A server that registered after that, one that restarted, or one at which an earlier RESUME was carried out late replicated again, and a commit that only it had received was missing at the promoted server.

Change: until the new leader is observed, the host asks the paused servers and those that have registered since for their status every 100 ms, and pauses those that aren't. A pause that arrives after the promotion has no effect, as the servers answer with a held term of 0.

Evidence: on the old code, "a server that registers during a promotion acknowledges no commit that the promoted one may lack" fails (index 1 instead of 0 at the new server) and so does "a server that is resumed during a promotion is paused again" (held term 0 instead of 2). Both pass now.

Conclusion: a condition that a promotion rests on has to hold until the promotion has taken effect, not only when it is ordered.

--- a/src/entry/failover.ts
+++ b/src/entry/failover.ts
@@ -33,6 +33,9 @@
 /** A server and its status. */
 type Candidate = {readonly member: member.Member; readonly status: statement.ServerStatus};
 
+/** The server to promote, the servers whose replication is paused for it, and the term of their pause. */
+type Choice = {readonly target: member.Member; readonly paused: readonly member.Member[]; readonly term: number};
+
 const tickMs = 100;
 const idleTickMs = 500;
 /** Time without any response from the leader, on open and on new connections, after which it counts as failed. */
@@ -51,6 +54,11 @@
 /** Time for the target to catch up with the other replicas while the leader still replicates. */
 const catchUpTimeoutMs = 1500;
 const catchUpPollMs = 30;
+/**
+Interval at which the pause is renewed until the new leader is observed. The promotion takes several hundred ms, in which
+another server may register, restart without its pause, or be resumed by an order that was carried out late.
+*/
+const renewalIntervalMs = 100;
 /** Time without a new server after which the member list counts as complete: servers of a starting system register one by one. */
 const membershipSettleMs = 2500;
 /** Bounds of the random delay after an abandoned failover. */
@@ -158,10 +166,20 @@
 			return claimed;
 		}
 
-		const target = await this.#chooseTarget(candidates.right, reason);
-		const outcome = Either.isLeft(target) ? target : await this.#promote(target.right, claimed.right);
+		const known = this.#options.group.members;
+		const choice = await this.#chooseTarget(candidates.right, reason);
+		if (Either.isLeft(choice)) {
+			await this.#resume(candidates.right.map(({member: server}) => server));
+			return choice;
+		}
+
+		const renewal = new AbortController();
+		const renewed = this.#renewPause(choice.right, known, renewal.signal);
+		const outcome = await this.#promote(choice.right.target, claimed.right);
+		renewal.abort();
+		const paused = await renewed;
 		if (Either.isLeft(outcome)) {
-			await this.#resume(candidates.right);
+			await this.#resume([choice.right.target, ...paused]);
 		}
 
 		return outcome;
@@ -188,8 +206,8 @@
 			: errors.fail('not-run', 'observe', name, `no responding server holds ${acknowledged ? position.format(acknowledged) : 'a log'}`);
 	}
 
-	/** Pauses replication on the other candidates and returns the one that can be promoted without losing an acknowledged commit. */
-	async #chooseTarget(candidates: readonly Candidate[], reason: Reason): Promise<errors.Outcome<member.Member>> {
+	/** Pauses replication on the other candidates and chooses the one that can be promoted without losing an acknowledged commit. */
+	async #chooseTarget(candidates: readonly Candidate[], reason: Reason): Promise<errors.Outcome<Choice>> {
 		const {group: {name}} = this.#options;
 		const target = mostAdvanced(candidates);
 		if (!target) {
@@ -203,20 +221,52 @@
 			return paused;
 		}
 
+		const choose = (chosen: member.Member): errors.Outcome<Choice> =>
+			Either.right({target: chosen, paused: candidates.map(entry => entry.member).filter(server => server !== chosen), term});
 		const required = mostAdvanced(paused.right)?.status.position ?? target.status.position;
 		if (await this.#catchUp(target, required, reason)) {
-			return Either.right(target.member);
+			return choose(target.member);
 		}
 
 		// The target can't catch up, so a server that is ahead is promoted, and the target must stop acknowledging as well.
 		const pausedTarget = await this.#pause([target], term);
 		const successor = Either.isRight(pausedTarget) ? mostAdvanced([...paused.right, ...pausedTarget.right]) : undefined;
-		return successor ? Either.right(successor.member) : errors.fail('not-run', 'observe', name, `${target.member.id} lacks commits and did not respond`);
+		return successor ? choose(successor.member) : errors.fail('not-run', 'observe', name, `${target.member.id} lacks commits and did not respond`);
+	}
+
+	/**
+	Renews the pause until `signal` aborts, also on servers that are not in `known`: a server that replicates meanwhile would
+	acknowledge commits that the target may lack. Returns the servers that were paused.
+	*/
+	async #renewPause({target, paused, term}: Choice, known: readonly member.Member[], signal: AbortSignal): Promise<readonly member.Member[]> {
+		const {group: serviceGroup, clock: time} = this.#options;
+		const held = new Set(paused);
+		while (!signal.aborted) {
+			await time.sleep(renewalIntervalMs, signal);
+			for (const server of serviceGroup.members) {
+				if (server !== target && !known.includes(server)) {
+					held.add(server);
+				}
+			}
+
+			await Promise.all([...held].map(async server => this.#renew(server, term)));
+		}
+
+		return [...held];
+	}
+
+	/** Pauses a server again unless it is still paused or already in the term of the new leader. */
+	async #renew(server: member.Member, term: number): Promise<void> {
+		const [current] = await this.#queryStatuses([server]);
+		if (current && current.status.term < term && current.status.heldTerm < term) {
+			this.#options.decisions.record('pause-renewed', {service: this.#options.group.name, server: server.id, term});
+			await this.#send(server, {kind: 'pause', term});
+		}
 	}
 
 	/** Resumes replication on servers paused for a promotion that did not happen. */
-	async #resume(servers: readonly Candidate[]): Promise<void> {
-		await Promise.all(servers.map(async ({member: server}) => this.#send(server, {kind: 'resume'})));
+	async #resume(servers: readonly member.Member[]): Promise<void> {
+		await Promise.all(servers.map(async server => this.#send(server, {kind: 'resume'})));
 	}
 
 	/** Resumes replication on replicas that are behind because another host paused them and did not finish the promotion. */
@@ -228,7 +278,7 @@
 		}
 
 		const candidates = await this.#queryStatuses(behind);
-		await this.#resume(candidates.filter(({status}) => status.heldTerm > status.term));
+		await this.#resume(candidates.filter(({status}) => status.heldTerm > status.term).map(({member: server}) => server));
 	}
 
 	/** Whether the target's log reaches `required`. Waits for it if the leader is leaving and still replicates. */
--- a/src/entry/tests/failover.test.ts
+++ b/src/entry/tests/failover.test.ts
@@ -2,6 +2,15 @@
 import * as test from 'node:test';
 import * as fixture from './fixture.js';
 
+/** Advances the clock until the authority has received a request. */
+async function awaitPromotionRequest(setup: fixture.Fixture): Promise<void> {
+	for (let waitedMs = 0; setup.authority.requests.length === 0 && waitedMs < 5000; waitedMs += 10) {
+		await setup.time.advance(10);
+	}
+
+	assert.equal(setup.authority.requests.length, 1);
+}
+
 test.test('an unresponsive leader is replaced by the most advanced server within 3 s', async () => {
 	const setup = new fixture.Fixture();
 	await setup.start();
@@ -120,6 +129,41 @@
 	await setup.stop();
 });
 
+// Guards against the loss of a commit that a server acknowledges which registers while the promotion is in progress.
+test.test('a server that registers during a promotion acknowledges no commit that the promoted one may lack', async () => {
+	const setup = new fixture.Fixture();
+	await setup.start(['a', 'b']);
+	await setup.startFailover();
+	setup.group.register(setup.cluster.registration('a', {state: 'leaving'}));
+	await awaitPromotionRequest(setup);
+	setup.group.register(setup.cluster.registration('c'));
+	await setup.time.advance(200);
+	// The target receives the entry only after the promotion, so that nothing but the pause keeps it from being acknowledged.
+	setup.cluster.get('b').isReplicationCut = true;
+	setup.cluster.commit(setup.cluster.get('a'));
+	assert.equal(setup.cluster.get('c').index, 0);
+	await setup.time.advance(1000);
+	assert.equal(setup.group.leader?.id, 'b');
+	await setup.stop();
+});
+
+// Guards against the loss of a commit that a paused server acknowledges after a late order or a restart ended its pause.
+test.test('a server that is resumed during a promotion is paused again', async () => {
+	const setup = new fixture.Fixture();
+	await setup.start();
+	await setup.startFailover();
+	setup.group.register(setup.cluster.registration('a', {state: 'leaving'}));
+	await awaitPromotionRequest(setup);
+	const paused = setup.cluster.servers.find(({heldTerm}) => heldTerm > 0)!;
+	paused.heldTerm = 0;
+	await setup.time.advance(200);
+	assert.equal(paused.heldTerm, 2);
+	await setup.time.advance(1000);
+	assert.ok(setup.cluster.servers.every(({heldTerm}) => heldTerm <= 2));
+	assert.notEqual(setup.group.leader?.id, paused.name);
+	await setup.stop();
+});
+
 test.test('a leaving leader is replaced by a server that has every commit', async () => {
 	const setup = new fixture.Fixture();
 	await setup.start();
