Verify a replica's log against the latest end of the leader's log that it contains

Cause: after the removal of a replica, the others have to show that they caught up. They were compared once a second with an end of the leader's log that was 0.5 s old, but by a position of their own that was up to 1 s old. While the leader wrote, they seemed behind for seconds and no failover was possible. A new server had the same difficulty before.

Change: whenever a server reports the end of its log, also in the status that a failover asks for, it is verified against the latest read index that it contains.

Evidence: the new test "a replica that keeps up with a busy leader replaces it soon after another one was removed" fails without the change (the leader stays 'a' instead of 'c') and passes with it.

--- a/scripts/mutate.js
+++ b/scripts/mutate.js
@@ -54,7 +54,12 @@
 
 /** Mutations of entry hosts on the users' platform, with the affected component in place of the promise. */
 const entryMutations = [
-	['promote while a replica is unresponsive', 'failover', entry, 'entry/failover.js', 'synchronized.length < replicas.length - (leader ? 0 : 1)', 'false'],
+	['promote while a replica is unresponsive', 'failover', entry, 'entry/failover.js', 'synchronized.length < replicas.length - (mayHaveLeader ? 1 : 0)', 'false'],
+	['let a replica be silent after the removal of the leader', 'failover', entry, 'entry/group.js', 'this.#leader === undefined && this.#removedLeader === undefined', 'this.#leader === undefined'],
+	['count a server as synchronized after the removal of a replica', 'failover', entry, 'entry/group.js', 'other.recordLostLog(Math.max(server.missingSince, server.lastResponseAt));', ''],
+	['verify a log only against the oldest read index', 'failover', entry, 'entry/group.js', 'this.#readIndexes.findLast(readIndex =>', 'this.#readIndexes.slice(0, 1).find(readIndex =>'],
+	['don\'t pause a server that registers during a promotion', 'failover', entry, 'entry/failover.js', 'server !== target && !known.includes(server)', 'false'],
+	['don\'t renew the pause', 'failover', entry, 'entry/failover.js', 'current && current.status.term < term && current.status.heldTerm < term', 'false'],
 	['count an unsynchronized server as evidence of the log end', 'failover', entry, 'entry/failover.js', 'candidates.filter(({ member: server }) => server.isSynchronized)', 'candidates'],
 	['promote while the server list still grows', 'failover', entry, 'entry/failover.js', 'now - lastAddedAt < membershipSettleMs', 'false'],
 	['pause replication above the next term', 'failover', entry, 'entry/failover.js', 'Math.max(...candidates.map(({ status }) => status.term)) + 1', 'Math.max(...candidates.map(({ status }) => status.term)) + 5'],
--- a/src/entry/failover.ts
+++ b/src/entry/failover.ts
@@ -335,6 +335,7 @@
 			});
 			if (Either.isRight(reply)) {
 				server.recordResponse();
+				this.#options.group.verifyLog(server, reply.right.position);
 				return Either.right({member: server, status: reply.right});
 			}
 
--- a/src/entry/group.ts
+++ b/src/entry/group.ts
@@ -325,6 +325,18 @@
 		} else if (refusal === 'read-only') {
 			this.denyLeader(server, sentAt);
 		}
+
+		if (logEnd) {
+			this.verifyLog(server, logEnd);
+		}
+	}
+
+	/** Verifies a server's log against the latest known end of the leader's log that it contains. */
+	verifyLog(server: member.Member, logEnd: statement.Position): void {
+		const contained = this.#readIndexes.findLast(readIndex => position.compare(readIndex.position, logEnd) <= 0);
+		if (contained) {
+			server.recordVerified(contained.requestedAt.monotonicMs);
+		}
 	}
 
 	async #probe(server: member.Member): Promise<void> {
@@ -391,7 +403,7 @@
 		const replicated = this.#readIndexes.findLast(({requestedAt}) => now - requestedAt.monotonicMs > typicalLagMs);
 		for (const server of this.#members.values()) {
 			if (replicated) {
-				server.compareLog(replicated.position, replicated.requestedAt.monotonicMs);
+				server.compareLog(replicated.position);
 			}
 
 			if (server !== this.#leader) {
--- a/src/entry/member.ts
+++ b/src/entry/member.ts
@@ -46,10 +46,10 @@
 	#lastFailureAt = Number.NEGATIVE_INFINITY;
 	#position: statement.Position | undefined;
 	#isSynchronized: boolean;
-	/** Clock time from which on a position of the leader's log shows that this log is synchronized. */
+	/** Clock time before which commits may be missing in the log of a server that isn't synchronized. */
 	#unverifiedSince: number;
-	/** Latest clock time at which the leader's log had a position that this log has reached; `undefined` before the first comparison. */
-	#verifiedAt: number | undefined;
+	/** Clock time before which every acknowledged commit is known to be in the server's log. */
+	#verifiedAt = Number.NEGATIVE_INFINITY;
 	#behindSince: number | undefined;
 	#lastLagAt = Number.NEGATIVE_INFINITY;
 	readonly #pendingCommits = new Set<number>();
@@ -96,7 +96,7 @@
 	/** Records that the log of another server was lost at clock time `lostAt`. */
 	recordLostLog(lostAt: number): void {
 		this.#unverifiedSince = Math.max(this.#unverifiedSince, lostAt);
-		this.#isSynchronized &&= this.#verifiedAt !== undefined && this.#verifiedAt >= lostAt;
+		this.#isSynchronized &&= this.#verifiedAt >= lostAt;
 	}
 
 	/** Clock time since which the server's log has been behind an earlier end of the leader's log; `undefined` if it isn't. */
@@ -182,14 +182,16 @@
 		this.#position = logEnd ?? this.#position;
 	}
 
-	/** Compares the server's log with a position that the leader's log had reached at clock time `reachedAt`. */
-	compareLog(leaderPosition: statement.Position, reachedAt: number): void {
+	/** Compares the server's log with an earlier end of the leader's log. */
+	compareLog(leaderPosition: statement.Position): void {
 		const isBehind = this.#position === undefined || position.compare(this.#position, leaderPosition) < 0;
 		this.#behindSince = isBehind ? this.#behindSince ?? this.#clock.now() : undefined;
-		if (!isBehind) {
-			this.#verifiedAt = reachedAt;
-			this.#isSynchronized ||= reachedAt >= this.#unverifiedSince;
-		}
+	}
+
+	/** Records that the server's log contains every commit acknowledged before clock time `verifiedAt`. */
+	recordVerified(verifiedAt: number): void {
+		this.#verifiedAt = Math.max(this.#verifiedAt, verifiedAt);
+		this.#isSynchronized ||= this.#verifiedAt >= this.#unverifiedSince;
 	}
 
 	/** Records that a request sent at `sentAt` got no response, or that no connection could be opened since then. */
--- a/src/entry/tests/failover.test.ts
+++ b/src/entry/tests/failover.test.ts
@@ -100,6 +100,24 @@
 	await setup.stop();
 });
 
+// Guards against a service that stays without failover while its replicas follow a busy leader closely.
+test.test('a replica that keeps up with a busy leader replaces it soon after another one was removed', async () => {
+	const setup = new fixture.Fixture();
+	await setup.start();
+	await setup.startFailover();
+	setup.cluster.get('b').isUnresponsive = true;
+	setup.group.markMissing('b');
+	for (let elapsedMs = 0; elapsedMs < 3000; elapsedMs += 20) {
+		setup.cluster.commit(setup.cluster.get('a'));
+		await setup.time.advance(20);
+	}
+
+	setup.cluster.get('a').isUnresponsive = true;
+	await setup.time.advance(3000);
+	assert.equal(setup.group.leader?.id, 'c');
+	await setup.stop();
+});
+
 // Guards against the loss of a commit held by a silent replica once the registration of the failed leader has expired.
 test.test('no server is promoted without a silent replica after the failed leader was removed', async () => {
 	const setup = new fixture.Fixture();
--- a/src/platform/tests/caller.test.ts
+++ b/src/platform/tests/caller.test.ts
@@ -60,6 +60,38 @@
 	assert.equal(await accepted.next(), undefined);
 });
 
+// Guards against a request that is taken from the connection after the close, and so ends without an answer.
+test.test('nothing is received from the network once the session is closed', {timeout: testTimeoutMs}, async context => {
+	const sockets: net.Socket[] = [];
+	const server = net.createServer(socket => {
+		sockets.push(socket);
+	});
+	server.listen(0, '127.0.0.1');
+	await events.EventEmitter.once(server, 'listening');
+	const client = net.connect((server.address() as net.AddressInfo).port, '127.0.0.1');
+	context.after(() => {
+		client.destroy();
+		server.close();
+	});
+	client.on('error', () => {
+		// The unread request resets the connection.
+	});
+	await events.EventEmitter.once(client, 'connect');
+	while (sockets.length === 0) {
+		await timers.setTimeout(1);
+	}
+
+	const accepted = new callers.Caller(sockets[0]);
+	const startup = 'STARTUP lepu270 u3f1\r\n';
+	client.write(startup);
+	await accepted.open();
+	accepted.accept();
+	accepted.close();
+	client.write('QUERY 5c0e READ 1a4\r\n');
+	await timers.setTimeout(deliveryMs);
+	assert.equal(sockets[0].bytesRead, startup.length);
+});
+
 test.test('a first line other than STARTUP is rejected with one error', {timeout: testTimeoutMs}, async context => {
 	const {accepted, socket} = await connect(context);
 	socket.write('GET / HTTP/1.1\r\n');
