--- a/src/entry/group.ts
+++ b/src/entry/group.ts
@@ -73,6 +73,8 @@
 	#lastAddedAt = Number.NEGATIVE_INFINITY;
 	#acknowledged: statement.Position | null = null;
 	#leader: member.Member | undefined;
+	/** Id of the last leader if it was removed while it led; `undefined` once it or another leader is back. */
+	#removedLeader: string | undefined;
 	/** Clock time at which this host last received the confirmation of a leader. */
 	#confirmedAt = Number.NEGATIVE_INFINITY;
 	#leaderEpoch = 0;
@@ -99,6 +101,11 @@
 		return this.#leader;
 	}
 
+	/** Whether one of the servers may lead without this host knowing it. */
+	get mayHaveLeader(): boolean {
+		return this.#leader === undefined && this.#removedLeader === undefined;
+	}
+
 	/** Number of leader changes this host has observed. A position obtained in an earlier epoch is no longer valid. */
 	get leaderEpoch(): number {
 		return this.#leaderEpoch;
@@ -195,6 +202,7 @@
 		const server = this.#options.connect(registration);
 		this.#members.set(id, new member.Member(registration, server, this.#options.clock, {connectionLimit: this.#quota.hardLimit, isSynchronized: this.#isInitialMember(registration)}));
 		this.#lastAddedAt = this.#options.clock.now();
+		this.#removedLeader = this.#removedLeader === id ? undefined : this.#removedLeader;
 		this.#options.decisions.record('server-added', {
 			service: this.name, server: id, address, place: registration.place, state: registration.state, role: registration.role,
 		});
@@ -317,6 +325,18 @@
 		} else if (refusal === 'read-only') {
 			this.denyLeader(server, sentAt);
 		}
+
+		if (logEnd) {
+			this.verifyLog(server, logEnd);
+		}
+	}
+
+	/** Verifies a server's log against the latest known end of the leader's log that it contains. */
+	verifyLog(server: member.Member, logEnd: statement.Position): void {
+		const contained = this.#readIndexes.findLast(readIndex => position.compare(readIndex.position, logEnd) <= 0);
+		if (contained) {
+			server.recordVerified(contained.requestedAt.monotonicMs);
+		}
 	}
 
 	async #probe(server: member.Member): Promise<void> {
@@ -383,7 +403,7 @@
 		const replicated = this.#readIndexes.findLast(({requestedAt}) => now - requestedAt.monotonicMs > typicalLagMs);
 		for (const server of this.#members.values()) {
 			if (replicated) {
-				server.compareLog(replicated.position, replicated.requestedAt.monotonicMs);
+				server.compareLog(replicated.position);
 			}
 
 			if (server !== this.#leader) {
@@ -401,12 +421,26 @@
 		return startedAt - earliest < startupWindowMs;
 	}
 
+	/**
+	Removes servers whose registration stays missing. A replica takes the copies of acknowledged commits in its log along. If
+	the leader is removed, every commit is still in the log of one of the replicas.
+	*/
 	#removeMissing(): void {
 		for (const server of this.#members.values()) {
-			if (server.missingSince !== undefined && this.#options.clock.now() - server.missingSince > missingGraceMs) {
-				this.#members.delete(server.id);
-				this.#remove(server, 'its registration is missing from the store');
+			if (server.missingSince === undefined || this.#options.clock.now() - server.missingSince <= missingGraceMs) {
+				continue;
 			}
+
+			this.#members.delete(server.id);
+			if (this.#leader === server) {
+				this.#removedLeader = server.id;
+			} else {
+				for (const other of this.#members.values()) {
+					other.recordLostLog(Math.max(server.missingSince, server.lastResponseAt));
+				}
+			}
+
+			this.#remove(server, 'its registration is missing from the store');
 		}
 	}
 
@@ -424,6 +458,7 @@
 	#setLeader(server: member.Member): void {
 		const replaced = this.#leader;
 		this.#leader = server;
+		this.#removedLeader = undefined;
 		this.#leaderEpoch++;
 		this.#readIndexes = [];
 		this.#options.decisions.record('leader-found', {
--- a/src/entry/member.ts
+++ b/src/entry/member.ts
@@ -36,8 +36,6 @@
 export class Member {
 	readonly pool: pool.Pool<backend.Connection>;
 	readonly server: backend.Server;
-	/** Clock time at which this host discovered this incarnation of the server. */
-	readonly addedAt: number;
 	/** Clock time at which the registration was first missing; `undefined` while it is present. */
 	missingSince: number | undefined;
 	readonly #clock: clock.Clock;
@@ -48,6 +46,10 @@
 	#lastFailureAt = Number.NEGATIVE_INFINITY;
 	#position: statement.Position | undefined;
 	#isSynchronized: boolean;
+	/** Clock time before which commits may be missing in the log of a server that isn't synchronized. */
+	#unverifiedSince: number;
+	/** Clock time before which every acknowledged commit is known to be in the server's log. */
+	#verifiedAt = Number.NEGATIVE_INFINITY;
 	#behindSince: number | undefined;
 	#lastLagAt = Number.NEGATIVE_INFINITY;
 	readonly #pendingCommits = new Set<number>();
@@ -58,7 +60,7 @@
 		this.#clock = time;
 		this.server = server;
 		this.#isSynchronized = options.isSynchronized;
-		this.addedAt = time.now();
+		this.#unverifiedSince = time.now();
 		this.pool = new pool.Pool<backend.Connection>(server, time, {
 			connections: options.connectionLimit, connectTimeoutMs, hedgeAfterMs, validateAfterMs, idleLimitMs, resetTimeoutMs,
 		});
@@ -84,12 +86,19 @@
 
 	/**
 	Whether the server's log has reached a position that the leader's log held after this host discovered the server. Until
-	then, an incarnation that started with an empty log may lack commits that its predecessor acknowledged.
+	then, an incarnation that started with an empty log may lack commits that its predecessor acknowledged. The same holds
+	after the removal of another server, whose log may have been the only other one with a commit.
 	*/
 	get isSynchronized(): boolean {
 		return this.#isSynchronized;
 	}
 
+	/** Records that the log of another server was lost at clock time `lostAt`. */
+	recordLostLog(lostAt: number): void {
+		this.#unverifiedSince = Math.max(this.#unverifiedSince, lostAt);
+		this.#isSynchronized &&= this.#verifiedAt >= lostAt;
+	}
+
 	/** Clock time since which the server's log has been behind an earlier end of the leader's log; `undefined` if it isn't. */
 	get behindSince(): number | undefined {
 		return this.#behindSince;
@@ -173,11 +182,16 @@
 		this.#position = logEnd ?? this.#position;
 	}
 
-	/** Compares the server's log with a position that the leader's log had reached at clock time `reachedAt`. */
-	compareLog(leaderPosition: statement.Position, reachedAt: number): void {
+	/** Compares the server's log with an earlier end of the leader's log. */
+	compareLog(leaderPosition: statement.Position): void {
 		const isBehind = this.#position === undefined || position.compare(this.#position, leaderPosition) < 0;
 		this.#behindSince = isBehind ? this.#behindSince ?? this.#clock.now() : undefined;
-		this.#isSynchronized ||= !isBehind && reachedAt >= this.addedAt;
+	}
+
+	/** Records that the server's log contains every commit acknowledged before clock time `verifiedAt`. */
+	recordVerified(verifiedAt: number): void {
+		this.#verifiedAt = Math.max(this.#verifiedAt, verifiedAt);
+		this.#isSynchronized ||= this.#verifiedAt >= this.#unverifiedSince;
 	}
 
 	/** Records that a request sent at `sentAt` got no response, or that no connection could be opened since then. */
