--- a/src/entry/tests/failover.test.ts
+++ b/src/entry/tests/failover.test.ts
@@ -2,6 +2,15 @@
 import * as test from 'node:test';
 import * as fixture from './fixture.js';
 
+/** Advances the clock until the authority has received a request. */
+async function awaitPromotionRequest(setup: fixture.Fixture): Promise<void> {
+	for (let waitedMs = 0; setup.authority.requests.length === 0 && waitedMs < 5000; waitedMs += 10) {
+		await setup.time.advance(10);
+	}
+
+	assert.equal(setup.authority.requests.length, 1);
+}
+
 test.test('an unresponsive leader is replaced by the most advanced server within 3 s', async () => {
 	const setup = new fixture.Fixture();
 	await setup.start();
@@ -59,6 +68,73 @@
 	await setup.stop();
 });
 
+// Guards against the loss of a commit whose only other copy left with a replica that is no longer registered.
+test.test('a commit that only a removed replica had received is not lost with the leader', async () => {
+	const setup = new fixture.Fixture();
+	await setup.start();
+	await setup.startFailover();
+	setup.cluster.get('c').isReplicationCut = true;
+	setup.cluster.commit(setup.cluster.get('a'));
+	await setup.time.advance(500);
+	setup.cluster.get('b').isUnresponsive = true;
+	setup.group.markMissing('b');
+	await setup.time.advance(5000);
+	assert.deepEqual(setup.group.members.map(({id}) => id), ['a', 'c']);
+	setup.cluster.get('a').isUnresponsive = true;
+	await setup.time.advance(5000);
+	assert.deepEqual(setup.authority.requests, []);
+	await setup.stop();
+});
+
+// Guards against a service that stays without failover after a replica was removed.
+test.test('a replica that caught up after another one was removed can replace the leader', async () => {
+	const setup = new fixture.Fixture();
+	await setup.start();
+	await setup.startFailover();
+	setup.cluster.get('b').isUnresponsive = true;
+	setup.group.markMissing('b');
+	await setup.time.advance(8000);
+	setup.cluster.get('a').isUnresponsive = true;
+	await setup.time.advance(3000);
+	assert.equal(setup.group.leader?.id, 'c');
+	await setup.stop();
+});
+
+// Guards against a service that stays without failover while its replicas follow a busy leader closely.
+test.test('a replica that keeps up with a busy leader replaces it soon after another one was removed', async () => {
+	const setup = new fixture.Fixture();
+	await setup.start();
+	await setup.startFailover();
+	setup.cluster.get('b').isUnresponsive = true;
+	setup.group.markMissing('b');
+	for (let elapsedMs = 0; elapsedMs < 3000; elapsedMs += 20) {
+		setup.cluster.commit(setup.cluster.get('a'));
+		await setup.time.advance(20);
+	}
+
+	setup.cluster.get('a').isUnresponsive = true;
+	await setup.time.advance(3000);
+	assert.equal(setup.group.leader?.id, 'c');
+	await setup.stop();
+});
+
+// Guards against the loss of a commit held by a silent replica once the registration of the failed leader has expired.
+test.test('no server is promoted without a silent replica after the failed leader was removed', async () => {
+	const setup = new fixture.Fixture();
+	await setup.start();
+	await setup.startFailover();
+	setup.cluster.get('c').isReplicationCut = true;
+	setup.cluster.commit(setup.cluster.get('a'));
+	await setup.time.advance(500);
+	setup.cluster.get('a').isUnresponsive = true;
+	setup.cluster.get('b').isUnresponsive = true;
+	setup.group.markMissing('a');
+	await setup.time.advance(8000);
+	assert.deepEqual(setup.group.members.map(({id}) => id), ['b', 'c']);
+	assert.deepEqual(setup.authority.requests, []);
+	await setup.stop();
+});
+
 test.test('a replica paused for a promotion resumes replication afterwards', async () => {
 	const setup = new fixture.Fixture();
 	await setup.start();
@@ -71,6 +147,41 @@
 	await setup.stop();
 });
 
+// Guards against the loss of a commit that a server acknowledges which registers while the promotion is in progress.
+test.test('a server that registers during a promotion acknowledges no commit that the promoted one may lack', async () => {
+	const setup = new fixture.Fixture();
+	await setup.start(['a', 'b']);
+	await setup.startFailover();
+	setup.group.register(setup.cluster.registration('a', {state: 'leaving'}));
+	await awaitPromotionRequest(setup);
+	setup.group.register(setup.cluster.registration('c'));
+	await setup.time.advance(200);
+	// The target receives the entry only after the promotion, so that nothing but the pause keeps it from being acknowledged.
+	setup.cluster.get('b').isReplicationCut = true;
+	setup.cluster.commit(setup.cluster.get('a'));
+	assert.equal(setup.cluster.get('c').index, 0);
+	await setup.time.advance(1000);
+	assert.equal(setup.group.leader?.id, 'b');
+	await setup.stop();
+});
+
+// Guards against the loss of a commit that a paused server acknowledges after a late order or a restart ended its pause.
+test.test('a server that is resumed during a promotion is paused again', async () => {
+	const setup = new fixture.Fixture();
+	await setup.start();
+	await setup.startFailover();
+	setup.group.register(setup.cluster.registration('a', {state: 'leaving'}));
+	await awaitPromotionRequest(setup);
+	const paused = setup.cluster.servers.find(({heldTerm}) => heldTerm > 0)!;
+	paused.heldTerm = 0;
+	await setup.time.advance(200);
+	assert.equal(paused.heldTerm, 2);
+	await setup.time.advance(1000);
+	assert.ok(setup.cluster.servers.every(({heldTerm}) => heldTerm <= 2));
+	assert.notEqual(setup.group.leader?.id, paused.name);
+	await setup.stop();
+});
+
 test.test('a leaving leader is replaced by a server that has every commit', async () => {
 	const setup = new fixture.Fixture();
 	await setup.start();
