Pass on what outlasts a restoration, and keep it of servers too

Cause, found in review: two hosts at the same revision of a restored store can have different contents, since one of them has retained what the copy lacks. A host that listed the copy itself was not sent it and ignored it, so it kept the copy's configuration until the operators' next write. Retention also ended with the first list. The registrations of servers were taken from the copy as they were: an earlier incarnation counted as synchronized although its log is gone, and a leaving server was ready again.

Change: a host sends what it has retained also to hosts at its own revision, and these take it over. An object of an earlier generation stays subject to retention in every complete list. Of a server the later incarnation is kept, and that it leaves; what it writes after the restoration counts in any case.

--- a/src/entry/cache.ts
+++ b/src/entry/cache.ts
@@ -62,6 +62,11 @@
 			};
 	}
 
+	/** The objects that the restored store lacks, or has in an older form, and that this host still uses. */
+	get retained(): ReadonlyArray<objects.Item<K>> {
+		return [...this.#items.values()].filter(isOfEarlierGeneration(this.#revision ?? 0));
+	}
+
 	/** The object of this name; `undefined` if there is none. */
 	item(name: string): objects.Item<K> | undefined {
 		return this.#items.get(name);
@@ -76,11 +81,7 @@
 		}
 
 		this.#confirmedAt = Math.max(this.#confirmedAt, confirmedAt);
-		const isNew = current === undefined || update.revision > current;
-		const unchanged = {
-			from: current, revision: update.revision, items: [], gone: [],
-		};
-		const applied = isNew ? this.#advance(update) : unchanged;
+		const applied = current === undefined || update.revision > current ? this.#advance(update) : this.#adopt(update);
 		for (const listener of this.#listeners) {
 			listener(applied);
 		}
@@ -100,23 +101,32 @@
 	#advance(update: Update<K>): Update<K> {
 		const current = this.#revision;
 		const [before, after] = [revisions.split(current ?? update.revision), revisions.split(update.revision)];
-		const isRestored = after.generation > before.generation;
 		this.#revision = update.revision;
-		if (isRestored) {
+		if (after.generation > before.generation) {
 			this.#options.decisions.record('store-restored', {
 				kind: this.#options.kind, generation: after.generation, counter: after.counter, lost: before.counter,
 			});
 		}
 
-		const applied = isRestored && update.from === undefined ? this.#retain(update) : update;
+		const applied = update.from === undefined ? this.#retain(update) : update;
 		this.#update(applied);
 		return {...applied, from: update.from === undefined ? undefined : current};
 	}
 
+	/** Takes over what the sender of an update at this cache's revision has retained and this cache does not have. */
+	#adopt({revision, items}: Update<K>): Update<K> {
+		const isRetained = isOfEarlierGeneration(revision);
+		const adopted = {
+			from: revision, revision, items: items.filter(item => isRetained(item) && this.#options.retention.isKept(item, this.#items.get(item.name))), gone: [],
+		};
+		this.#update(adopted);
+		return adopted;
+	}
+
 	/** Adds the known objects that outlast the restoration of the store to the state of the restored store. */
 	#retain(restored: Update<K>): Update<K> {
 		const items = new Map(restored.items.map(item => [item.name, item]));
-		for (const known of this.#items.values()) {
+		for (const known of [...this.#items.values()].filter(isOfEarlierGeneration(restored.revision))) {
 			if (this.#options.retention.isKept(known, items.get(known.name))) {
 				items.set(known.name, known);
 			}
@@ -153,3 +163,9 @@
 		this.#options.onChange(item.name, item);
 	}
 }
+
+/** Returns whether an object was last changed in a generation of the store before that of `revision`. */
+function isOfEarlierGeneration(revision: number): (item: {readonly revision: number}) => boolean {
+	const {generation} = revisions.split(revision);
+	return item => revisions.split(item.revision).generation < generation;
+}
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -124,19 +124,19 @@
 			void this.#serveCaller(accepted);
 		});
 		this.#caches = {
-			configuration: this.#createCache('configuration', new retentions.Newest(), (_name, item) => {
+			configuration: this.#createCache('configuration', new retentions.ConfigurationRetention(), (_name, item) => {
 				if (item?.value) {
 					this.#applyDeployment(item.value);
 				}
 			}),
-			servers: this.#createCache('servers', new retentions.Nothing(), (name, item) => {
+			servers: this.#createCache('servers', new retentions.ServerRetention(), (name, item) => {
 				this.#updateServer(name, item?.value);
 			}),
-			hosts: this.#createCache('hosts', new retentions.Missing(), (name, item) => {
+			hosts: this.#createCache('hosts', new retentions.HostRetention(), (name, item) => {
 				this.#fleet.update(name, item?.value);
 				this.#updateQuotas();
 			}),
-			claims: this.#createCache('claims', new retentions.Nothing(), (name, item) => {
+			claims: this.#createCache('claims', new retentions.Discarding(), (name, item) => {
 				this.#claims.update(name, item);
 			}),
 		};
--- a/src/entry/responder.ts
+++ b/src/entry/responder.ts
@@ -193,12 +193,12 @@
 		this.#subscriptions = known ? [this.#publish(configuration, known), this.#publish(servers, known), this.#publish(hosts, known), this.#publish(claims, known)] : [];
 	}
 
-	/** Sends a cache's current state, unless the peer already has it, and every later update. */
+	/** Sends a cache's current state, or only what it has retained if the peer has the rest, and every later update. */
 	#publish<K extends objects.Kind>(cache: caches.Cache<K>, known: types.KnownRevisions): () => void {
 		const {state, kind} = cache;
 		if (state) {
 			const isKnown = known[kind] >= state.revision;
-			this.#link.send(notices.describe(kind, isKnown ? {...state, from: state.revision, items: []} : state, cache.ageMs));
+			this.#link.send(notices.describe(kind, isKnown ? {...state, from: state.revision, items: cache.retained} : state, cache.ageMs));
 		}
 
 		return cache.listen(update => {
--- a/src/entry/tests/cache.test.ts
+++ b/src/entry/tests/cache.test.ts
@@ -41,12 +41,18 @@
 	};
 }
 
+function registration(startedAt: number, state: types.ServerState): types.Registration {
+	return {
+		id: 'i-1', service: 'ledgers', address: '10.0.0.1:1', place: 'east', slots: 2, state, role: 'replica', startedAt,
+	};
+}
+
 function restored(counter: number): number {
 	return revisions.combine({generation: 1, counter});
 }
 
 test.test('guards against passing on a configuration that was replaced after the copy from which the store was restored', () => {
-	const {cache, changes} = make('configuration', new retentions.Newest());
+	const {cache, changes} = make('configuration', new retentions.ConfigurationRetention());
 	const sent: Array<caches.Update<'configuration'>> = [];
 	cache.apply({
 		from: undefined, revision: 21, items: [item('main', 21, configuration(16))], gone: [],
@@ -67,7 +73,7 @@
 });
 
 test.test('guards against closing links to a host whose announcement the restored store has lost', () => {
-	const {cache, changes} = make('hosts', new retentions.Missing());
+	const {cache, changes} = make('hosts', new retentions.HostRetention());
 	cache.apply({
 		from: undefined, revision: 21, items: [item('entry-1', 12, announcement('10.0.0.1:1')), item('entry-2', 20, announcement('10.0.0.2:1'))], gone: [],
 	}, 0);
@@ -83,7 +89,7 @@
 });
 
 test.test('guards against keeping an object that its writer has to write again after a restoration', () => {
-	const {cache, changes} = make('claims', new retentions.Nothing());
+	const {cache, changes} = make('claims', new retentions.Discarding());
 	cache.apply({
 		from: undefined, revision: 21, items: [item('ledgers', 20, {holder: 'entry-1', nonce: 'n'})], gone: [],
 	}, 0);
@@ -95,7 +101,7 @@
 });
 
 test.test('guards against an object that keeps its old content because the restored store gave its revision to new content', () => {
-	const {cache, changes} = make('hosts', new retentions.Missing());
+	const {cache, changes} = make('hosts', new retentions.HostRetention());
 	cache.apply({
 		from: undefined, revision: 21, items: [item('entry-1', 20, announcement('10.0.0.1:1'))], gone: [],
 	}, 0);
@@ -104,3 +110,37 @@
 	}, 0);
 	assert.deepEqual(changes.at(-1), ['entry-1', announcement('10.0.0.9:1')]);
 });
+
+test.test('guards against a restarted server that counts as synchronized because the restored store lists its earlier incarnation', () => {
+	const {cache} = make('servers', new retentions.ServerRetention());
+	cache.apply({
+		from: undefined, revision: 21, items: [item('i-1', 20, registration(60_000, 'ready'))], gone: [],
+	}, 0);
+	for (const counter of [14, 15]) {
+		cache.apply({
+			from: undefined, revision: restored(counter), items: [item('i-1', restored(12), registration(1, 'ready'))], gone: [],
+		}, 0);
+		assert.equal(cache.item('i-1')?.value?.startedAt, 60_000);
+	}
+
+	// A server whose clock was set back has a lower start time; what it writes after the restoration counts.
+	cache.apply({
+		from: restored(15), revision: restored(16), items: [item('i-1', restored(16), registration(50_000, 'ready'))], gone: [],
+	}, 0);
+	assert.equal(cache.item('i-1')?.value?.startedAt, 50_000);
+});
+
+test.test('guards against new work for a leaving server because the restored store lists it as ready', () => {
+	const {cache, changes} = make('servers', new retentions.ServerRetention());
+	cache.apply({
+		from: undefined, revision: 21, items: [item('i-1', 20, registration(1, 'leaving'))], gone: [],
+	}, 0);
+	cache.apply({
+		from: undefined, revision: restored(14), items: [item('i-1', restored(12), registration(1, 'ready'))], gone: [],
+	}, 0);
+	assert.deepEqual(changes.map(([, value]) => value?.state), ['leaving']);
+	cache.apply({
+		from: undefined, revision: restored(18), items: [], gone: [],
+	}, 0);
+	assert.equal(cache.item('i-1'), undefined);
+});
--- a/src/entry/tests/fake-state.ts
+++ b/src/entry/tests/fake-state.ts
@@ -10,7 +10,7 @@
 
 /** Creates empty caches of all kinds. */
 export function caches(time: clock.Clock, record: decisions.Decisions): notices.Caches {
-	const make = <K extends objects.Kind>(kind: K, retention: retentions.Retention<K> = new retentions.Nothing<K>()): cache.Cache<K> => new cache.Cache({
+	const make = <K extends objects.Kind>(kind: K, retention: retentions.Retention<K> = new retentions.Discarding<K>()): cache.Cache<K> => new cache.Cache({
 		kind,
 		retention,
 		clock: time,
@@ -20,6 +20,6 @@
 		},
 	});
 	return {
-		configuration: make('configuration', new retentions.Newest()), servers: make('servers'), hosts: make('hosts', new retentions.Missing()), claims: make('claims'),
+		configuration: make('configuration', new retentions.ConfigurationRetention()), servers: make('servers', new retentions.ServerRetention()), hosts: make('hosts', new retentions.HostRetention()), claims: make('claims'),
 	};
 }
--- a/src/entry/tests/follower.test.ts
+++ b/src/entry/tests/follower.test.ts
@@ -36,7 +36,7 @@
 	const record = new decisions.Silent();
 	const cache = new caches.Cache<'hosts'>({
 		kind: 'hosts',
-		retention: new retentions.Missing(),
+		retention: new retentions.HostRetention(),
 		clock: time,
 		decisions: record,
 		onChange(name, item) {
--- a/src/entry/tests/synchronizer.test.ts
+++ b/src/entry/tests/synchronizer.test.ts
@@ -1,5 +1,6 @@
 import * as assert from 'node:assert/strict';
 import * as test from 'node:test';
+import * as Either from 'fp-ts/lib/Either.js';
 import type * as types from '../../generated/types.js';
 import * as clock from '../../core/clock.js';
 import * as random from '../../core/random.js';
@@ -10,6 +11,7 @@
 import type * as objects from '../objects.js';
 import type * as caches from '../cache.js';
 import * as responder from '../responder.js';
+import * as revisions from '../revision.js';
 import * as synchronizer from '../synchronizer.js';
 import * as fakes from './fake-cluster.js';
 import * as states from './fake-state.js';
@@ -234,3 +236,50 @@
 	}, 0);
 	assert.equal(servers.state?.items.length, 0);
 });
+
+test.test('guards against a host that starts after a restoration with the configuration of the copy, although the observer has a newer one', async () => {
+	const region = new Region();
+	await region.start(4);
+	region.store.copy();
+	region.store.put('configuration', 'main', configuration(7));
+	await region.time.advance(3000);
+	region.store.restore();
+	await region.time.advance(3000);
+	assert.deepEqual(region.hosts.map(({version}) => version), [7, 7, 7, 7]);
+	region.hosts.push(new Host('host-4', 4, region));
+	await region.time.advance(8000);
+	assert.deepEqual(region.hosts.map(({version}) => version), [7, 7, 7, 7, 7]);
+	await region.stop();
+});
+
+/** Makes a host read the store like builds that don't know of restorations: its revisions are the store's own counters. */
+function dropGenerations(host: Host, store: fakes.Objects): void {
+	host.store.list = async <K extends objects.Kind>(kind: K) => {
+		const outcome = await store.list(kind);
+		return Either.map(({items, revision}: objects.Listing<K>): objects.Listing<K> => ({
+			items: items.map(item => ({...item, revision: revisions.split(item.revision).counter})),
+			revision: revisions.split(revision).counter,
+		}))(outcome);
+	};
+}
+
+test.test('guards against a host that counts ignored updates of an older generation as recent state and stops following the store', async () => {
+	const region = new Region();
+	await region.start(3);
+	const observer = region.hosts.find(({synchronizer: task}) => task.isFollowingStore)!;
+	const other = region.hosts.find(host => host !== observer)!;
+	dropGenerations(observer, region.store);
+	region.store.copy();
+	region.store.restore();
+	for (const cache of Object.values(other.caches)) {
+		const listing = await region.store.list<objects.Kind>(cache.kind);
+		assert.ok(Either.isRight(listing));
+		(cache as caches.Cache<objects.Kind>).apply({from: undefined, gone: [], ...listing.right}, region.time.now());
+	}
+
+	region.store.put('configuration', 'main', configuration(9));
+	await region.time.advance(12_000);
+	assert.equal(observer.version, 9);
+	assert.equal(other.version, 9);
+	await region.stop();
+});
