Recognize an earlier claim that a restored store lists again

Cause, found in review: if the copy has an earlier claim of the service in place of the last one, it looked like a new claim. Its holder no longer saw that another host was at work, and all others waited four seconds for it. A token was kept from an earlier claim although a later one had become known during the call, and a claim refused for its condition was granted when it was read back.

Change: nonces of the last 16 claims of a service are remembered; a claim with one of them only has its revision renewed. The last claim is looked up after the calls, and reading back grants only after a lost response.

--- a/src/entry/claims.ts
+++ b/src/entry/claims.ts
@@ -22,11 +22,18 @@
 /** A claim held by this host, with its fencing token. */
 export type Claim = {readonly service: string; readonly token: number};
 
-/** The last claim in a service; without `revision`, the store no longer has it. */
-type Entry = {readonly revision: number | undefined; readonly value: types.PromotionClaim | undefined; readonly receivedAt: number};
+/** The last claim in a service; without `revision`, the store no longer has it. `nonces` are those of recent claims. */
+type Entry = {
+	readonly revision: number | undefined;
+	readonly value: types.PromotionClaim | undefined;
+	readonly receivedAt: number;
+	readonly nonces: readonly string[];
+};
 
 /** Time after receiving another host's claim during which this host starts no promotion in that service. */
 const claimDurationMs = 4000;
+/** Number of recent claims that are recognized when a restored store lists one of them again. */
+const maxNonces = 16;
 
 /** Makes claims for this host and tracks those of other hosts. */
 export class Claims {
@@ -39,7 +46,7 @@
 
 	/**
 	Updates a service's claim from the store; without an item, the store has none. Older revisions are ignored. A claim that
-	is gone keeps its holder, who may still be carrying out the promotion.
+	a restored store has lost, or replaced by an earlier one, keeps its holder, who may still be carrying out the promotion.
 	*/
 	update(service: string, item: objects.Item<'claims'> | undefined): void {
 		const entry = this.#entries.get(service);
@@ -51,10 +58,20 @@
 			return;
 		}
 
-		if (item.revision > (entry?.revision ?? 0)) {
-			const isKnown = item.value !== undefined && item.value.nonce === entry?.value?.nonce;
-			this.#entries.set(service, {revision: item.revision, value: item.value, receivedAt: isKnown ? entry.receivedAt : this.#options.clock.now()});
+		const {revision, value} = item;
+		if (revision <= (entry?.revision ?? 0)) {
+			return;
+		}
+
+		if (entry && value && entry.nonces.includes(value.nonce)) {
+			this.#entries.set(service, {...entry, revision});
+			return;
 		}
+
+		const nonces = [...entry?.nonces ?? [], ...(value ? [value.nonce] : [])].slice(-maxNonces);
+		this.#entries.set(service, {
+			revision, value, receivedAt: this.#options.clock.now(), nonces,
+		});
 	}
 
 	/** Whether any host has ever claimed a promotion in the service. */
@@ -77,7 +94,6 @@
 	async claim(service: string): Promise<errors.Outcome<Claim>> {
 		const {store, host, random: source} = this.#options;
 		const value = {holder: host, nonce: source.id()};
-		const entry = this.#entries.get(service);
 		const outcome = await this.#write(service, value);
 		if (Either.isRight(outcome)) {
 			return this.#grant(service, outcome.right.revision, 'stored');
@@ -86,13 +102,14 @@
 		const found = await store.read('claims', service);
 		if (Either.isRight(found)) {
 			this.update(service, found.right);
-			if (found.right?.value?.nonce === value.nonce) {
+			if (outcome.left.kind === 'store' && found.right?.value?.nonce === value.nonce) {
 				return this.#grant(service, found.right.revision, 'stored, response lost');
 			}
 
 			return found.right === undefined && outcome.left.kind === 'conflict' ? this.#claimLost(service, value) : outcome;
 		}
 
+		const entry = this.#entries.get(service);
 		return entry?.revision !== undefined && entry.value?.holder === host && outcome.left.kind === 'store'
 			? this.#grant(service, entry.revision, 'kept from an earlier claim, store unavailable')
 			: outcome;
--- a/src/entry/tests/claims.test.ts
+++ b/src/entry/tests/claims.test.ts
@@ -2,9 +2,12 @@
 import * as test from 'node:test';
 import * as Either from 'fp-ts/lib/Either.js';
 import * as clock from '../../core/clock.js';
+import type * as errors from '../../core/errors.js';
 import * as random from '../../core/random.js';
 import * as claims from '../claims.js';
 import * as decisions from '../decisions.js';
+import type * as objects from '../objects.js';
+import * as revisions from '../revision.js';
 import * as fakes from './fake-cluster.js';
 
 function make(store: fakes.Objects, host: string, seed: number): claims.Claims {
@@ -102,3 +105,67 @@
 	other.update('ledgers', listed.right);
 	assert.ok(!other.isClaimedByOther('ledgers'));
 });
+
+test.test('guards against a second promotion beside that of a recent holder, when the restored store has an older claim instead', async () => {
+	const store = new fakes.Objects();
+	const [one, other] = [make(store, 'entry-1', 1), make(store, 'entry-2', 2)];
+	one.update('ledgers', store.put('claims', 'ledgers', {holder: 'entry-1', nonce: 'earlier'}));
+	store.copy();
+	const claimed = await other.claim('ledgers');
+	assert.ok(Either.isLeft(claimed));
+	const recent = await other.claim('ledgers');
+	assert.ok(Either.isRight(recent));
+	const found = await store.read('claims', 'ledgers');
+	assert.ok(Either.isRight(found));
+	one.update('ledgers', found.right);
+	assert.ok(one.isClaimedByOther('ledgers'));
+	store.restore();
+	const listed = await store.read('claims', 'ledgers');
+	assert.ok(Either.isRight(listed));
+	one.update('ledgers', listed.right);
+	assert.ok(one.isClaimedByOther('ledgers'));
+});
+
+test.test('guards against a failover that waits for an expired claim which the restored store has in place of a later one', async () => {
+	const store = new fakes.Objects();
+	const time = new clock.Manual();
+	const third = new claims.Claims({
+		host: 'entry-3', store, clock: time, random: new random.Seeded(3), decisions: new decisions.Silent(),
+	});
+	third.update('ledgers', store.put('claims', 'ledgers', {holder: 'entry-1', nonce: 'earlier'}));
+	store.copy();
+	await time.advance(5000);
+	third.update('ledgers', store.put('claims', 'ledgers', {holder: 'entry-2', nonce: 'later'}));
+	await time.advance(5000);
+	assert.ok(!third.isClaimedByOther('ledgers'));
+	store.restore();
+	const listed = await store.read('claims', 'ledgers');
+	assert.ok(Either.isRight(listed));
+	third.update('ledgers', listed.right);
+	assert.ok(!third.isClaimedByOther('ledgers'));
+});
+
+/** A store that stops responding to one host while that host claims, just after another host's later claim became known. */
+class ClosingStore extends fakes.Objects {
+	onRead = (): void => undefined;
+
+	override async read<K extends objects.Kind>(kind: K, name: string): Promise<errors.Outcome<objects.Item<K> | undefined>> {
+		this.onRead();
+		return super.read(kind, name);
+	}
+}
+
+test.test('guards against a token kept from an earlier claim although a later claim became known during the call', async () => {
+	const store = new ClosingStore();
+	const one = make(store, 'entry-1', 1);
+	assert.ok(Either.isRight(await one.claim('ledgers')));
+	store.state = 'down';
+	store.onRead = () => {
+		one.update('ledgers', {
+			name: 'ledgers', revision: revisions.combine({generation: 1, counter: 11}), value: {holder: 'entry-2', nonce: 'later'}, fault: '',
+		});
+	};
+
+	const outcome = await one.claim('ledgers');
+	assert.ok(Either.isLeft(outcome), JSON.stringify(outcome));
+});
