Don't count writes whose response shows a restoration too late

Cause, found in review: the adapter compared generations before a conditional update only. With the first response of the new generation, an update could take another object that has got the same revision; and a write answered in the old generation counted as stored although the store had lost it.

Change: an update whose revision turns out to be of an earlier generation is a conflict, and a creation answered in an earlier generation a failure.

Evidence: two new tests, both fail on the code before. Not covered: a call without a response that the store carries out in the new generation.

--- a/src/platform/objects.ts
+++ b/src/platform/objects.ts
@@ -118,22 +118,27 @@
 
 	override async create<K extends objects.Kind>(kind: K, name: string, value: objects.Values[K]): Promise<errors.Outcome<objects.Item<K>>> {
 		const body = {meta: {name}, spec: value};
-		return parseItem(kind, await this.#call({
+		const outcome = await this.#call({
 			method: 'POST', path: pathOf(kind), body, timeoutMs,
-		}));
+		});
+		return Either.isRight(outcome) && outcome.right.generation < this.#generation
+			? errors.fail('store', 'store', kind, `the store was restored since it stored ${name}`)
+			: parseItem(kind, outcome);
 	}
 
 	override async replace<K extends objects.Kind>(kind: K, name: string, value: objects.Values[K], revision: number): Promise<errors.Outcome<objects.Item<K>>> {
 		const {generation, counter} = revisions.split(revision);
+		const restored = errors.fail('conflict', 'store', kind, `the store was restored since ${name} had the revision`);
 		if (generation < this.#generation) {
-			// Another object may have the counter in the store's current generation.
-			return errors.fail('conflict', 'store', kind, `the store was restored since ${name} had the revision`);
+			return restored;
 		}
 
 		const body = {meta: {name, revision: counter}, spec: value};
-		return parseItem(kind, await this.#call({
+		const outcome = await this.#call({
 			method: 'PUT', path: pathOf(kind, name), body, timeoutMs,
-		}));
+		});
+		// Another object may have had the counter in the store's new generation, so the condition says nothing.
+		return generation < this.#generation ? restored : parseItem(kind, outcome);
 	}
 
 	/** Makes a call, and ends watches of an older generation if the response shows that the store was restored. */
--- a/src/platform/tests/http.test.ts
+++ b/src/platform/tests/http.test.ts
@@ -197,3 +197,34 @@
 	assert.equal(calls[0]?.headers['x-lease-holder'], 'entry-1');
 	assert.deepEqual(JSON.parse(calls[0]?.body ?? ''), {service: 'ledgers', id: 'i-1'});
 });
+
+test.test('guards against a claim taken from another host because the first response of a restored store shows the restoration too late', {timeout: testTimeoutMs}, async context => {
+	const {client} = await serve(context, ({method}) => method === 'PUT'
+		? {status: 200, body: stored('ledgers', {holder: 'a', nonce: 'm'}), era: 2}
+		: {status: 200, body: {items: [], more: false, storeRevision: 21}, era: 1});
+	const store = new objects.Objects(client);
+	await store.list('claims');
+	const outcome = await store.replace('claims', 'ledgers', {holder: 'a', nonce: 'm'}, 20);
+	assert.ok(Either.isLeft(outcome), JSON.stringify(outcome));
+});
+
+test.test('guards against a write that counts as stored although the store was restored before its response arrived', {timeout: testTimeoutMs}, async context => {
+	let release = (): void => undefined;
+	const restored = new Promise<void>(resolve => {
+		release = resolve;
+	});
+	const {client} = await serve(context, async ({method}) => {
+		if (method === 'GET') {
+			return {status: 404, era: 2};
+		}
+
+		await restored;
+		return {status: 201, body: stored('ledgers', {holder: 'a', nonce: 'm'}), era: 1};
+	});
+	const store = new objects.Objects(client);
+	const created = store.create('claims', 'ledgers', {holder: 'a', nonce: 'm'});
+	await store.read('hosts', 'entry-1');
+	release();
+	const outcome = await created;
+	assert.ok(Either.isLeft(outcome), JSON.stringify(outcome));
+});
