Stop ordering a promotion once another host has claimed it

Cause, found in review: orders without a response are repeated for eight seconds with the same token, also after another host has claimed the service with a higher one, which a restored store makes more likely.

Change: the repetition ends when a claim of another host is known.

Evidence: new test; on the code before 27 more orders in four seconds.

--- a/src/entry/failover.ts
+++ b/src/entry/failover.ts
@@ -352,7 +352,7 @@
 		return outcome;
 	}
 
-	/** Requests the promotion until the authority responds, then waits for the server to become leader. */
+	/** Requests the promotion until the authority responds or another host has claimed it, then waits for the server to become leader. */
 	async #promote(target: member.Member, {service, token}: claims.Claim): Promise<errors.Outcome<member.Member>> {
 		const deadline = this.#options.clock.now() + promoteTimeoutMs;
 		let outcome: errors.Outcome<authority.Result> = errors.fail('store', 'store', service, 'no promotion request was sent');
@@ -368,7 +368,7 @@
 			}
 
 			await this.#options.clock.sleep(promoteRetryMs);
-		} while (this.#options.clock.now() < deadline);
+		} while (this.#options.clock.now() < deadline && !this.#options.claims.isClaimedByOther(service));
 
 		if (Either.isLeft(outcome)) {
 			return outcome;
--- a/src/entry/tests/failover.test.ts
+++ b/src/entry/tests/failover.test.ts
@@ -251,3 +251,21 @@
 	assert.ok(setup.authority.requests[1].token > setup.authority.requests[0].token);
 	await setup.stop();
 });
+
+test.test('guards against orders with a token that is lower than that of a later claim, while the authority does not answer', async () => {
+	const setup = new fixture.Fixture();
+	await setup.start();
+	await setup.startFailover();
+	setup.store.copy();
+	setup.authority.lostResponses = 100;
+	setup.cluster.get('a').isUnresponsive = true;
+	await setup.time.advance(1500);
+	assert.ok(setup.authority.requests.length > 0);
+	setup.store.restore();
+	setup.claims.update('ledgers', setup.store.put('claims', 'ledgers', {holder: 'entry-9', nonce: 'later'}));
+	await setup.time.advance(1000);
+	const before = setup.authority.requests.length;
+	await setup.time.advance(4000);
+	assert.equal(setup.authority.requests.length, before);
+	await setup.stop();
+});
