Don't count ignored updates of an observer as recent state

Cause, found in review: an update that a newer cache ignores still counted as a sign that the observer is current, so the host stopped following the store, found its state old, and followed it again: with an observer of a build that doesn't know of restorations, 24 times in 12 s, at a configuration long replaced.

Change: only an update that brings the cache to its revision counts.

Evidence: new test, fails on the code before.

--- a/src/entry/synchronizer.ts
+++ b/src/entry/synchronizer.ts
@@ -135,6 +135,11 @@
 
 		const confirmedAt = this.#options.clock.now() - notice.ageMs;
 		if (notices.apply(this.#options.caches, notice, confirmedAt)) {
+			if (this.#options.caches[notice.kind].revision !== notice.revision) {
+				// The cache is newer and ignores the update.
+				return;
+			}
+
 			this.#confirmedAt.set(notice.kind, Math.max(confirmedAt, this.#confirmedAt.get(notice.kind) ?? confirmedAt));
 		} else {
 			// An earlier update is missing, so the complete state is requested.
