Name the parts of the restored store's handling more plainly

From the review: the response with its generation, the two reasons for which a host is not announced, and a wait that is longer than all timeouts of a failover (25 s in place of 15 s, since these add up to 21.5 s).

--- a/src/entry/announcer.ts
+++ b/src/entry/announcer.ts
@@ -47,17 +47,22 @@
 		this.#options = options;
 	}
 
-	/**
-	Whether the store has this announcement, as far as is known. A restart then needs no call to the store. A restored store
-	has an object only if the list has it at a revision of the store's current generation.
-	*/
+	/** Whether the store has this announcement, as far as is known. A restart then needs no call to the store. */
 	get #isAnnounced(): boolean {
 		const {hosts, name, announcement} = this.#options;
 		const {revision: listedAt = 0} = hosts;
+		if (listedAt <= this.#announcedAt) {
+			// The list doesn't have this host's last write yet.
+			return true;
+		}
+
 		const listed = hosts.item(name);
-		return listedAt <= this.#announcedAt || (listed !== undefined
-			&& revisions.split(listed.revision).generation === revisions.split(listedAt).generation
-			&& util.isDeepStrictEqual(listed.value, announcement));
+		if (!listed || revisions.split(listed.revision).generation < revisions.split(listedAt).generation) {
+			// The list may still have an announcement that a restored store has lost.
+			return false;
+		}
+
+		return util.isDeepStrictEqual(listed.value, announcement);
 	}
 
 	/** Announces the host whenever the store lacks the announcement, until `signal` aborts. */
--- a/src/entry/failover.ts
+++ b/src/entry/failover.ts
@@ -66,8 +66,8 @@
 const maxBackoffMs = 600;
 /** Time for which a replica is behind before this host checks whether its replication is paused, and the interval of these checks. */
 const resumeIntervalMs = 3000;
-/** The same time without a known claim: longer than a failover, whose claim a restored store may have lost. */
-const unclaimedResumeMs = 15_000;
+/** The same time without a known claim: longer than all timeouts of a failover, whose claim a restored store may have lost. */
+const unclaimedResumeMs = 25_000;
 /** Time for the authority to respond, and the delay between retries of the same request. */
 const promoteTimeoutMs = 8000;
 const promoteRetryMs = 150;
--- a/src/entry/tests/failover.test.ts
+++ b/src/entry/tests/failover.test.ts
@@ -222,7 +222,7 @@
 	await setup.start();
 	await setup.startFailover();
 	setup.cluster.get('c').heldTerm = 2;
-	for (let second = 0; second < 22; second++) {
+	for (let second = 0; second < 32; second++) {
 		setup.cluster.commit(setup.cluster.get('a'));
 		await setup.time.advance(1000);
 	}
--- a/src/platform/objects.ts
+++ b/src/platform/objects.ts
@@ -31,8 +31,8 @@
 */
 const firstEra = 1;
 
-/** A response, and the generation of the store that sent it. */
-type Answer = {readonly status: number; readonly body: unknown; readonly generation: number};
+/** A response, and the generation that the store was in when it sent it. */
+type DatedResponse = {readonly status: number; readonly body: unknown; readonly generation: number};
 
 /** The object store over HTTP. */
 export class Objects extends objects.Objects {
@@ -97,12 +97,12 @@
 			return outcome;
 		}
 
-		const {status, body, generation: answered} = outcome.right;
+		const {status, body, generation: responseGeneration} = outcome.right;
 		if (status === statusGone) {
 			return lost;
 		}
 
-		return status === statusOk && answered === generation && validators.validateStoredEvents(body)
+		return status === statusOk && responseGeneration === generation && validators.validateStoredEvents(body)
 			? Either.right({
 				changes: body.events.map(({object, tombstone}) => ({name: object.meta.name, item: tombstone ? undefined : toItem(kind, object, generation)})),
 				revision: revisions.combine({generation, counter: body.storeRevision}),
@@ -142,7 +142,7 @@
 	}
 
 	/** Makes a call, and ends watches of an older generation if the response shows that the store was restored. */
-	async #call(call: http.Call): Promise<errors.Outcome<Answer>> {
+	async #call(call: http.Call): Promise<errors.Outcome<DatedResponse>> {
 		const outcome = await this.#client.call(call);
 		if (Either.isLeft(outcome)) {
 			return outcome;
@@ -173,7 +173,7 @@
 }
 
 /** Parses the response to a call for one object. */
-function parseItem<K extends objects.Kind>(kind: K, outcome: errors.Outcome<Answer>): errors.Outcome<objects.Item<K>> {
+function parseItem<K extends objects.Kind>(kind: K, outcome: errors.Outcome<DatedResponse>): errors.Outcome<objects.Item<K>> {
 	if (Either.isLeft(outcome)) {
 		return outcome;
 	}
