Count servers that register late, and a removed server that may have led

Cause, found in review: (1) a server that registered between the query of the servers and the pause was neither asked nor paused, so it could acknowledge commits that the promoted server lacks. (2) If no leader had been known when the failed one was removed, it counted as a replica with the only copies, and the others could never prove otherwise. (3) A pause that arrived after the promotion held a replica until the periodic check resumed it.

Change: an attempt ends if a server has registered since its query; the first server that is removed while no leader is known counts as possible leader, so all others must respond; after a promotion, servers still held in its term are resumed.

--- a/src/entry/failover.ts
+++ b/src/entry/failover.ts
@@ -154,6 +154,7 @@
 	}
 
 	async #attempt(reason: Reason, leader: member.Member | undefined): Promise<errors.Outcome<member.Member>> {
+		const known = this.#options.group.members;
 		const candidates = await this.#findCandidates(leader);
 		if (Either.isLeft(candidates)) {
 			return candidates;
@@ -168,8 +169,9 @@
 			return claimed;
 		}
 
-		const known = this.#options.group.members;
-		const choice = await this.#chooseTarget(candidates.right, reason);
+		const choice = this.#hasNewServer(known)
+			? errors.fail('not-run', 'observe', this.#options.group.name, 'a server registered meanwhile, which may hold acknowledged commits')
+			: await this.#chooseTarget(candidates.right, reason);
 		if (Either.isLeft(choice)) {
 			await this.#resume(candidates.right.map(({member: server}) => server));
 			return choice;
@@ -180,13 +182,15 @@
 		const outcome = await this.#promote(choice.right.target, claimed.right);
 		renewal.abort();
 		const paused = await renewed;
-		if (Either.isLeft(outcome)) {
-			await this.#resume([choice.right.target, ...paused]);
-		}
-
+		await (Either.isLeft(outcome) ? this.#resume([choice.right.target, ...paused]) : this.#resumeHeld(paused, choice.right.term));
 		return outcome;
 	}
 
+	/** Whether a server is in the group that was not in `known`. */
+	#hasNewServer(known: readonly member.Member[]): boolean {
+		return this.#options.group.members.some(server => !known.includes(server));
+	}
+
 	/**
 	The servers other than the leader and their status, if together they hold every acknowledged commit. A commit is on the
 	leader and at least one replica, so all servers but the leader must respond, and none of these may have lost its log since
@@ -244,23 +248,23 @@
 		const {group: serviceGroup, clock: time} = this.#options;
 		const held = new Set(paused);
 		while (!signal.aborted) {
-			await time.sleep(renewalIntervalMs, signal);
 			for (const server of serviceGroup.members) {
 				if (server !== target && !known.includes(server)) {
 					held.add(server);
 				}
 			}
 
-			await Promise.all([...held].map(async server => this.#renew(server, term)));
+			await Promise.all([...held].map(async server => this.#renew(server, term, signal)));
+			await time.sleep(renewalIntervalMs, signal);
 		}
 
 		return [...held];
 	}
 
 	/** Pauses a server again unless it is still paused or already in the term of the new leader. */
-	async #renew(server: member.Member, term: number): Promise<void> {
+	async #renew(server: member.Member, term: number, signal: AbortSignal): Promise<void> {
 		const [current] = await this.#queryStatuses([server]);
-		if (current && current.status.term < term && current.status.heldTerm < term) {
+		if (!signal.aborted && current && current.status.term < term && current.status.heldTerm < term) {
 			this.#options.decisions.record('pause-renewed', {service: this.#options.group.name, server: server.id, term});
 			await this.#send(server, {kind: 'pause', term});
 		}
@@ -271,6 +275,12 @@
 		await Promise.all(servers.map(async server => this.#send(server, {kind: 'resume'})));
 	}
 
+	/** Resumes replication on servers that a pause reached only after the promotion, which did not end it then. */
+	async #resumeHeld(servers: readonly member.Member[], term: number): Promise<void> {
+		const candidates = await this.#queryStatuses(servers);
+		await this.#resume(candidates.filter(({status}) => status.heldTerm === term && status.term < term).map(({member: server}) => server));
+	}
+
 	/** Resumes replication on replicas that are behind because another host paused them and did not finish the promotion. */
 	async #resumePaused(): Promise<void> {
 		const {group: {name, members, leader}, clock: time, claims: promotionClaims} = this.#options;
--- a/src/entry/group.ts
+++ b/src/entry/group.ts
@@ -73,7 +73,7 @@
 	#lastAddedAt = Number.NEGATIVE_INFINITY;
 	#acknowledged: statement.Position | null = null;
 	#leader: member.Member | undefined;
-	/** Id of the last leader if it was removed while it led; `undefined` once it or another leader is back. */
+	/** Id of a removed server that led, or may have; `undefined` once it or another leader is back. */
 	#removedLeader: string | undefined;
 	/** Clock time at which this host last received the confirmation of a leader. */
 	#confirmedAt = Number.NEGATIVE_INFINITY;
@@ -423,7 +423,8 @@
 
 	/**
 	Removes servers whose registration stays missing. A replica takes the copies of acknowledged commits in its log along. If
-	the leader is removed, every commit is still in the log of one of the replicas.
+	the leader is removed, every commit is still in the log of one of the replicas. While no leader is known, the first server
+	that is removed may be the leader: if all others respond and none leads, it was.
 	*/
 	#removeMissing(): void {
 		for (const server of this.#members.values()) {
@@ -432,7 +433,7 @@
 			}
 
 			this.#members.delete(server.id);
-			if (this.#leader === server) {
+			if (this.#leader === server || this.mayHaveLeader) {
 				this.#removedLeader = server.id;
 			} else {
 				for (const other of this.#members.values()) {
--- a/src/entry/tests/failover.test.ts
+++ b/src/entry/tests/failover.test.ts
@@ -269,3 +269,53 @@
 	assert.equal(setup.authority.requests.length, before);
 	await setup.stop();
 });
+
+test.test('guards against the loss of a commit held by a server that registers between the query of the servers and the pause', async () => {
+	const setup = new fixture.Fixture();
+	await setup.start(['a', 'b']);
+	await setup.startFailover();
+	setup.group.register(setup.cluster.registration('a', {state: 'leaving'}));
+	const create = setup.store.create.bind(setup.store);
+	setup.store.create = async (...call) => {
+		setup.group.register(setup.cluster.registration('c'));
+		setup.cluster.get('b').isReplicationCut = true;
+		setup.cluster.commit(setup.cluster.get('a'));
+		return create(...call);
+	};
+
+	await setup.time.advance(2000);
+	assert.equal(setup.cluster.get('c').index, 1);
+	assert.deepEqual(setup.authority.requests, []);
+	await setup.stop();
+});
+
+test.test('guards against a service that stays without primary because it failed before every host started, and was then removed', async () => {
+	const setup = new fixture.Fixture();
+	setup.cluster.get('a').isUnresponsive = true;
+	await setup.start();
+	setup.group.markMissing('a');
+	await setup.startFailover();
+	await setup.time.advance(6000);
+	assert.deepEqual(setup.group.members.map(({id}) => id), ['b', 'c']);
+	assert.ok(setup.group.leader, 'no leader');
+	await setup.stop();
+});
+
+test.test('guards against a replica that stays paused because the pause reached it after the promotion', async () => {
+	const setup = new fixture.Fixture();
+	await setup.start();
+	await setup.startFailover();
+	setup.group.register(setup.cluster.registration('a', {state: 'leaving'}));
+	await awaitPromotionRequest(setup);
+	const promote = setup.cluster.promote.bind(setup.cluster);
+	setup.cluster.promote = name => {
+		promote(name);
+		const replica = setup.cluster.servers.find(({role, name: other}) => role === 'replica' && other !== 'a')!;
+		replica.term = 1;
+		replica.heldTerm = 2;
+	};
+
+	await setup.time.advance(1500);
+	assert.deepEqual(setup.cluster.servers.map(({heldTerm}) => heldTerm), [0, 0, 0]);
+	await setup.stop();
+});
