--- a/review/lib/entry.js
+++ b/review/lib/entry.js
@@ -14,12 +14,17 @@
 const [program, ...parameters] = /^run = "(?<command>.*)"$/mv.exec(deployment).groups.command.split(' ');
 const template = fs.readFileSync(path.join(root, 'deploy', 'entry.ini'), 'utf8');
 
+/** Delay after which the platform starts an ended process again. */
+const restartMs = 500;
+
 /** An entry host. */
 export class Entry {
 	name;
 	front = '';
 	child;
-	/** Exits of the process: code and signal. */
+	/** Whether the platform starts the process again when it has ended. */
+	isRestarted = true;
+	/** Ends of the process: code, signal and time. */
 	exits = [];
 	#record;
 	#ready = '';
@@ -58,7 +63,7 @@
 		this.spawn();
 	}
 
-	/** Starts the process. */
+	/** Starts the process, and again 500 ms after each end while `isRestarted` holds. */
 	spawn() {
 		const output = fs.openSync(this.log, 'a');
 		this.child = childProcess.spawn(program === 'node' ? process.execPath : program, parameters, {
@@ -69,6 +74,11 @@
 		this.child.on('exit', (code, signal) => {
 			this.exits.push({code, signal, at: clock.now()});
 			this.#record.tell(`entry ${this.name}: process ended, code ${code}, signal ${signal}`);
+			setTimeout(() => {
+				if (this.isRestarted) {
+					this.spawn();
+				}
+			}, restartMs);
 		});
 	}
 
--- a/review/lib/group.js
+++ b/review/lib/group.js
@@ -64,8 +64,10 @@
 	servers = [];
 	/** Called after each promotion with the new primary. */
 	onPromoted = () => undefined;
-	/** Called with each statement of a client that is run. */
+	/** Called with each statement of a client that is run; `shape` is that of a prepared statement. */
 	onRun = () => undefined;
+	/** Called with each EXECUTE of a name that isn't prepared. */
+	onUnknown = () => undefined;
 	/** Called with each change of a server's registration. */
 	onRegistration = () => undefined;
 	#limits;
@@ -335,7 +337,12 @@
 			}
 
 			case 'PREPARE': {
-				this.#prepared.set(name, rest);
+				const [mode, shape] = line.split(rest, 1);
+				if ((mode !== 'READ' && mode !== 'WRITE') || shape === undefined) {
+					return {error: 'MALFORMED PREPARE'};
+				}
+
+				this.#prepared.set(name, {mode, shape});
 				return {};
 			}
 
@@ -365,8 +372,13 @@
 			}
 
 			case 'EXECUTE': {
-				const shape = this.#prepared.get(name);
-				return shape === undefined ? {error: `NOPREPARED ${name}`} : this.#runStatement(id, `${shape} ${rest}`);
+				const prepared = this.#prepared.get(name);
+				if (prepared === undefined) {
+					this.#group.onUnknown({id, text, server});
+					return {error: `NOPREPARED ${name}`};
+				}
+
+				return this.#runStatement(id, `${prepared.mode} ${rest}`, prepared.shape);
 			}
 
 			default: {
@@ -398,7 +410,7 @@
 		return true;
 	}
 
-	async #runStatement(id, text) {
+	async #runStatement(id, text, shape) {
 		const server = this.#server;
 		if (this.#transaction?.hasFailed) {
 			return {error: 'MALFORMED the transaction has failed'};
@@ -419,7 +431,7 @@
 
 		const signature = `${server.id}.${id}`;
 		this.#group.onRun({
-			id, text, server, values: this.#values,
+			id, text, shape, server, values: this.#values,
 		});
 		if (!isWrite) {
 			return {rows: [signature], signature};
--- a/review/lib/site.js
+++ b/review/lib/site.js
@@ -109,8 +109,9 @@
 
 	/** Ends everything that was started. */
 	close() {
-		for (const {child} of this.entries) {
-			child?.kill('SIGKILL');
+		for (const entry of this.entries) {
+			entry.isRestarted = false;
+			entry.child?.kill('SIGKILL');
 		}
 
 		this.group.close();
