--- a/review/2/run.js
+++ b/review/2/run.js
@@ -13,7 +13,7 @@
 const storeOutageAtMs = 2500;
 const crashAtMs = 3000;
 const restartAtMs = 5000;
-const storeBackAtMs = 8000;
+const storeBackAtMs = 6000;
 /** Replication lag of the server that crashed: above the mean of 20 ms, below the maximum of 120 ms. */
 const lagMs = 100;
 
--- a/review/lib/group.js
+++ b/review/lib/group.js
@@ -24,6 +24,9 @@
 	isPrimary = false;
 	/** The server is partitioned from the other servers. */
 	isPartitioned = false;
+	/** The server is partitioned from the platform. */
+	isCutOff = false;
+	lastBeatAt = 0;
 	state = 'ready';
 	term = 1;
 	heldTerm = 0;
--- a/review/lib/site.js
+++ b/review/lib/site.js
@@ -17,6 +17,7 @@
 const limits = {
 	connections: 16, slots: 2, workMs: 3, connectMs: 12, promoteMs: 1000,
 };
+const heartbeatMs = 1200;
 const zones = ['puget-a', 'willamette-a', 'inland-a'];
 const service = 'school-ledgers';
 const route = {timeoutMs: 800, targetLatencyMs: 300};
@@ -32,6 +33,7 @@
 	violations = [];
 	hasTrouble = process.env.TROUBLE !== '0';
 	#folder;
+	#timers = [];
 	#isStopped = false;
 	#clients = [];
 
@@ -79,6 +81,27 @@
 		this.record.tell('all entry hosts are ready');
 	}
 
+	/** Starts the heartbeats of the servers. An entry is removed after three intervals of silence. */
+	startHeartbeats() {
+		for (const server of this.group.servers) {
+			const beat = () => {
+				if (server.isRunning && !server.isCutOff) {
+					server.lastBeatAt = clock.now();
+					this.#register(server);
+				}
+			};
+
+			const expire = () => {
+				if (clock.now() - server.lastBeatAt >= 3 * heartbeatMs) {
+					this.platform.remove('servers', server.id);
+				}
+			};
+
+			beat();
+			this.#timers.push(setInterval(beat, heartbeatMs), setInterval(expire, 20));
+		}
+	}
+
 	/** Writes a version of the configuration: one route of each type. */
 	configure(version) {
 		this.platform.put('config', 'main', {
@@ -96,9 +119,14 @@
 		this.record.write(`store: configuration ${version}`);
 	}
 
-	/** Starts a client that writes, with a pause after each write, through one host after the other. */
-	startWriter(name, pauseMs) {
-		this.#clients.push(this.#write(name, pauseMs));
+	/** Starts a client that writes, with a pause after each write, through one of `hosts` after the other. */
+	startWriter(name, pauseMs, hosts = this.entries) {
+		this.#clients.push(this.#request(name, pauseMs, {hosts, database: 'primary', isWriter: true}));
+	}
+
+	/** Starts a client that reads through one of `hosts` after the other. */
+	startReader(name, pauseMs, hosts) {
+		this.#clients.push(this.#request(name, pauseMs, {hosts, database: 'bounded_staleness', isWriter: false}));
 	}
 
 	/** Stops the clients. */
@@ -114,6 +142,10 @@
 			entry.child?.kill('SIGKILL');
 		}
 
+		for (const timer of this.#timers) {
+			clearInterval(timer);
+		}
+
 		this.group.close();
 		this.platform.close();
 		for (const {log, name} of this.entries) {
@@ -156,18 +188,17 @@
 		}
 	}
 
-	async #write(name, pauseMs) {
+	async #request(name, pauseMs, {hosts, database, isWriter}) {
 		let count = 0;
 		while (!this.#isStopped) {
-			const entry = this.entries[count % this.entries.length];
+			const entry = hosts[count % hosts.length];
 			const session = new client.Session(entry.front);
-			await session.open('primary');
+			await session.open(database);
 			for (let step = 0; step < 10 && session.isOpen && !this.#isStopped; step++) {
 				count++;
 				const id = `${name}-${count}`;
-				const answer = await session.query(id, `WRITE ${count % 50} ${id}`);
-				const isAcknowledged = answer && answer.error === undefined;
-				if (isAcknowledged) {
+				const answer = await session.query(id, isWriter ? `WRITE ${count % 50} ${id}` : `READ ${count % 50}`);
+				if (isWriter && answer && answer.error === undefined) {
 					this.acknowledged.add(id);
 				}
 
