--- a/review/2/run.js
+++ b/review/2/run.js
@@ -1,69 +1,72 @@
 #!/usr/bin/env node
 /**
-A promotion call gets no answer and is carried out seconds later. Meanwhile the store is down and the new primary crashes:
-the host that holds the last claim uses its token again for another server, so the late call passes the fence.
+A replica has been replaced as planned. Later all entry processes are killed at the moment at which the primary is lost for
+good. Both remaining servers have every commit and answer.
 */
 import process from 'node:process';
 import * as clock from '../lib/clock.js';
 import * as sites from '../lib/site.js';
 
-/** Time from the call without an answer until it is carried out. */
-const lateMs = 7000;
-/** Times from the report that the primary drains. */
-const storeOutageAtMs = 2500;
-const crashAtMs = 3000;
-const restartAtMs = 5000;
-const storeBackAtMs = 6000;
-/** Replication lag of the server that crashed: above the mean of 20 ms, below the maximum of 120 ms. */
-const lagMs = 100;
+/** Time from the start of the first servers to that of the new one. */
+const releaseAtMs = 14_000;
+const drainMs = 7000;
+/** Time from the end of the processes to their new start. */
+const downMs = 1000;
+const recoveryMs = 12_000;
+const watchedMs = 10_000;
 
 const site = new sites.Site(import.meta.dirname);
 let exitCode = 2;
 try {
 	await site.start(3);
+	site.startHeartbeats();
 	for (let index = 0; index < 4; index++) {
-		site.startWriter(`c${index}`, 30);
+		site.startWriter(`w${index}`, 50);
+		site.startReader(`r${index}`, 50);
 	}
 
+	await clock.sleep(releaseAtMs);
+	// The release of a replica, as planned: the new server starts first, the old one drains and ends.
+	const [primary, , old] = site.group.servers;
+	await site.group.add('i-4', old.zone, false);
+	await clock.sleep(3000);
+	old.state = 'draining';
+	site.group.register(old);
+	await clock.sleep(drainMs + 1000);
+	site.group.leave(old);
 	await clock.sleep(5000);
-	// The release of the primary, as planned: the new server starts first, the old one drains.
-	await site.group.add('i-4', 'puget-a', false);
-	await clock.sleep(5000);
-	const {primary} = site.group;
+	const before = site.countRequests(clock.now() - 5000, clock.now());
+	site.record.tell(`before the fault: ${before.served} of ${before.sent} requests were served`);
 	if (site.hasTrouble) {
-		site.platform.lateMs = lateMs;
-		site.platform.promotions = 'late';
-		site.platform.onPromotion = () => {
-			site.platform.onPromotion = () => undefined;
-			site.platform.promotions = 'ok';
-		};
-	}
+		site.configure(2);
+		for (const entry of site.entries) {
+			entry.isRestarted = false;
+			entry.signal('SIGKILL');
+		}
 
-	const startedAt = clock.now();
-	const at = async ms => clock.sleep(startedAt + ms - clock.now());
-	primary.state = 'draining';
-	site.group.register(primary);
-	const isReplaced = await clock.until(() => !primary.isPrimary, 5000);
-	if (site.hasTrouble) {
-		const successor = site.group.primary;
-		await at(storeOutageAtMs);
-		site.platform.isStoreDown = true;
-		site.record.tell('the store is down');
-		await at(crashAtMs);
-		site.group.crash(successor);
-		await at(restartAtMs);
-		successor.lagMs = lagMs;
-		site.group.restart(successor, {hasLog: true});
-		await at(storeBackAtMs);
-		site.platform.isStoreDown = false;
-		site.record.tell('the store is back');
+		site.group.crash(primary);
+		await clock.sleep(downMs);
+		for (const entry of site.entries) {
+			entry.isRestarted = true;
+			entry.spawn();
+		}
 	}
 
-	await at(10_000);
+	const backAt = clock.now();
+	await clock.sleep(recoveryMs + watchedMs);
 	await site.stopClients();
-	site.record.tell(`acknowledged ${site.acknowledged.size} writes; the primary was ${isReplaced ? '' : 'not '}replaced`);
-	exitCode = isReplaced ? 0 : 2;
-	exitCode = site.violations.length > 0 ? 1 : exitCode;
+	const after = site.countRequests(backAt + recoveryMs, backAt + recoveryMs + watchedMs);
+	site.record.tell(`later than ${recoveryMs} ms after the machines were back: ${after.served} of ${after.sent} requests were served`);
+	for (const server of site.group.servers.filter(({isRunning}) => isRunning)) {
+		site.record.tell(`server ${server.id} is running, ${server.isPrimary ? 'primary' : 'replica'}, log ${server.positionText}`);
+	}
+
+	if (before.served * 4 >= before.sent && after.served * 4 < after.sent) {
+		site.violate(`RECOVER: ${after.served} of ${after.sent} requests were served`);
+	}
+
+	exitCode = site.violations.length > 0 ? 1 : 0;
+	exitCode = before.served * 4 < before.sent ? 2 : exitCode;
 } catch (error) {
 	site.record.tell(`the case could not run: ${error.stack}`);
 } finally {
--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+cd "$(dirname "$0")/../.." && exec node review/5/run.js
--- a/review/lib/group.js
+++ b/review/lib/group.js
@@ -24,8 +24,6 @@
 	isPrimary = false;
 	/** The server is partitioned from the other servers. */
 	isPartitioned = false;
-	/** The server is partitioned from the platform. */
-	isCutOff = false;
 	lastBeatAt = 0;
 	state = 'ready';
 	term = 1;
@@ -73,6 +71,10 @@
 	onUnknown = () => undefined;
 	/** Called with each change of a server's registration. */
 	onRegistration = () => undefined;
+	/** Called with each server that has left. */
+	onLeft = () => undefined;
+	/** Called with each new server. */
+	onStarted = () => undefined;
 	#limits;
 	#record;
 	#listeners = [];
@@ -105,6 +107,7 @@
 		this.servers.push(server);
 		this.#replicate(server);
 		this.register(server);
+		this.onStarted(server);
 		return server;
 	}
 
@@ -116,14 +119,18 @@
 
 	/** Ends a server's process. Its connections are reset, and their transactions are rolled back. */
 	crash(server) {
-		server.isRunning = false;
-		for (const socket of server.sockets) {
-			socket.resetAndDestroy();
-		}
-
+		this.#end(server);
 		this.#record.tell(`server ${server.id} crashes`);
 	}
 
+	/** Ends a server that has drained. Its log is gone with it. */
+	leave(server) {
+		this.#end(server);
+		this.#record.tell(`server ${server.id} ends, as planned`);
+		this.servers.splice(this.servers.indexOf(server), 1);
+		this.onLeft(server);
+	}
+
 	/** Starts a crashed server again; without its log, it holds and knows nothing of before. */
 	restart(server, {hasLog}) {
 		if (!hasLog) {
@@ -195,6 +202,13 @@
 		}
 	}
 
+	#end(server) {
+		server.isRunning = false;
+		for (const socket of server.sockets) {
+			socket.resetAndDestroy();
+		}
+	}
+
 	#lead(target) {
 		if (!target.isRunning || this.#isClosed) {
 			return;
--- a/review/lib/site.js
+++ b/review/lib/site.js
@@ -34,6 +34,7 @@
 	hasTrouble = process.env.TROUBLE !== '0';
 	#folder;
 	#timers = [];
+	#requests = [];
 	#isStopped = false;
 	#clients = [];
 
@@ -46,6 +47,10 @@
 			this.#register(server);
 		};
 
+		this.group.onLeft = server => {
+			this.platform.remove('servers', server.id);
+		};
+
 		this.group.onPromoted = server => {
 			this.#checkLog(server);
 		};
@@ -83,9 +88,9 @@
 
 	/** Starts the heartbeats of the servers. An entry is removed after three intervals of silence. */
 	startHeartbeats() {
-		for (const server of this.group.servers) {
+		this.group.onStarted = server => {
 			const beat = () => {
-				if (server.isRunning && !server.isCutOff) {
+				if (server.isRunning) {
 					server.lastBeatAt = clock.now();
 					this.#register(server);
 				}
@@ -99,6 +104,10 @@
 
 			beat();
 			this.#timers.push(setInterval(beat, heartbeatMs), setInterval(expire, 20));
+		};
+
+		for (const server of this.group.servers) {
+			this.group.onStarted(server);
 		}
 	}
 
@@ -125,10 +134,16 @@
 	}
 
 	/** Starts a client that reads through one of `hosts` after the other. */
-	startReader(name, pauseMs, hosts) {
+	startReader(name, pauseMs, hosts = this.entries) {
 		this.#clients.push(this.#request(name, pauseMs, {hosts, database: 'bounded_staleness', isWriter: false}));
 	}
 
+	/** Number of requests sent in a span of time, and of those that were served. */
+	countRequests(from, to) {
+		const requests = this.#requests.filter(({sentAt}) => sentAt >= from && sentAt < to);
+		return {sent: requests.length, served: requests.filter(({isServed}) => isServed).length};
+	}
+
 	/** Stops the clients. */
 	async stopClients() {
 		this.#isStopped = true;
@@ -193,12 +208,18 @@
 		while (!this.#isStopped) {
 			const entry = hosts[count % hosts.length];
 			const session = new client.Session(entry.front);
-			await session.open(database);
+			if (!await session.open(database)) {
+				this.#requests.push({sentAt: clock.now(), isServed: false});
+			}
+
 			for (let step = 0; step < 10 && session.isOpen && !this.#isStopped; step++) {
 				count++;
 				const id = `${name}-${count}`;
+				const sentAt = clock.now();
 				const answer = await session.query(id, isWriter ? `WRITE ${count % 50} ${id}` : `READ ${count % 50}`);
-				if (isWriter && answer && answer.error === undefined) {
+				const isServed = answer !== undefined && answer.error === undefined;
+				this.#requests.push({sentAt, isServed});
+				if (isWriter && isServed) {
 					this.acknowledged.add(id);
 				}
 
