--- a/review/2/run.js
+++ b/review/2/run.js
@@ -1,62 +1,51 @@
 #!/usr/bin/env node
 /**
-A replica has left as planned while the other replicas were behind. The primary goes dark, and one entry process is killed
-and starts again: it knows nothing of the replica that has left.
+One replica is dark, the other receives nothing for a while, so commits stall. That one is promoted; the dark one comes back
+while the promotion takes effect, and acknowledges commits.
 */
 import process from 'node:process';
 import * as clock from '../lib/clock.js';
 import * as sites from '../lib/site.js';
 
-/** Lag of the replicas that fall behind, for how long, and how much of that before the replica leaves. */
-const lagMs = 1500;
-const laggingMs = 6000;
-const laggingBeforeMs = 3000;
-/** Time from the end of the replica to the crash of the primary, and how long the primary is dark. */
-const crashAfterMs = 300;
+/** Time from the crash of one replica until the other receives nothing, and for how long that lasts. */
+const deafAfterMs = 5500;
+const deafMs = 6500;
+/** How long the crashed replica is dark at most, and how soon after the promotion call it is back. */
 const darkMs = 7000;
+const returnMs = 150;
 
 const site = new sites.Site(import.meta.dirname);
 let exitCode = 2;
 try {
 	await site.start(3);
 	site.startHeartbeats();
-	for (let index = 0; index < 4; index++) {
-		site.startWriter(`c${index}`, 30);
+	for (let index = 0; index < 6; index++) {
+		site.startWriter(`c${index}`, 15);
 	}
 
-	await clock.sleep(12_000);
-	const [primary, replica, leaving] = site.group.servers;
-	// The release of a replica, as planned: the new server starts first, the old one drains and ends.
-	const added = await site.group.add('i-0', leaving.zone, false);
-	await clock.sleep(1000);
-	leaving.state = 'draining';
-	site.group.register(leaving);
-	await clock.sleep(sites.bounds.drainMs + 1000 - laggingBeforeMs);
-	const usualLagMs = replica.lagMs;
+	await clock.sleep(6000);
+	const [, dark, deaf] = site.group.servers;
 	if (site.hasTrouble) {
-		site.record.tell(`servers ${replica.id} and ${added.id} are ${lagMs} ms behind`);
-		replica.lagMs = lagMs;
-		added.lagMs = lagMs;
-		setTimeout(() => {
-			replica.lagMs = usualLagMs;
-			added.lagMs = usualLagMs;
-		}, laggingMs);
-	}
+		site.group.crash(dark);
+		const restart = () => {
+			if (!dark.isRunning) {
+				site.group.restart(dark, {hasLog: true});
+			}
+		};
 
-	await clock.sleep(laggingBeforeMs);
-	site.group.leave(leaving);
-	if (site.hasTrouble) {
-		await clock.sleep(crashAfterMs);
-		site.group.crash(primary);
-		site.entries[0].signal('SIGKILL');
-	}
+		setTimeout(restart, darkMs);
+		site.platform.onPromotion = () => {
+			setTimeout(restart, returnMs);
+		};
 
-	await clock.sleep(darkMs);
-	if (site.hasTrouble) {
-		site.group.restart(primary, {hasLog: true});
+		await clock.sleep(deafAfterMs);
+		deaf.isDeaf = true;
+		site.record.tell(`server ${deaf.id} receives nothing`);
+		await clock.sleep(deafMs);
+		deaf.isDeaf = false;
 	}
 
-	await clock.sleep(2000);
+	await clock.sleep(4000);
 	await site.stopClients();
 	site.record.tell(`acknowledged ${site.acknowledged.size} writes`);
 	exitCode = site.violations.length > 0 ? 1 : 0;
--- a/review/lib/group.js
+++ b/review/lib/group.js
@@ -22,15 +22,16 @@
 	address = '';
 	isRunning = true;
 	isPrimary = false;
-	/** The server is partitioned from the other servers. */
-	isPartitioned = false;
 	lastBeatAt = 0;
 	state = 'ready';
 	term = 1;
 	heldTerm = 0;
 	/** Committed transactions in order: the term, and the ids of their writes. */
 	log = [];
-	lagMs = 20;
+	/** Time until a commit of the primary has been received. */
+	delayMs = 8;
+	/** The server receives nothing. */
+	isDeaf = false;
 	born;
 	/** Time until which a server that started without a log waits for the transfer. */
 	transferEndsAt = 0;
@@ -145,6 +146,9 @@
 		server.isRunning = true;
 		this.#record.tell(`server ${server.id} starts again ${hasLog ? 'with its log' : 'under its id, without a log'}`);
 		this.register(server);
+		setTimeout(() => {
+			this.#transfer(server, this.primary?.log.length ?? 0);
+		}, server.delayMs);
 	}
 
 	/** Designates a server. Some hundred ms later it leads the next term with what it had received. */
@@ -173,7 +177,7 @@
 			if (replica !== server) {
 				setTimeout(() => {
 					this.#transfer(replica, number);
-				}, replica.lagMs);
+				}, replica.delayMs);
 			}
 		}
 
@@ -233,8 +237,7 @@
 	/** Gives a replica the primary's log up to `number`, unless it can't receive. */
 	#transfer(replica, number) {
 		const {primary} = this;
-		const isCut = replica.isPartitioned || primary?.isPartitioned;
-		if (!primary?.isRunning || !replica.isRunning || replica === primary || isCut || replica.heldTerm > primary.term || clock.now() < replica.transferEndsAt) {
+		if (!primary?.isRunning || !replica.isRunning || replica === primary || replica.isDeaf || replica.heldTerm > primary.term || clock.now() < replica.transferEndsAt) {
 			return;
 		}
 
@@ -253,7 +256,7 @@
 	async #replicate(replica) {
 		while (!this.#isClosed) {
 			const number = this.primary?.log.length ?? 0;
-			await clock.sleep(Math.max(catchUpMs, replica.lagMs));
+			await clock.sleep(catchUpMs);
 			this.#transfer(replica, number);
 		}
 	}
@@ -412,7 +415,7 @@
 			server.heldTerm = 0;
 		}
 
-		return {rows: [`${server.isPrimary ? 'primary' : 'replica'} ${server.term} ${server.positionText} ${server.heldTerm} ${server.lagMs} ${server.busy} ${server.sockets.size}`]};
+		return {rows: [`${server.isPrimary ? 'primary' : 'replica'} ${server.term} ${server.positionText} ${server.heldTerm} 0 ${server.busy} ${server.sockets.size}`]};
 	}
 
 	async #work() {
