Step a responding leader down before its successor is chosen

What kept it from acknowledging commits was a pause on the replicas that this host knew. A replica that returns replicates before any host can know of it: it came back 150 ms after the order, was paused 27 ms later, and answered with a position 16 commits beyond that of the target. Ruled out: a target that lacked commits when it was chosen, and commits that were acknowledged after the late pause.

Change: a leader that responds has to confirm that it stepped down (the protocol's command, which no code sent) before the successor is chosen. A silent leader is told as soon as it responds during the promotion. A leader that responds but leads on is replaced only if no server disappeared without leaving. A server paused late is compared with the target, and the order isn't repeated if it is ahead. The fence and the orders have modules of their own; the soak's servers carry out STEPDOWN.

Why it works: without a leader nothing is acknowledged, whichever servers return, restart or register. A step-down that arrives late names a term that the new leader doesn't lead below.

Evidence: four new tests fail on the code before. The tests of pauses keep their checks, with a leader that ignores the order.

--- a/src/entry/failover.ts
+++ b/src/entry/failover.ts
@@ -1,9 +1,8 @@
 /**
 Failover of one group whose promotions are carried out by an external authority.
 
-An acknowledged commit is in the logs of the primary and of at least one replica, and a replica whose replication is
-paused acknowledges no commits. Once all other replicas are paused, a server whose log includes all of theirs has every
-commit acknowledged so far, and no later commit can be acknowledged without that server.
+An acknowledged commit is in the logs of the primary and of at least one replica. Once a fence keeps further commits from
+being acknowledged, a server whose log includes those of all replicas has every acknowledged commit, see `fence.ts`.
 */
 import * as Either from 'fp-ts/lib/Either.js';
 import type * as clock from '../core/clock.js';
@@ -11,10 +10,13 @@
 import * as position from '../core/position.js';
 import type * as random from '../core/random.js';
 import type * as authority from './authority.js';
+import * as candidates from './candidate.js';
 import type * as claims from './claims.js';
 import type * as decisions from './decisions.js';
+import * as fences from './fence.js';
 import type * as group from './group.js';
 import type * as member from './member.js';
+import * as orders from './orders.js';
 import type * as statement from './statement.js';
 
 export type Options = {
@@ -30,12 +32,6 @@
 /** Why the leader has to be replaced. */
 export type Reason = 'silent' | 'leaderless' | 'stalled' | 'leaving';
 
-/** A server and its status. */
-type Candidate = {readonly member: member.Member; readonly status: statement.ServerStatus};
-
-/** The server to promote, the servers whose replication is paused for it, and the term of their pause. */
-type Choice = {readonly target: member.Member; readonly paused: readonly member.Member[]; readonly term: number};
-
 const tickMs = 100;
 const idleTickMs = 500;
 /** Time without any response from the leader, on open and on new connections, after which it counts as failed. */
@@ -48,17 +44,9 @@
 const maxResponseAgeMs = 1000;
 /** Longest random delay before a claim, so that hosts don't all claim at once. */
 const maxJitterMs = 120;
-/** Timeout of one request to a server, and the number of attempts. */
-const requestTimeoutMs = 500;
-const maxAttempts = 3;
 /** Time for the target to catch up with the other replicas while the leader still replicates. */
 const catchUpTimeoutMs = 1500;
 const catchUpPollMs = 30;
-/**
-Interval at which the pause is renewed until the new leader is observed. The promotion takes several hundred ms, in which
-another server may register, restart without its pause, or be resumed by an order that was carried out late.
-*/
-const renewalIntervalMs = 100;
 /** Time without a new server after which the member list counts as complete: servers of a starting system register one by one. */
 const membershipSettleMs = 2500;
 /** Bounds of the random delay after an abandoned failover. */
@@ -78,9 +66,11 @@
 /** Detects a failed or leaving leader of one group and has a replica promoted. */
 export class Failover {
 	readonly #options: Options;
+	readonly #orders: orders.Orders;
 
 	constructor(options: Options) {
 		this.#options = options;
+		this.#orders = new orders.Orders(options);
 	}
 
 	/** Runs until `signal` aborts. */
@@ -155,9 +145,9 @@
 
 	async #attempt(reason: Reason, leader: member.Member | undefined): Promise<errors.Outcome<member.Member>> {
 		const known = this.#options.group.members;
-		const candidates = await this.#findCandidates(leader);
-		if (Either.isLeft(candidates)) {
-			return candidates;
+		const found = await this.#findCandidates(leader);
+		if (Either.isLeft(found)) {
+			return found;
 		}
 
 		if (this.#options.claims.isClaimedByOther(this.#options.group.name)) {
@@ -169,21 +159,12 @@
 			return claimed;
 		}
 
-		const choice = this.#hasNewServer(known)
-			? errors.fail('not-run', 'observe', this.#options.group.name, 'a server registered meanwhile, which may hold acknowledged commits')
-			: await this.#chooseTarget(candidates.right, reason);
-		if (Either.isLeft(choice)) {
-			await this.#resume(candidates.right.map(({member: server}) => server));
-			return choice;
+		if (this.#hasNewServer(known)) {
+			return errors.fail('not-run', 'observe', this.#options.group.name, 'a server registered meanwhile, which may hold acknowledged commits');
 		}
 
-		const renewal = new AbortController();
-		const renewed = this.#renewPause(choice.right, known, renewal.signal);
-		const outcome = await this.#promote(choice.right.target, claimed.right);
-		renewal.abort();
-		const paused = await renewed;
-		await (Either.isLeft(outcome) ? this.#resume([choice.right.target, ...paused]) : this.#resumeHeld(paused, choice.right.term));
-		return outcome;
+		const fence = await this.#fence(found.right, reason, leader);
+		return Either.isLeft(fence) ? fence : this.#promoteWithin(fence.right, claimed.right);
 	}
 
 	/** Whether a server is in the group that was not in `known`. */
@@ -196,89 +177,120 @@
 	leader and at least one replica, so all servers but the leader must respond, and none of these may have lost its log since
 	the commit, or be behind a replica that has been removed since.
 	*/
-	async #findCandidates(leader: member.Member | undefined): Promise<errors.Outcome<Candidate[]>> {
+	async #findCandidates(leader: member.Member | undefined): Promise<errors.Outcome<candidates.Candidate[]>> {
 		const {group: {name, members, acknowledged, mayHaveLeader}} = this.#options;
 		const replicas = members.filter(server => server !== leader);
-		const candidates = await this.#queryStatuses(replicas);
-		const synchronized = candidates.filter(({member: server}) => server.isSynchronized);
+		const responding = await this.#orders.status(replicas);
+		const synchronized = responding.filter(({member: server}) => server.isSynchronized);
 		if (synchronized.length < replicas.length - (mayHaveLeader ? 1 : 0)) {
 			const missing = replicas.filter(server => !synchronized.some(entry => entry.member === server));
 			return errors.fail('not-run', 'observe', name, `${missing.map(({id}) => id).join(', ')} may hold acknowledged commits but did not respond, or lost its log`);
 		}
 
-		const target = mostAdvanced(candidates);
+		const target = candidates.mostAdvanced(responding);
 		return target && (!acknowledged || position.compare(target.status.position, acknowledged) >= 0)
-			? Either.right(candidates)
+			? Either.right(responding)
 			: errors.fail('not-run', 'observe', name, `no responding server holds ${acknowledged ? position.format(acknowledged) : 'a log'}`);
 	}
 
-	/** Pauses replication on the other candidates and chooses the one that can be promoted without losing an acknowledged commit. */
-	async #chooseTarget(candidates: readonly Candidate[], reason: Reason): Promise<errors.Outcome<Choice>> {
-		const {group: {name}} = this.#options;
-		const target = mostAdvanced(candidates);
-		if (!target) {
-			return errors.fail('not-run', 'observe', name, 'no server responded');
+	/**
+	Fences the leader and chooses the server that can be promoted without losing an acknowledged commit. A leader that
+	responds has to step down first, so that the choice rests on logs that no acknowledged commit can extend any more.
+	*/
+	async #fence(found: readonly candidates.Candidate[], reason: Reason, leader: member.Member | undefined): Promise<errors.Outcome<fences.Fence>> {
+		// The primary starts the next term, which ends a pause. Pausing with a higher term would outlast the promotion.
+		const term = Math.max(...found.map(({status}) => status.term)) + 1;
+		if (!leader || reason === 'silent') {
+			return this.#pauseReplicas(found, reason, {leader, term});
 		}
 
-		// The primary starts the next term, which ends the pause. Pausing with a higher term would outlast the promotion.
-		const term = Math.max(...candidates.map(({status}) => status.term)) + 1;
-		const paused = await this.#pause(candidates.filter(entry => entry.member !== target.member), term);
-		if (Either.isLeft(paused)) {
-			return paused;
+		const steppedDown = await this.#orders.stepDown(leader, term);
+		if (Either.isLeft(steppedDown)) {
+			return steppedDown;
 		}
 
-		const choose = (chosen: member.Member): errors.Outcome<Choice> =>
-			Either.right({target: chosen, paused: candidates.map(entry => entry.member).filter(server => server !== chosen), term});
-		const required = mostAdvanced(paused.right)?.status.position ?? target.status.position;
-		if (await this.#catchUp(target, required, reason)) {
-			return choose(target.member);
+		return steppedDown.right.status.role === 'replica'
+			? this.#chooseAfterStepDown(leader, term)
+			: this.#pauseEveryReplica(found, reason, {leader, term});
+	}
+
+	/** Chooses among the replicas of a leader that has stepped down. */
+	async #chooseAfterStepDown(leader: member.Member, term: number): Promise<errors.Outcome<fences.Fence>> {
+		const found = await this.#findCandidates(leader);
+		if (Either.isLeft(found)) {
+			return found;
 		}
 
-		// The target can't catch up, so a server that is ahead is promoted, and the target must stop acknowledging as well.
-		const pausedTarget = await this.#pause([target], term);
-		const successor = Either.isRight(pausedTarget) ? mostAdvanced([...paused.right, ...pausedTarget.right]) : undefined;
-		return successor ? choose(successor.member) : errors.fail('not-run', 'observe', name, `${target.member.id} lacks commits and did not respond`);
+		const target = candidates.mostAdvanced(found.right);
+		return target
+			? Either.right(new fences.SteppedDown(this.#fenceContext, {target, leader, term}))
+			: errors.fail('not-run', 'observe', this.#options.group.name, 'no server responded');
 	}
 
 	/**
-	Renews the pause until `signal` aborts, also on servers that are not in `known`: a server that replicates meanwhile would
-	acknowledge commits that the target may lack. Returns the servers that were paused.
+	Pauses the replicas of a leader that responds but hasn't stepped down. It can acknowledge commits through a server that
+	has disappeared without leaving and returns, so there must be none.
 	*/
-	async #renewPause({target, paused, term}: Choice, known: readonly member.Member[], signal: AbortSignal): Promise<readonly member.Member[]> {
-		const {group: serviceGroup, clock: time} = this.#options;
-		const held = new Set(paused);
-		while (!signal.aborted) {
-			for (const server of serviceGroup.members) {
-				if (server !== target && !known.includes(server)) {
-					held.add(server);
-				}
-			}
+	async #pauseEveryReplica(found: readonly candidates.Candidate[], reason: Reason, choice: Omit<fences.Choice, 'target'>): Promise<errors.Outcome<fences.Fence>> {
+		const {group: {name, absent}} = this.#options;
+		return absent.length === 0
+			? this.#pauseReplicas(found, reason, choice)
+			: errors.fail('not-run', 'observe', name, `the leader did not step down, and ${absent.join(', ')} may return and acknowledge commits`);
+	}
 
-			await Promise.all([...held].map(async server => this.#renew(server, term, signal)));
-			await time.sleep(renewalIntervalMs, signal);
+	/** Pauses replication on the other candidates and chooses the one that can be promoted without losing an acknowledged commit. */
+	async #pauseReplicas(found: readonly candidates.Candidate[], reason: Reason, choice: Omit<fences.Choice, 'target'>): Promise<errors.Outcome<fences.Fence>> {
+		const known = this.#options.group.members;
+		const target = await this.#chooseTarget(found, reason, choice.term);
+		const servers = found.map(({member: server}) => server);
+		if (Either.isLeft(target)) {
+			await this.#orders.resume(servers);
+			return target;
 		}
 
-		return [...held];
+		const paused = servers.filter(server => server !== target.right.member);
+		return Either.right(new fences.Paused(this.#fenceContext, {...choice, target: target.right}, known, paused));
 	}
 
-	/** Pauses a server again unless it is still paused or already in the term of the new leader. */
-	async #renew(server: member.Member, term: number, signal: AbortSignal): Promise<void> {
-		const [current] = await this.#queryStatuses([server]);
-		if (!signal.aborted && current && current.status.term < term && current.status.heldTerm < term) {
-			this.#options.decisions.record('pause-renewed', {service: this.#options.group.name, server: server.id, term});
-			await this.#send(server, {kind: 'pause', term});
+	async #chooseTarget(found: readonly candidates.Candidate[], reason: Reason, term: number): Promise<errors.Outcome<candidates.Candidate>> {
+		const target = candidates.mostAdvanced(found);
+		if (!target) {
+			return errors.fail('not-run', 'observe', this.#options.group.name, 'no server responded');
+		}
+
+		const paused = await this.#orders.pause(found.filter(entry => entry !== target).map(({member: server}) => server), term);
+		if (Either.isLeft(paused)) {
+			return paused;
+		}
+
+		const required = candidates.mostAdvanced(paused.right)?.status.position ?? target.status.position;
+		const caughtUp = await this.#catchUp(target, required, reason);
+		if (caughtUp) {
+			return Either.right(caughtUp);
 		}
+
+		// The target can't catch up, so a server that is ahead is promoted, and the target must stop acknowledging as well.
+		const pausedTarget = await this.#orders.pause([target.member], term);
+		const successor = Either.isRight(pausedTarget) ? candidates.mostAdvanced([...paused.right, ...pausedTarget.right]) : undefined;
+		return successor ? Either.right(successor) : errors.fail('not-run', 'observe', this.#options.group.name, `${target.member.id} lacks commits and did not respond`);
 	}
 
-	/** Resumes replication on servers paused for a promotion that did not happen. */
-	async #resume(servers: readonly member.Member[]): Promise<void> {
-		await Promise.all(servers.map(async server => this.#send(server, {kind: 'resume'})));
+	get #fenceContext(): fences.Context {
+		const {group: serviceGroup, clock: time, decisions: log} = this.#options;
+		return {
+			group: serviceGroup, clock: time, orders: this.#orders, decisions: log,
+		};
 	}
 
-	/** Resumes replication on servers that a pause reached only after the promotion, which did not end it then. */
-	async #resumeHeld(servers: readonly member.Member[], term: number): Promise<void> {
-		const candidates = await this.#queryStatuses(servers);
-		await this.#resume(candidates.filter(({status}) => status.heldTerm === term && status.term < term).map(({member: server}) => server));
+	/** Has the fence's target promoted while the fence is renewed. */
+	async #promoteWithin(fence: fences.Fence, claim: claims.Claim): Promise<errors.Outcome<member.Member>> {
+		const renewal = new AbortController();
+		const renewed = fence.maintain(renewal.signal);
+		const outcome = await this.#promote(fence, claim);
+		renewal.abort();
+		await renewed;
+		await fence.lift(Either.isRight(outcome));
+		return outcome;
 	}
 
 	/** Resumes replication on replicas that are behind because another host paused them and did not finish the promotion. */
@@ -290,80 +302,35 @@
 			return;
 		}
 
-		const candidates = await this.#queryStatuses(behind);
-		await this.#resume(candidates.filter(({status}) => status.heldTerm > status.term).map(({member: server}) => server));
+		const found = await this.#orders.status(behind);
+		await this.#orders.resume(found.filter(({status}) => status.heldTerm > status.term).map(({member: server}) => server));
 	}
 
-	/** Whether the target's log reaches `required`. Waits for it if the leader is leaving and still replicates. */
-	async #catchUp(target: Candidate, required: statement.Position, reason: Reason): Promise<boolean> {
+	/** The target once its log reaches `required`. Waits for it if the leader is leaving and still replicates. */
+	async #catchUp(target: candidates.Candidate, required: statement.Position, reason: Reason): Promise<candidates.Candidate | undefined> {
 		if (position.compare(target.status.position, required) >= 0) {
-			return true;
+			return target;
 		}
 
 		const deadline = this.#options.clock.now() + (reason === 'leaving' ? catchUpTimeoutMs : 0);
 		do {
-			const [current] = await this.#queryStatuses([target.member]);
+			const [current] = await this.#orders.status([target.member]);
 			if (current && position.compare(current.status.position, required) >= 0) {
-				return true;
+				return current;
 			}
 
 			await this.#options.clock.sleep(catchUpPollMs);
 		} while (this.#options.clock.now() < deadline);
 
-		return false;
+		return undefined;
 	}
 
-	async #queryStatuses(servers: readonly member.Member[]): Promise<Candidate[]> {
-		const outcomes = await Promise.all(servers.map(async server => this.#send(server, {kind: 'status'})));
-		return outcomes.flatMap(outcome => Either.isRight(outcome) ? [outcome.right] : []);
-	}
-
-	/** Pauses replication on the servers and returns their status. */
-	async #pause(servers: readonly Candidate[], term: number): Promise<errors.Outcome<Candidate[]>> {
-		const outcomes = await Promise.all(servers.map(async ({member: server}) => this.#send(server, {kind: 'pause', term})));
-		const failed = outcomes.find(outcome => Either.isLeft(outcome));
-		return failed && Either.isLeft(failed)
-			? failed
-			: Either.right(outcomes.flatMap(outcome => Either.isRight(outcome) ? [outcome.right] : []));
-	}
-
-	async #send(server: member.Member, command: statement.Command): Promise<errors.Outcome<Candidate>> {
-		let outcome: errors.Outcome<Candidate> = errors.fail('not-run', 'send', server.id, 'no request was sent');
-		for (let attempt = 0; attempt < maxAttempts; attempt++) {
-			const sentAt = this.#options.clock.now();
-			const acquired = await server.pool.acquire(requestTimeoutMs);
-			if (Either.isLeft(acquired)) {
-				outcome = acquired;
-				continue;
-			}
-
-			const reply = await acquired.right.requestStatus(command, requestTimeoutMs);
-			await server.pool.release(acquired.right, 'clean');
-			this.#options.decisions.record('server-ordered', {
-				service: this.#options.group.name,
-				server: server.id,
-				order: command.kind,
-				term: 'term' in command ? command.term : 0,
-				answer: Either.isRight(reply) ? `${reply.right.role} ${reply.right.term} ${position.format(reply.right.position)} ${reply.right.heldTerm}` : errors.describe(reply.left),
-			});
-			if (Either.isRight(reply)) {
-				server.recordResponse();
-				this.#options.group.verifyLog(server, reply.right.position);
-				return Either.right({member: server, status: reply.right});
-			}
-
-			if (reply.left.kind === 'outcome-unknown') {
-				server.recordFailure(sentAt);
-			}
-
-			outcome = reply;
-		}
-
-		return outcome;
-	}
-
-	/** Requests the promotion until the authority responds or another host has claimed it, then waits for the server to become leader. */
-	async #promote(target: member.Member, {service, token}: claims.Claim): Promise<errors.Outcome<member.Member>> {
+	/**
+	Requests the promotion until the authority responds, the fence is breached or another host has claimed the promotion, then waits
+	for the server to become leader.
+	*/
+	async #promote(fence: fences.Fence, {service, token}: claims.Claim): Promise<errors.Outcome<member.Member>> {
+		const {target} = fence;
 		const deadline = this.#options.clock.now() + promoteTimeoutMs;
 		let outcome: errors.Outcome<authority.Result> = errors.fail('store', 'store', service, 'no promotion request was sent');
 		do {
@@ -378,7 +345,7 @@
 			}
 
 			await this.#options.clock.sleep(promoteRetryMs);
-		} while (this.#options.clock.now() < deadline && !this.#options.claims.isClaimedByOther(service));
+		} while (this.#options.clock.now() < deadline && fence.breach === '' && !this.#options.claims.isClaimedByOther(service));
 
 		if (Either.isLeft(outcome)) {
 			return outcome;
@@ -402,9 +369,3 @@
 		return errors.fail('not-run', 'observe', target.id, 'the server did not become leader in time');
 	}
 }
-
-/** The server with the most advanced log; among equals, one that isn't leaving. */
-function mostAdvanced(candidates: readonly Candidate[]): Candidate | undefined {
-	return candidates.toSorted((one, other) =>
-		position.compare(other.status.position, one.status.position) || Number(other.member.isReady) - Number(one.member.isReady))[0];
-}
--- /dev/null
+++ b/src/entry/fence.ts
@@ -0,0 +1,183 @@
+/**
+Fences of a failover: from the choice of the next leader until it leads, nothing may acknowledge a commit that it lacks.
+
+A leader that responds is told to step down. Without a leader no commit is acknowledged, whichever servers return, restart
+or register meanwhile. A leader that doesn't respond can't be told, so replication is paused on each server through which
+it could acknowledge a commit, as far as this host knows them.
+*/
+import * as Either from 'fp-ts/lib/Either.js';
+import type * as clock from '../core/clock.js';
+import * as position from '../core/position.js';
+import type * as candidate from './candidate.js';
+import type * as decisions from './decisions.js';
+import type * as group from './group.js';
+import type * as member from './member.js';
+import type * as orders from './orders.js';
+import type * as statement from './statement.js';
+
+export type Context = {
+	readonly group: group.Group;
+	readonly clock: clock.Clock;
+	readonly orders: orders.Orders;
+	readonly decisions: decisions.Decisions;
+};
+
+/** The next leader with its status at the choice, the leader to replace, and the next leader's term. */
+export type Choice = {
+	readonly target: candidate.Candidate;
+	readonly leader: member.Member | undefined;
+	readonly term: number;
+};
+
+/**
+Interval at which a fence is renewed until the new leader is observed. The promotion takes several hundred ms, in which the
+old leader may return, and another server may register, restart without its pause, or be resumed by a late order.
+*/
+const renewalIntervalMs = 100;
+/** Time for the target to receive a commit that another server has received. */
+const replicationSkewMs = 100;
+
+/** A fence around one choice. */
+export abstract class Fence {
+	protected readonly context: Context;
+	protected readonly choice: Choice;
+	#breach = '';
+
+	constructor(context: Context, choice: Choice) {
+		this.context = context;
+		this.choice = choice;
+	}
+
+	get target(): member.Member {
+		return this.choice.target.member;
+	}
+
+	/** Position that the target's log held when it was chosen. */
+	get required(): statement.Position {
+		return this.choice.target.status.position;
+	}
+
+	/** Why the fence no longer holds, for the log; empty while it does. */
+	get breach(): string {
+		return this.#breach;
+	}
+
+	/** Renews the fence until `signal` aborts. */
+	abstract maintain(signal: AbortSignal): Promise<void>;
+
+	/** Ends the fence after the promotion, or after it was given up. */
+	abstract lift(isPromoted: boolean): Promise<void>;
+
+	protected recordBreach(server: member.Member, reason: string): void {
+		if (this.#breach === '') {
+			this.#breach = `${server.id} ${reason}`;
+			this.context.decisions.record('fence-breached', {
+				service: this.context.group.name, server: server.id, target: this.target.id, reason,
+			});
+		}
+	}
+
+	/** Tells the old leader to step down whenever it claims to lead: it may have been silent, or have restarted. */
+	protected async watchLeader(signal: AbortSignal): Promise<void> {
+		const {group: serviceGroup, clock: time, orders: sent, decisions: log} = this.context;
+		const {leader, term} = this.choice;
+		if (!leader) {
+			return;
+		}
+
+		while (serviceGroup.members.includes(leader) && !signal.aborted) {
+			const [current] = await sent.status([leader]);
+			if (!signal.aborted && current?.status.role === 'primary' && current.status.term < term) {
+				log.record('leader-returned', {service: serviceGroup.name, server: leader.id, term: current.status.term});
+				await sent.stepDown(leader, term);
+			}
+
+			await time.sleep(renewalIntervalMs, signal);
+		}
+	}
+}
+
+/** The old leader has confirmed that it stepped down. */
+export class SteppedDown extends Fence {
+	override async maintain(signal: AbortSignal): Promise<void> {
+		await this.watchLeader(signal);
+	}
+
+	override async lift(): Promise<void> {
+		// No server was paused. If the promotion was given up, the next failover finds no leader.
+	}
+}
+
+/** Replication is paused on all servers but the target. */
+export class Paused extends Fence {
+	readonly #known: readonly member.Member[];
+	readonly #held: Set<member.Member>;
+
+	/** `known` are the servers of the group that were queried, `paused` those of them that are paused. */
+	constructor(context: Context, choice: Choice, known: readonly member.Member[], paused: readonly member.Member[]) {
+		super(context, choice);
+		this.#known = known;
+		this.#held = new Set(paused);
+	}
+
+	override async maintain(signal: AbortSignal): Promise<void> {
+		await Promise.all([this.watchLeader(signal), this.#renewPauses(signal)]);
+	}
+
+	override async lift(isPromoted: boolean): Promise<void> {
+		const {orders: sent} = this.context;
+		if (!isPromoted) {
+			await sent.resume([this.target, ...this.#held]);
+			return;
+		}
+
+		// A pause that reached a server after the promotion was not ended by it.
+		const {term} = this.choice;
+		const candidates = await sent.status([...this.#held]);
+		await sent.resume(candidates.filter(({status}) => status.heldTerm === term && status.term < term).map(({member: server}) => server));
+	}
+
+	/** Also pauses servers that register meanwhile. */
+	async #renewPauses(signal: AbortSignal): Promise<void> {
+		const {group: serviceGroup, clock: time} = this.context;
+		while (!signal.aborted) {
+			for (const server of serviceGroup.members) {
+				if (server !== this.target && !this.#known.includes(server)) {
+					this.#held.add(server);
+				}
+			}
+
+			await Promise.all([...this.#held].map(async server => this.#renew(server, signal)));
+			await time.sleep(renewalIntervalMs, signal);
+		}
+	}
+
+	/** Pauses a server again unless it is still paused or already in the term of the new leader. */
+	async #renew(server: member.Member, signal: AbortSignal): Promise<void> {
+		const {group: {name}, orders: sent, decisions: log} = this.context;
+		const {term} = this.choice;
+		const [current] = await sent.status([server]);
+		if (signal.aborted || !current || current.status.term >= term || current.status.heldTerm >= term) {
+			return;
+		}
+
+		log.record('pause-renewed', {service: name, server: server.id, term});
+		const [paused] = Either.getOrElse((): candidate.Candidate[] => [])(await sent.pause([server], term));
+		if (paused && !signal.aborted) {
+			await this.#checkPosition(paused);
+		}
+	}
+
+	/** A server that was not paused may have acknowledged commits; the target must have received them too. */
+	async #checkPosition({member: server, status}: candidate.Candidate): Promise<void> {
+		if (position.compare(status.position, this.required) <= 0) {
+			return;
+		}
+
+		await this.context.clock.sleep(replicationSkewMs);
+		const [target] = await this.context.orders.status([this.target]);
+		if (!target || position.compare(target.status.position, status.position) < 0) {
+			this.recordBreach(server, `received ${position.format(status.position)}, which the target lacks`);
+		}
+	}
+}
--- a/src/entry/group.ts
+++ b/src/entry/group.ts
@@ -73,6 +73,8 @@
 	#lastAddedAt = Number.NEGATIVE_INFINITY;
 	#acknowledged: statement.Position | null = null;
 	#leader: member.Member | undefined;
+	/** Ids of servers that were removed though they had not announced that they leave. */
+	readonly #absent = new Set<string>();
 	/** Id of a removed server that led, or may have; `undefined` once it or another leader is back. */
 	#removedLeader: string | undefined;
 	/** Clock time at which this host last received the confirmation of a leader. */
@@ -106,6 +108,11 @@
 		return this.#leader === undefined && this.#removedLeader === undefined;
 	}
 
+	/** Ids of servers that disappeared without leaving. They may return with their logs and replicate again. */
+	get absent(): readonly string[] {
+		return [...this.#absent];
+	}
+
 	/** Number of leader changes this host has observed. A position obtained in an earlier epoch is no longer valid. */
 	get leaderEpoch(): number {
 		return this.#leaderEpoch;
@@ -202,6 +209,7 @@
 		const server = this.#options.connect(registration);
 		this.#members.set(id, new member.Member(registration, server, this.#options.clock, {connectionLimit: this.#quota.hardLimit, isSynchronized: this.#isInitialMember(registration)}));
 		this.#lastAddedAt = this.#options.clock.now();
+		this.#absent.delete(id);
 		this.#removedLeader = this.#removedLeader === id ? undefined : this.#removedLeader;
 		this.#options.decisions.record('server-added', {
 			service: this.name, server: id, address, place: registration.place, state: registration.state, role: registration.role,
@@ -433,6 +441,10 @@
 			}
 
 			this.#members.delete(server.id);
+			if (server.isReady) {
+				this.#absent.add(server.id);
+			}
+
 			if (this.#leader === server || this.mayHaveLeader) {
 				this.#removedLeader = server.id;
 			} else {
--- a/src/entry/tests/failover.test.ts
+++ b/src/entry/tests/failover.test.ts
@@ -152,6 +152,7 @@
 	const setup = new fixture.Fixture();
 	await setup.start(['a', 'b']);
 	await setup.startFailover();
+	setup.cluster.get('a').isIgnoringStepDown = true;
 	setup.group.register(setup.cluster.registration('a', {state: 'leaving'}));
 	await awaitPromotionRequest(setup);
 	setup.group.register(setup.cluster.registration('c'));
@@ -170,6 +171,7 @@
 	const setup = new fixture.Fixture();
 	await setup.start();
 	await setup.startFailover();
+	setup.cluster.get('a').isIgnoringStepDown = true;
 	setup.group.register(setup.cluster.registration('a', {state: 'leaving'}));
 	await awaitPromotionRequest(setup);
 	const paused = setup.cluster.servers.find(({heldTerm}) => heldTerm > 0)!;
@@ -182,6 +184,87 @@
 	await setup.stop();
 });
 
+/** Takes replica b away, then stalls the commits of leader a through c, its only replica. */
+async function stallOnLastReplica(setup: fixture.Fixture): Promise<void> {
+	const [a, b, c] = setup.cluster.servers;
+	setup.cluster.commit(a);
+	b.isUnresponsive = true;
+	setup.group.markMissing('b');
+	await setup.time.advance(8000);
+	assert.deepEqual(setup.group.members.map(({id}) => id), ['a', 'c']);
+	c.isReplicationCut = true;
+	setup.group.leader?.commitSent(setup.time.now());
+	assert.equal(setup.cluster.commit(a), false);
+}
+
+// Guards against the loss of commits that the old leader acknowledges through a replica that returns during the promotion.
+test.test('a replica that returns during a promotion acknowledges no commit that the promoted one lacks', async () => {
+	const setup = new fixture.Fixture();
+	await setup.start();
+	await setup.startFailover();
+	await stallOnLastReplica(setup);
+	await awaitPromotionRequest(setup);
+	const [a, b] = setup.cluster.servers;
+	b.isUnresponsive = false;
+	assert.equal(setup.cluster.commit(a), false, 'a commit was acknowledged that c lacks');
+	setup.group.register(setup.cluster.registration('b'));
+	await setup.time.advance(1000);
+	assert.equal(setup.group.leader?.id, 'c');
+	await setup.stop();
+});
+
+// Guards against the same loss at a leader that doesn't obey the order to step down.
+test.test('a leader that does not step down is not replaced while a replica that disappeared may return', async () => {
+	const setup = new fixture.Fixture();
+	await setup.start();
+	await setup.startFailover();
+	setup.cluster.get('a').isIgnoringStepDown = true;
+	await stallOnLastReplica(setup);
+	await setup.time.advance(4000);
+	assert.deepEqual(setup.authority.requests, []);
+	assert.deepEqual(setup.cluster.servers.map(({heldTerm}) => heldTerm), [0, 0, 0]);
+	await setup.stop();
+});
+
+// Guards against commits that a leader acknowledges which was silent when it was replaced and returns before the new one leads.
+test.test('a silent leader that returns during a promotion steps down', async () => {
+	const setup = new fixture.Fixture();
+	await setup.start();
+	await setup.startFailover();
+	setup.authority.isUnavailable = true;
+	const a = setup.cluster.get('a');
+	a.isUnresponsive = true;
+	await awaitPromotionRequest(setup);
+	a.isUnresponsive = false;
+	await setup.time.advance(1500);
+	assert.equal(a.role, 'replica');
+	await setup.stop();
+});
+
+// Guards against orders for a server that lacks commits acknowledged since it was chosen.
+test.test('a promotion is given up if another server acknowledged commits that the target lacks', async () => {
+	const setup = new fixture.Fixture();
+	await setup.start();
+	await setup.startFailover();
+	const [a, b] = setup.cluster.servers;
+	a.isIgnoringStepDown = true;
+	setup.authority.isUnavailable = true;
+	setup.group.register(setup.cluster.registration('a', {state: 'leaving'}));
+	await awaitPromotionRequest(setup);
+	const target = setup.authority.requests[0].server;
+	const other = target === 'b' ? setup.cluster.get('c') : b;
+	setup.cluster.get(target).isReplicationCut = true;
+	other.heldTerm = 0;
+	assert.equal(setup.cluster.commit(a), true);
+	await setup.time.advance(1500);
+	setup.authority.requests.length = 0;
+	setup.authority.isUnavailable = false;
+	await setup.time.advance(4000);
+	assert.ok(setup.group.leader && setup.group.leader.id !== target);
+	assert.ok(setup.authority.requests.every(({server}) => server !== target));
+	await setup.stop();
+});
+
 test.test('a leaving leader is replaced by a server that has every commit', async () => {
 	const setup = new fixture.Fixture();
 	await setup.start();
@@ -305,6 +388,7 @@
 	const setup = new fixture.Fixture();
 	await setup.start();
 	await setup.startFailover();
+	setup.cluster.get('a').isIgnoringStepDown = true;
 	setup.group.register(setup.cluster.registration('a', {state: 'leaving'}));
 	await awaitPromotionRequest(setup);
 	const promote = setup.cluster.promote.bind(setup.cluster);
--- a/src/entry/tests/fake-cluster.ts
+++ b/src/entry/tests/fake-cluster.ts
@@ -35,6 +35,8 @@
 	isUnresponsive = false;
 	/** The server refuses new connections at its limit. */
 	isAtLimit = false;
+	/** The server leads on though it was told to step down. */
+	isIgnoringStepDown = false;
 	/** The server receives no log entries from the primary. */
 	isReplicationCut = false;
 	responseMode: ResponseMode = 'usual';
@@ -209,7 +211,14 @@
 				return this.#reply(null);
 			}
 
-			case 'step-down':
+			case 'step-down': {
+				if (server.role === 'primary' && command.term > server.term && !server.isIgnoringStepDown) {
+					server.role = 'replica';
+				}
+
+				return this.#reply(null);
+			}
+
 			case 'status': {
 				return this.#reply(null);
 			}
@@ -296,8 +305,15 @@
 		};
 	}
 
-	/** Appends an entry to the primary's log and to the logs of the replicas that still replicate. */
-	commit(primary: Server): void {
+	/**
+	Appends an entry to the primary's log and to the logs of the replicas that still replicate. Returns whether the commit is
+	acknowledged: the server leads, and a replica has received the entry.
+	*/
+	commit(primary: Server): boolean {
+		if (primary.role !== 'primary') {
+			return false;
+		}
+
 		primary.index++;
 		for (const server of this.servers) {
 			if (server !== primary && !server.isReplicationCut && !server.isUnresponsive && server.heldTerm <= server.term) {
@@ -305,6 +321,8 @@
 				server.term = primary.term;
 			}
 		}
+
+		return this.servers.some(server => server !== primary && server.term === primary.term && server.index === primary.index);
 	}
 
 	/** Makes a server the primary of the next term, with its log as it is. */
@@ -325,6 +343,8 @@
 	readonly requests: authority.Request[] = [];
 	/** Number of upcoming requests that are carried out without a response. */
 	lostResponses = 0;
+	/** Requests fail and are not carried out. */
+	isUnavailable = false;
 	readonly #cluster: Cluster;
 	#highestToken = 0;
 
@@ -335,6 +355,10 @@
 
 	override async promote(request: authority.Request): Promise<errors.Outcome<authority.Result>> {
 		this.requests.push(request);
+		if (this.isUnavailable) {
+			return errors.fail('store', 'store', request.service, 'unavailable');
+		}
+
 		if (request.token < this.#highestToken) {
 			return Either.right('refused');
 		}
--- a/src/soak/server.ts
+++ b/src/soak/server.ts
@@ -223,6 +223,8 @@
 			server.heldTerm = Math.max(server.heldTerm, term);
 		} else if (word === 'RESUME') {
 			server.heldTerm = 0;
+		} else if (word === 'STEPDOWN' && term > server.term) {
+			server.role = 'replica';
 		}
 
 		const {end, role, heldTerm} = server;
