Check the ranges of addresses that other writers leave in the store

Ruled out: an error while the list is read; the server is added before.

The class on related paths: announcements of hosts (ws throws for such an address), entries that hosts pass to each other (checked less than those from the store), and the pool of the MySQL front end, which is the same one.

Change: addresses of servers and hosts are checked for their ranges, from the store and from other hosts; an unexpected error while a connection is opened or validated fails that attempt; a link to an address that can't be a URL fails like one that can't be opened.

Why it works: an entry with such an address names no server, so no host connects to it; and no error of one attempt leaves it.

The tests' stand-in hosts got addresses that are IP addresses, as the announcements require.

--- a/src/core/pool.ts
+++ b/src/core/pool.ts
@@ -296,7 +296,7 @@
 			void this.#hedge(ended.signal);
 		}
 
-		const outcome = await obtain();
+		const outcome = await this.#catchError(obtain);
 		ended.abort('ended');
 		this.#pending--;
 		this.#hedges -= order === 'hedge' ? 1 : 0;
@@ -309,6 +309,15 @@
 		}
 	}
 
+	/** An unexpected error fails this attempt only. As an unhandled rejection it would end the process. */
+	async #catchError(obtain: () => Promise<errors.Outcome<C>>): Promise<errors.Outcome<C>> {
+		try {
+			return await obtain();
+		} catch (error) {
+			return this.#refuse(`unexpected error: ${String(error)}`);
+		}
+	}
+
 	async #hedge(ended: AbortSignal): Promise<void> {
 		await this.#clock.sleep(this.#limits.hedgeAfterMs, ended);
 		if (!ended.aborted && this.#needsConnection(0)) {
--- a/src/core/tests/pool.test.ts
+++ b/src/core/tests/pool.test.ts
@@ -248,3 +248,17 @@
 
 	assert.equal(server.connectAttempts, 1, 'the second request repeated a refused attempt');
 });
+
+test.test('guards against an unexpected error while a connection is opened that ends the process and leaves requests waiting', async () => {
+	const {server, connections, time} = make();
+	server.connect = async () => {
+		throw new RangeError('port out of range');
+	};
+
+	const outcome = await connections.acquire(400);
+	assert.ok(Either.isLeft(outcome));
+	assert.equal(outcome.left.kind, 'not-run');
+	assert.match(outcome.left.message, /port out of range/v);
+	assert.equal(connections.open, 0);
+	await time.advance(500);
+});
--- a/src/entry/notice.ts
+++ b/src/entry/notice.ts
@@ -1,9 +1,11 @@
 /**
 Messages by which entry hosts send each other updates of the store's objects.
 */
+import * as validators from '../generated/stored.js';
 import type * as types from '../generated/types.js';
 import type * as objects from './objects.js';
 import type * as caches from './cache.js';
+import * as validation from './validation.js';
 
 /** The caches of all kinds. */
 export type Caches = {readonly [K in objects.Kind]: caches.Cache<K>};
@@ -36,7 +38,29 @@
 /** Applies an update to the cache of its kind. Returns false if an earlier update is missing. */
 export function apply(all: Caches, {kind, from, revision, items, gone}: types.StateNotice, confirmedAt: number): boolean {
 	const update = {
-		from: from ?? undefined, revision, items: items.map(({value, ...item}) => ({...item, value: value ?? undefined})), gone,
+		from: from ?? undefined, revision, items: items.map(({value, ...item}) => ({...item, ...read(kind, value, item.fault)})), gone,
 	};
-	return (all[kind] as caches.Cache<objects.Kind>).apply(update, confirmedAt);
+	return (all[kind] as caches.Cache<objects.Kind>).apply(update as caches.Update<objects.Kind>, confirmedAt);
+}
+
+/** Reads a value that another host passed on. That host may be of a build that checks less. */
+function read(kind: objects.Kind, value: unknown, fault: string): validation.Checked<unknown> {
+	if (value === null) {
+		return {value: undefined, fault};
+	}
+
+	switch (kind) {
+		case 'servers': {
+			return validation.check(validators.validateRegistration, value);
+		}
+
+		case 'hosts': {
+			return validation.check(validators.validateAnnouncement, value);
+		}
+
+		case 'configuration':
+		case 'claims': {
+			return {value, fault};
+		}
+	}
 }
--- a/src/entry/tests/synchronizer.test.ts
+++ b/src/entry/tests/synchronizer.test.ts
@@ -52,7 +52,7 @@
 			}
 		});
 		const context = {clock: time, place: 'west-a', decisions: record};
-		region.network.listen(`${name}:1`, accepted => {
+		region.network.listen(addressOf(name), accepted => {
 			const created = new responder.Responder(accepted, {executor: new local.Local(context, () => undefined), context, caches: this.caches});
 			this.#responders.add(created);
 			void created.run();
@@ -87,6 +87,11 @@
 	}
 }
 
+/** Address for links of the host `host-N`. */
+function addressOf(name: string): string {
+	return `10.0.0.${name.slice('host-'.length)}:7440`;
+}
+
 class Region {
 	readonly time = new clock.Manual();
 	readonly store = new fakes.Objects();
@@ -107,7 +112,7 @@
 
 	announcement(name: string, index: number): types.Announcement {
 		return {
-			place: 'west-a', region: 'west', peer: `${name}:1`, capacity: index < 2 ? 2 : 0.5,
+			place: 'west-a', region: 'west', peer: addressOf(name), capacity: index < 2 ? 2 : 0.5,
 		};
 	}
 
@@ -151,7 +156,7 @@
 	const region = new Region();
 	await region.start(5);
 	const failed = region.hosts.findIndex(({synchronizer: task}) => task.isFollowingStore);
-	region.network.refuse(`host-${failed}:1`);
+	region.network.refuse(addressOf(`host-${failed}`));
 	region.network.closeLinks();
 	region.hosts[failed].stopped.abort();
 	region.store.put('configuration', 'main', configuration(2));
@@ -206,7 +211,7 @@
 	const region = new Region();
 	await region.start(3);
 	region.store.state = 'down';
-	region.seeds.push('unreachable:1', 'host-1:1');
+	region.seeds.push('10.0.0.99:7440', addressOf('host-1'));
 	const started = new Host('host-3', 3, region);
 	region.hosts.push(started);
 	await region.time.advance(3000);
@@ -283,3 +288,25 @@
 	assert.equal(other.version, 9);
 	await region.stop();
 });
+
+test.test('guards against a host that leaves a list because an entry in it, passed on by a host that checks less, is invalid', async () => {
+	const region = new Region();
+	await region.start(3);
+	const follower = region.hosts.find(({synchronizer: task}) => task.isFollowingStore)!;
+	const others = region.hosts.filter(host => host !== follower);
+	const registration = {
+		id: 'i-1', service: 'ledgers', address: '10.0.1.1:5432', place: 'west-a', slots: 2, state: 'ready', role: 'primary', startedAt: 1,
+	} as const;
+	region.store.put('servers', 'i-x', {...registration, id: 'i-x', address: '10.0.1.1:70000'});
+	region.store.put('hosts', 'host-x', {...region.announcement('host-0', 0), peer: '10.0.0.1:70000'});
+	region.store.put('servers', 'i-1', registration);
+	await region.time.advance(3000);
+	for (const host of others) {
+		assert.equal(host.synchronizer.isFollowingStore, false);
+		assert.equal(host.caches.servers.item('i-x')?.value, undefined);
+		assert.equal(host.caches.hosts.item('host-x')?.value, undefined);
+		assert.deepEqual(host.caches.servers.item('i-1')?.value, registration);
+	}
+
+	await region.stop();
+});
--- a/src/peer/socket.ts
+++ b/src/peer/socket.ts
@@ -212,7 +212,11 @@
 	}
 
 	override async open(target: string): Promise<link.Link<M> | undefined> {
-		const socket = new ws.WebSocket(`ws://${target}/`, {handshakeTimeout: this.#options.timeoutMs, perMessageDeflate: compressionOptions});
+		const socket = this.#createSocket(target);
+		if (!socket) {
+			return undefined;
+		}
+
 		return new Promise(resolve => {
 			socket.once('open', () => {
 				resolve(new Link(socket, this.#options));
@@ -226,4 +230,14 @@
 	override close(): void {
 		this.#server?.close();
 	}
+
+	/** The constructor throws for an address that isn't a URL; addresses come from other hosts. */
+	#createSocket(target: string): ws.WebSocket | undefined {
+		try {
+			return new ws.WebSocket(`ws://${target}/`, {handshakeTimeout: this.#options.timeoutMs, perMessageDeflate: compressionOptions});
+		} catch (error) {
+			this.#options.warn('link not opened', {reason: `${target}: ${String(error)}`});
+			return undefined;
+		}
+	}
 }
--- a/src/peer/tests/link.test.ts
+++ b/src/peer/tests/link.test.ts
@@ -220,3 +220,11 @@
 	near.stop();
 	far.stop();
 });
+
+test.test('guards against an address of another host that can\'t be a URL and ends the process', async () => {
+	const warnings: string[] = [];
+	const first = open('first', new FakeHandler('first', 0), warnings);
+	assert.equal(await first.connect({name: 'other', address: '127.0.0.1:70000'}), undefined);
+	assert.match(warnings.join(' '), /127\.0\.0\.1:70000/v);
+	first.stop();
+});
--- a/src/platform/decode.ts
+++ b/src/platform/decode.ts
@@ -5,24 +5,26 @@
 import * as validators from '../generated/stored.js';
 import type * as types from '../generated/types.js';
 import type * as objects from '../entry/objects.js';
-
-/** A decoded value, or `undefined` and the reason why the stored value is invalid. */
-export type Decoded<T> = {readonly value: T | undefined; readonly fault: string};
+import * as validation from '../entry/validation.js';
 
 const routeKinds: Readonly<Record<types.StoredRoute['type'], types.RouteKind>> = {
 	primary: 'primary', bounded_staleness: 'aged', read_your_writes: 'session',
 };
 
+type Decoder<T> = (name: string, value: unknown) => validation.Checked<T>;
+
 /** Decoders by kind of object. */
-export const decoders: {readonly [K in objects.Kind]: (name: string, value: unknown) => Decoded<objects.Values[K]>} = {
-	configuration: (_name, value) => validators.validateStoredConfiguration(value)
-		? {value: toDeployment(value), fault: ''}
-		: describeErrors(validators.validateStoredConfiguration),
-	servers: (name, value) => validators.validateStoredServer(value)
-		? {value: toRegistration(name, value), fault: ''}
-		: describeErrors(validators.validateStoredServer),
-	hosts: (_name, value) => validators.validateAnnouncement(value) ? {value, fault: ''} : describeErrors(validators.validateAnnouncement),
-	claims: (_name, value) => validators.validatePromotionClaim(value) ? {value, fault: ''} : describeErrors(validators.validatePromotionClaim),
+export const decoders: {readonly [K in objects.Kind]: Decoder<objects.Values[K]>} = {
+	configuration(_name, stored) {
+		const {value, fault} = validation.check(validators.validateStoredConfiguration, stored);
+		return {value: value && toDeployment(value), fault};
+	},
+	servers(name, stored) {
+		const {value, fault} = validation.check(validators.validateStoredServer, stored);
+		return {value: value && toRegistration(name, value), fault};
+	},
+	hosts: (_name, stored) => validation.check(validators.validateAnnouncement, stored),
+	claims: (_name, stored) => validation.check(validators.validatePromotionClaim, stored),
 };
 
 function toDeployment({version, routes, services, limits}: types.StoredConfiguration): types.Deployment {
@@ -59,9 +61,3 @@
 		startedAt: stored.born ?? 0,
 	};
 }
-
-function describeErrors({errors: issues}: {errors?: ReadonlyArray<{instancePath: string; message?: string}> | null}): Decoded<never> {
-	const fault = (issues ?? []).map(({instancePath, message}) => `${instancePath === '' ? 'value' : instancePath} ${message ?? 'is invalid'}`).join('; ');
-	return {value: undefined, fault};
-}
-
