Keep the in-sync set of each service in the store

A restarted host guessed from the start times of the servers, and took the one that had joined later for one that had lost its log.

Change: one object a service in the store lists the incarnations that together hold every acknowledged commit. A host reads all of them at its start; servers of the set that aren't registered count as replicas that don't respond. The set changes by a conditional update, when a server joins or leaves, and only after the logs were compared.

Why it works: what a host has to know to promote outlasts the processes, and a set that is out of date names too many servers, which delays a promotion and loses nothing.

--- a/scripts/mutate.js
+++ b/scripts/mutate.js
@@ -22,7 +22,7 @@
 const write = 'core/tests/write.test.js';
 const session = 'core/tests/session.test.js';
 const statement = 'core/tests/statement.test.js';
-const entry = ['group', 'read', 'write', 'session', 'failover', 'claims', 'follower', 'synchronizer', 'announcer', 'cache', 'revision'].map(name => `entry/tests/${name}.test.js`);
+const entry = ['group', 'read', 'write', 'session', 'failover', 'claims', 'follower', 'synchronizer', 'announcer', 'cache', 'revision', 'recorder'].map(name => `entry/tests/${name}.test.js`);
 const callers = 'platform/tests/caller.test.js';
 const objects = 'platform/tests/http.test.js';
 
@@ -55,12 +55,15 @@
 
 /** Mutations of entry hosts on the users' platform, with the affected component in place of the promise. */
 const entryMutations = [
-	['promote while a replica is unresponsive', 'failover', entry, 'entry/failover.js', 'synchronized.length < replicas.length - (mayHaveLeader ? 1 : 0)', 'false'],
+	['promote while a replica is unresponsive', 'failover', entry, 'entry/failover.js', 'synchronized.length < replicas.length + missing.length - (mayHaveLeader ? 1 : 0)', 'false'],
 	['let a replica be silent after the removal of the leader', 'failover', entry, 'entry/group.js', 'this.#leader === undefined && this.#removedLeader === undefined', 'this.#leader === undefined'],
 	['count a server as synchronized after the removal of a replica', 'failover', entry, 'entry/group.js', 'other.recordLostLog(Math.max(server.missingSince, server.lastResponseAt));', ''],
 	['verify a log only against the oldest read index', 'failover', entry, 'entry/group.js', 'this.#readIndexes.findLast(readIndex =>', 'this.#readIndexes.slice(0, 1).find(readIndex =>'],
 	['don\'t pause a server that registers during a promotion', 'failover', entry, 'entry/fence.js', 'server !== this.target && !this.#known.includes(server)', 'false'],
 	['don\'t renew the pause', 'failover', entry, 'entry/fence.js', 'current.status.heldTerm >= term', 'true'],
+	['take a server that joined later for one that lost its log', 'recovery', entry, 'entry/insync.js', 'return has(this.#stored, registration);', 'return false;'],
+	['don\'t miss a server that disappeared before the start', 'recovery', entry, 'entry/failover.js', 'replicas.length + missing.length', 'replicas.length'],
+	['drop a server from the in-sync set while another one may lack its commits', 'recovery', entry, 'entry/insync.js', 'return isInDoubt ? undefined', 'return false ? undefined'],
 	['promote beside a leader that responds', 'failover', entry, 'entry/failover.js', '!leader || reason === \'silent\'', 'true'],
 	['take a leader that leads on for one that stepped down', 'failover', entry, 'entry/failover.js', 'steppedDown.right.status.role === \'replica\'', 'true'],
 	['let a leader lead on that returns during a promotion', 'failover', entry, 'entry/fence.js', 'await sent.stepDown(leader, term);', ''],
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -25,6 +25,7 @@
 import type * as objects from './objects.js';
 import type * as notices from './notice.js';
 import * as caches from './cache.js';
+import * as recorders from './recorder.js';
 import * as responders from './responder.js';
 import * as retentions from './retention.js';
 import * as sessions from './session.js';
@@ -55,7 +56,7 @@
 /** Longest duration of a watch on a kind of objects whose changes may be late. */
 const slowWatchMs = 20_000;
 /** Pause after a change, so that the next watch returns several changes at once. */
-const coalesceMs: Readonly<Record<objects.Kind, number>> = {
+const coalesceMs: Readonly<Record<objects.CachedKind, number>> = {
 	configuration: 0, servers: 20, hosts: 500, claims: 0,
 };
 /** Time for a host that starts to find an observer, before it watches the store itself. */
@@ -88,6 +89,7 @@
 	readonly #context: jobs.Context;
 	readonly #local: local.Local;
 	readonly #claims: claims.Claims;
+	readonly #recorder: recorders.Recorder;
 	readonly #listener: Listener;
 	readonly #sessionOptions: sessions.Options;
 	readonly #caches: notices.Caches;
@@ -104,6 +106,9 @@
 		this.#claims = new claims.Claims({
 			host: host.name, store: options.store, clock: time, random: options.random, decisions: log,
 		});
+		this.#recorder = new recorders.Recorder({
+			store: options.store, clock: time, random: options.random, decisions: log, revision: () => this.#caches.servers.revision ?? 0,
+		});
 		this.#context = {clock: time, place: host.place, decisions: log};
 		this.#fleet = new fleet.Fleet({
 			self: {name: host.name, ...announcer.describe(options.settings)},
@@ -265,7 +270,7 @@
 		}
 	}
 
-	#createCache<K extends objects.Kind>(kind: K, retention: retentions.Retention<K>, onChange: caches.Options<K>['onChange']): caches.Cache<K> {
+	#createCache<K extends objects.CachedKind>(kind: K, retention: retentions.Retention<K>, onChange: caches.Options<K>['onChange']): caches.Cache<K> {
 		const {clock: time, decisions: log} = this.#options;
 		return new caches.Cache<K>({
 			kind, clock: time, decisions: log, retention, onChange,
@@ -276,8 +281,8 @@
 	#followStore(signal: AbortSignal): void {
 		const {store, clock: time, random: source, decisions: log} = this.#options;
 		for (const cache of Object.values(this.#caches)) {
-			const cacheFollower = new follower.Follower<objects.Kind>({
-				cache: cache as caches.Cache<objects.Kind>,
+			const cacheFollower = new follower.Follower<objects.CachedKind>({
+				cache: cache as caches.Cache<objects.CachedKind>,
 				store,
 				clock: time,
 				random: source,
@@ -294,7 +299,7 @@
 	Longest duration of a watch, which also bounds the time to detect a dead connection. The configuration and the servers
 	must be known in time, so their watches leave half of that time for detection and a second attempt.
 	*/
-	#watchMs(kind: objects.Kind): number {
+	#watchMs(kind: objects.CachedKind): number {
 		return kind === 'configuration' || kind === 'servers' ? this.#options.settings.consistency.configurationMs / 2 : slowWatchMs;
 	}
 
@@ -324,6 +329,7 @@
 
 		const {signal} = this.#stopped;
 		void added.run(signal);
+		void this.#recorder.run(added, signal);
 		void new failover.Failover({
 			group: added, host: host.name, clock: time, random: source, authority: promotionAuthority, claims: this.#claims, decisions: log,
 		}).run(signal);
--- a/src/entry/failover.ts
+++ b/src/entry/failover.ts
@@ -93,7 +93,7 @@
 	reason(): Reason | undefined {
 		const {leader, leaderlessSince, members, lastAddedAt} = this.#options.group;
 		const now = this.#options.clock.now();
-		if (!this.#options.group.isActive || now - lastAddedAt < membershipSettleMs) {
+		if (!this.#options.group.isActive || !this.#options.group.isInSyncLoaded || now - lastAddedAt < membershipSettleMs) {
 			return undefined;
 		}
 
@@ -178,13 +178,13 @@
 	the commit, or be behind a replica that has been removed since.
 	*/
 	async #findCandidates(leader: member.Member | undefined): Promise<errors.Outcome<candidates.Candidate[]>> {
-		const {group: {name, members, acknowledged, mayHaveLeader}} = this.#options;
+		const {group: {name, members, acknowledged, mayHaveLeader, missing}} = this.#options;
 		const replicas = members.filter(server => server !== leader);
 		const responding = await this.#orders.status(replicas);
 		const synchronized = responding.filter(({member: server}) => server.isSynchronized);
-		if (synchronized.length < replicas.length - (mayHaveLeader ? 1 : 0)) {
-			const missing = replicas.filter(server => !synchronized.some(entry => entry.member === server));
-			return errors.fail('not-run', 'observe', name, `${missing.map(({id}) => id).join(', ')} may hold acknowledged commits but did not respond, or lost its log`);
+		if (synchronized.length < replicas.length + missing.length - (mayHaveLeader ? 1 : 0)) {
+			const lacking = [...replicas.filter(server => !synchronized.some(entry => entry.member === server)).map(({id}) => id), ...missing];
+			return errors.fail('not-run', 'observe', name, `${lacking.join(', ')} may hold acknowledged commits but did not respond, or lost its log`);
 		}
 
 		const target = candidates.mostAdvanced(responding);
--- a/src/entry/group.ts
+++ b/src/entry/group.ts
@@ -14,6 +14,7 @@
 import * as position from '../core/position.js';
 import type * as backend from './backend.js';
 import type * as decisions from './decisions.js';
+import * as insync from './insync.js';
 import * as member from './member.js';
 import type * as statement from './statement.js';
 
@@ -51,8 +52,6 @@
 const replicaPollIntervalMs = 1000;
 /** Age of a read index that replicas with typical lag have reached. */
 const typicalLagMs = 500;
-/** Servers of a new group start within this time of each other. */
-const startupWindowMs = 10_000;
 /** Interval of polling all servers while no leader responds. */
 const leaderPollIntervalMs = 100;
 /** Time without work after which a group is idle: it sends no polls and keeps no connections. */
@@ -75,6 +74,7 @@
 	#leader: member.Member | undefined;
 	/** Ids of servers that were removed though they had not announced that they leave. */
 	readonly #absent = new Set<string>();
+	readonly #inSync: insync.InSync;
 	/** Id of a removed server that led, or may have; `undefined` once it or another leader is back. */
 	#removedLeader: string | undefined;
 	/** Clock time at which this host last received the confirmation of a leader. */
@@ -87,6 +87,7 @@
 
 	constructor(options: Options) {
 		this.#options = options;
+		this.#inSync = new insync.InSync(options.clock);
 		this.#leaderlessSince = options.clock.now();
 	}
 
@@ -113,6 +114,26 @@
 		return [...this.#absent];
 	}
 
+	/** Whether this host knows the in-sync set of the store, without which it can't tell which logs are complete. */
+	get isInSyncLoaded(): boolean {
+		return this.#inSync.isLoaded;
+	}
+
+	/** Ids of servers in the store's in-sync set that are not registered and that may have the only copy of a commit. */
+	get missing(): readonly string[] {
+		return this.#inSync.missing(this.members, this.#leader);
+	}
+
+	/** The in-sync set as it should be stored; `undefined` while this host can't tell. */
+	get inSync(): types.Incarnation[] | undefined {
+		return this.isActive ? this.#inSync.current(this.members, this.#leader) : undefined;
+	}
+
+	/** Takes over the in-sync set read from the store; `undefined` if it has none. */
+	adopt(stored: readonly types.Incarnation[] | undefined): void {
+		this.#inSync.adopt(stored, this.members);
+	}
+
 	/** Number of leader changes this host has observed. A position obtained in an earlier epoch is no longer valid. */
 	get leaderEpoch(): number {
 		return this.#leaderEpoch;
@@ -207,9 +228,10 @@
 		}
 
 		const server = this.#options.connect(registration);
-		this.#members.set(id, new member.Member(registration, server, this.#options.clock, {connectionLimit: this.#quota.hardLimit, isSynchronized: this.#isInitialMember(registration)}));
+		this.#members.set(id, new member.Member(registration, server, this.#options.clock, {connectionLimit: this.#quota.hardLimit, isSynchronized: this.#inSync.isAssumedComplete(registration, this.members)}));
 		this.#lastAddedAt = this.#options.clock.now();
 		this.#absent.delete(id);
+		this.#inSync.recordArrival(registration);
 		this.#removedLeader = this.#removedLeader === id ? undefined : this.#removedLeader;
 		this.#options.decisions.record('server-added', {
 			service: this.name, server: id, address, place: registration.place, state: registration.state, role: registration.role,
@@ -420,15 +442,6 @@
 		}
 	}
 
-	/**
-	Whether a newly added server is assumed to hold every commit acknowledged before this host discovered it. A host that
-	starts can't verify this, so it assumes it for servers that started together with the rest of the group.
-	*/
-	#isInitialMember({startedAt}: types.Registration): boolean {
-		const earliest = Math.min(startedAt, ...this.members.map(({registration}) => registration.startedAt));
-		return startedAt - earliest < startupWindowMs;
-	}
-
 	/**
 	Removes servers whose registration stays missing. A replica takes the copies of acknowledged commits in its log along. If
 	the leader is removed, every commit is still in the log of one of the replicas. While no leader is known, the first server
@@ -460,6 +473,7 @@
 	#remove(server: member.Member, reason: string): void {
 		server.pool.interrupt();
 		server.pool.close();
+		this.#inSync.recordDeparture(server.registration);
 		this.#options.decisions.record('server-removed', {service: this.name, server: server.id, reason});
 		if (this.#leader === server) {
 			this.#clearLeader(reason);
--- a/src/entry/member.ts
+++ b/src/entry/member.ts
@@ -93,6 +93,18 @@
 		return this.#isSynchronized;
 	}
 
+	/** Sets whether the log is complete, as a set in the store says, unless it has been verified already. */
+	assume(isSynchronized: boolean): void {
+		if (this.#verifiedAt < this.#unverifiedSince) {
+			this.#isSynchronized = isSynchronized;
+		}
+	}
+
+	/** Whether the log was found to contain every commit acknowledged before clock time `at`. */
+	isVerifiedSince(at: number): boolean {
+		return this.#verifiedAt >= at;
+	}
+
 	/** Records that the log of another server was lost at clock time `lostAt`. */
 	recordLostLog(lostAt: number): void {
 		this.#unverifiedSince = Math.max(this.#unverifiedSince, lostAt);
--- a/src/entry/notice.ts
+++ b/src/entry/notice.ts
@@ -8,7 +8,7 @@
 import * as validation from './validation.js';
 
 /** The caches of all kinds. */
-export type Caches = {readonly [K in objects.Kind]: caches.Cache<K>};
+export type Caches = {readonly [K in objects.CachedKind]: caches.Cache<K>};
 
 /** The revisions of a host without any state. Subscribing with them requests the complete state. */
 export const noRevisions: types.KnownRevisions = {
@@ -44,7 +44,7 @@
 }
 
 /** Reads a value that another host passed on. That host may be of a build that checks less. */
-function read(kind: objects.Kind, value: unknown, fault: string): validation.Checked<unknown> {
+function read(kind: objects.CachedKind, value: unknown, fault: string): validation.Checked<unknown> {
 	if (value === null) {
 		return {value: undefined, fault};
 	}
--- a/src/entry/objects.ts
+++ b/src/entry/objects.ts
@@ -11,10 +11,14 @@
 	readonly servers: types.Registration;
 	readonly hosts: types.Announcement;
 	readonly claims: types.PromotionClaim;
+	readonly 'in-sync': types.InSyncSet;
 };
 
 export type Kind = keyof Values;
 
+/** Kinds of which every host keeps a current copy. */
+export type CachedKind = Exclude<Kind, 'in-sync'>;
+
 /** One object. An invalid value is `undefined`, and `fault` gives the reason. */
 export type Item<K extends Kind> = {
 	readonly name: string;
--- a/src/entry/responder.ts
+++ b/src/entry/responder.ts
@@ -194,7 +194,7 @@
 	}
 
 	/** Sends a cache's current state, or only what it has retained if the peer has the rest, and every later update. */
-	#publish<K extends objects.Kind>(cache: caches.Cache<K>, known: types.KnownRevisions): () => void {
+	#publish<K extends objects.CachedKind>(cache: caches.Cache<K>, known: types.KnownRevisions): () => void {
 		const {state, kind} = cache;
 		if (state) {
 			const isKnown = known[kind] >= state.revision;
--- a/src/entry/synchronizer.ts
+++ b/src/entry/synchronizer.ts
@@ -34,14 +34,14 @@
 const stateTimeoutMs = 1500;
 const exclusionMs = 5000;
 /** Kinds whose changes must take effect within seconds. */
-const urgentKinds: readonly objects.Kind[] = ['configuration', 'servers'];
+const urgentKinds: readonly objects.CachedKind[] = ['configuration', 'servers'];
 
 /** Keeps the caches of all kinds current. */
 export class Synchronizer {
 	readonly #options: Options;
 	readonly #excludedUntil = new Map<string, number>();
 	/** Clock time at which the state last sent by the observer was confirmed to be current, by kind. */
-	readonly #confirmedAt = new Map<objects.Kind, number>();
+	readonly #confirmedAt = new Map<objects.CachedKind, number>();
 	#observer: peers.Peer | undefined;
 	#observerSince = Number.NEGATIVE_INFINITY;
 	#storeController: AbortController | undefined;
@@ -124,7 +124,7 @@
 	/** Whether the observer has sent the state of every kind, and of the urgent kinds recently. */
 	#isCurrent(): boolean {
 		const now = this.#options.clock.now();
-		const isComplete = Object.keys(this.#options.caches).every(kind => this.#confirmedAt.has(kind as objects.Kind));
+		const isComplete = Object.keys(this.#options.caches).every(kind => this.#confirmedAt.has(kind as objects.CachedKind));
 		return isComplete && urgentKinds.every(kind => now - this.#confirmedAt.get(kind)! < this.#maxAgeMs);
 	}
 
--- a/src/entry/tests/fixture.ts
+++ b/src/entry/tests/fixture.ts
@@ -41,6 +41,7 @@
 			this.group.register(this.cluster.registration(name));
 		}
 
+		this.group.adopt(undefined);
 		void this.group.run(this.stopped.signal);
 		void this.#keepActive();
 		await this.time.advance(200);
--- a/src/platform/decode.ts
+++ b/src/platform/decode.ts
@@ -25,6 +25,7 @@
 	},
 	hosts: (_name, stored) => validation.check(validators.validateAnnouncement, stored),
 	claims: (_name, stored) => validation.check(validators.validatePromotionClaim, stored),
+	'in-sync': (_name, stored) => validation.check(validators.validateInSyncSet, stored),
 };
 
 function toDeployment({version, routes, services, limits}: types.StoredConfiguration): types.Deployment {
--- a/src/platform/objects.ts
+++ b/src/platform/objects.ts
@@ -13,7 +13,7 @@
 
 /** Names of the kinds in the store. */
 const storedNames: Readonly<Record<objects.Kind, string>> = {
-	configuration: 'config', servers: 'servers', hosts: 'sycamorering-hosts', claims: 'sycamorering-claims',
+	configuration: 'config', servers: 'servers', hosts: 'sycamorering-hosts', claims: 'sycamorering-claims', 'in-sync': 'sycamorering-in-sync',
 };
 
 /** Timeout of one call, many times the response time of a healthy store. */
