Name prepared statements on server connections by generated keys

Cause: the name on server connections was built from the shape. The server reads it up to the first blank, so PREPARE was refused, and EXECUTE, sent in the same write, named the other client's statement. Ruled out: replies matched to the wrong commands.

Related paths were read: values, parameters and texts are last fields of their lines, names of values and ids hold no blank; no other text of a caller becomes a field of a command.

Change: each connection gives a mode and shape a generated name, and no name twice. Why it works: a name holds no text of a caller, and a statement whose PREPARE failed is unknown at the server instead of another one.

--- a/scripts/mutate.js
+++ b/scripts/mutate.js
@@ -82,7 +82,7 @@
 	['keep the read indexes of a replaced leader', 'group', entry, 'entry/group.js', 'this.#leaderEpoch++;\n        this.#readIndexes = [];', 'this.#leaderEpoch++;'],
 	['ignore the time that the machine was suspended', 'group', entry, 'core/clock.js', 'Math.max(to.monotonicMs - from.monotonicMs, to.wallMs - from.wallMs)', 'to.monotonicMs - from.monotonicMs'],
 	['keep another session\'s values', 'session', entry, 'entry/state.js', 'commands.push({ kind: \'reset\' });', ''],
-	['prepare all statements under one name', 'session', entry, 'entry/state.js', String.raw`return \`\${mode}_\${shape}\`;`.replaceAll('\\', ''), 'return mode;'],
+	['prepare all statements under one name', 'session', entry, 'entry/state.js', String.raw`return \`\${mode} \${shape}\`;`.replaceAll('\\', ''), 'return mode;'],
 	['close a session inside a transaction', 'session', entry, 'entry/session.js', 'this.#transaction === undefined && !this.#caller.hasPendingRequest', '!this.#caller.hasPendingRequest'],
 	['apply an older configuration', 'configuration', entry, 'entry/deployment.js', 'content.version <= this.#content.version', 'false'],
 	['refuse at once while servers are at their connection limit', 'connection storm', entry, 'entry/job.js', 'job.group.isBlockedByLimit || job.group.isStarting', 'false'],
--- a/src/entry/backend.ts
+++ b/src/entry/backend.ts
@@ -12,8 +12,15 @@
 export abstract class Connection extends connection.Connection {
 	/** Session values set on the connection since the last reset. */
 	readonly values = new Map<string, string>();
-	/** Names of statements prepared on the connection since the last reset. */
-	readonly prepared = new Set<string>();
+	/** Names on the connection of the statements prepared since the last reset, by mode and shape. */
+	readonly prepared = new Map<string, string>();
+	#preparedCount = 0;
+
+	/** A name that no statement has had on this connection. */
+	createPreparedName(): string {
+		this.#preparedCount++;
+		return `s${this.#preparedCount}`;
+	}
 
 	/**
 	Sends a command and returns its reply. Commands sent in the same turn of the event loop go in one write.
--- a/src/entry/lease.ts
+++ b/src/entry/lease.ts
@@ -93,7 +93,7 @@
 	#createCommand({id, text, prepared, parameters}: Work, minPosition: statement.Position | null): statement.Command {
 		return prepared
 			? {
-				kind: 'execute', id, name: states.preparedName(prepared), parameters, minPosition,
+				kind: 'execute', id, name: states.preparedName(this.#connection, prepared), parameters, minPosition,
 			}
 			: {
 				kind: 'forward', id, text: text ?? '', minPosition,
--- a/src/entry/state.ts
+++ b/src/entry/state.ts
@@ -1,8 +1,8 @@
 /**
 A session's values and prepared statements, and the commands that apply them to a server connection.
 
-On server connections, a prepared statement is named after its mode and shape. Sessions thus share equal statements, and
-the names that callers choose can't collide.
+On a server connection, a prepared statement has a generated name for its mode and shape. Sessions thus share equal
+statements, the names that callers choose can't collide, and no text of a caller becomes part of a command's grammar.
 */
 import * as Either from 'fp-ts/lib/Either.js';
 import type * as types from '../generated/types.js';
@@ -66,18 +66,23 @@
 			}
 		}
 
-		if (prepared && !connection.prepared.has(preparedName(prepared))) {
-			commands.push({kind: 'prepare', name: preparedName(prepared), ...prepared});
-			connection.prepared.add(preparedName(prepared));
+		if (prepared && !connection.prepared.has(keyOf(prepared))) {
+			const name = connection.createPreparedName();
+			commands.push({kind: 'prepare', name, ...prepared});
+			connection.prepared.set(keyOf(prepared), name);
 		}
 
 		return commands.map(async command => connection.send(command, applyTimeoutMs));
 	}
 }
 
-/** The name of a prepared statement on server connections. */
-export function preparedName({mode, shape}: Prepared): string {
-	return `${mode}_${shape}`;
+/** The name of a statement that was prepared on a connection; empty if it wasn't. */
+export function preparedName(connection: backend.Connection, prepared: Prepared): string {
+	return connection.prepared.get(keyOf(prepared)) ?? '';
+}
+
+function keyOf({mode, shape}: Prepared): string {
+	return `${mode} ${shape}`;
 }
 
 /** Whether every command of `applyTo` succeeded. */
--- a/src/platform/tests/backend.test.ts
+++ b/src/platform/tests/backend.test.ts
@@ -3,6 +3,7 @@
 import * as test from 'node:test';
 import * as Either from 'fp-ts/lib/Either.js';
 import * as clock from '../../core/clock.js';
+import * as states from '../../entry/state.js';
 import * as backend from '../backend.js';
 import type * as types from '../../generated/types.js';
 
@@ -82,3 +83,53 @@
 	}));
 	assert.deepEqual(steps, ['admit', 'admit', 'connect']);
 });
+
+/** Replies as a server that keeps prepared statements by the name that it reads, up to the next blank. Records what it runs. */
+function prepareAndRun(runs: string[]): (line: string) => string {
+	const prepared = new Map<string, string>();
+	return line => {
+		const [word, id, command, name, ...rest] = line.split(' ');
+		if (word === 'STARTUP') {
+			return 'READY I 1.1\r\n';
+		}
+
+		if (command === 'PREPARE') {
+			const [mode, ...shape] = rest;
+			const isValid = mode === 'READ' || mode === 'WRITE';
+			if (isValid) {
+				prepared.set(name, shape.join(' '));
+			}
+
+			return `${isValid ? 'COMPLETE -' : 'ERROR MALFORMED'}\r\nREADY I 1.1\r\n`;
+		}
+
+		const shape = prepared.get(name);
+		if (shape !== undefined) {
+			runs.push(`${id}: ${shape}: ${rest.join(' ')}`);
+		}
+
+		return `${shape === undefined ? 'ERROR NOPREPARED' : 'COMPLETE sig'}\r\nREADY I 1.1\r\n`;
+	};
+}
+
+test.test('guards against a prepared statement that runs the shape of another session because its own has several words', {timeout: testTimeoutMs}, async context => {
+	const runs: string[] = [];
+	const registration = await serve(context, prepareAndRun(runs));
+	const outcome = await new backend.Server(registration, new clock.System()).connect(timeoutMs);
+	assert.ok(Either.isRight(outcome));
+	const connection = outcome.right;
+	const shapes = ['q1', 'q1 where open', ' q1', 'READ q1', ''];
+	for (const [index, shape] of shapes.entries()) {
+		for (const mode of ['read', 'write'] as const) {
+			const applied = new states.State().applyTo(connection, {mode, shape});
+			const reply = await connection.send({
+				kind: 'execute', id: `${mode}${index}`, name: states.preparedName(connection, {mode, shape}), parameters: '7 a b', minPosition: null,
+			}, timeoutMs);
+			assert.ok(await states.isApplied(applied));
+			assert.ok(Either.isRight(reply) && reply.right.refusal === null);
+		}
+	}
+
+	assert.deepEqual(runs, shapes.flatMap((shape, index) => [`read${index}: ${shape}: 7 a b`, `write${index}: ${shape}: 7 a b`]));
+	connection.close();
+});
