Leave out odd entries of other writers one by one

What operators of other systems saw: one odd entry, very deeply nested, with a number too large or a port out of range, ended the readers of a list again and again, or stopped them from following it. What the review saw: an entry with fields missing blocked every failover of its service.

Deep nesting and numbers beyond range did no harm. These did: fields missing and finite numbers out of range (used as a server), an object with an odd revision or name (the whole list and each watch failed), a name with half a surrogate pair (the process ended), an object beside the configuration, and pages that don't advance.

Change: every field is required and has a range; each object is checked by itself, left out and logged if it can't be read. Response bodies have a limit. An unexpected error ends one task, which is logged, and is started again if it has to run all the time.

--- a/src/core/tests/settings.test.ts
+++ b/src/core/tests/settings.test.ts
@@ -19,6 +19,7 @@
 	['an empty file is reported as empty', '\n; nothing\n', /site\.ini:1: the file is empty/v],
 	['a repeated key is not silently overwritten', valid.replace('slots = 2', 'slots = 2\nslots = 3'), /site\.ini:3: \[service\.ledgers\] slots also stands in line 2/v],
 	['a repeated section is not silently merged', `${valid}${server}`, /site\.ini:10: \[service\.ledgers\.server\.a\] also stands in line 3/v],
+	['a port out of range is reported with its line, and no host connects to it', valid.replace(':7101', ':70000'), /site\.ini:4: \[service\.ledgers\.server\.a\] address "127\.0\.0\.1:70000" is not an IP address and port/v],
 	['an unknown section is reported with its line', `${valid}[servise.x]\ny = 1\n`, /site\.ini:10: \[\] servise is not known/v],
 	['an unknown key is reported with its line', valid.replace('slots', 'slotz'), /site\.ini:2: \[service\.ledgers\] slotz is not known/v],
 	['a wrong type is reported with its line', valid.replace('slots = 2', 'slots = two'), /site\.ini:2: \[service\.ledgers\] slots must be integer/v],
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -31,6 +31,7 @@
 import * as sessions from './session.js';
 import * as shutdowns from './shutdown.js';
 import * as synchronizer from './synchronizer.js';
+import * as tasks from './task.js';
 
 /** Listener for connections of callers. */
 export type Listener = {listen(address: string): Promise<number>; close(): void};
@@ -90,6 +91,7 @@
 	readonly #local: local.Local;
 	readonly #claims: claims.Claims;
 	readonly #recorder: recorders.Recorder;
+	readonly #tasks: tasks.Tasks;
 	readonly #listener: Listener;
 	readonly #sessionOptions: sessions.Options;
 	readonly #caches: notices.Caches;
@@ -102,6 +104,7 @@
 	constructor(options: Options) {
 		const {clock: time, decisions: log, settings: {host}} = options;
 		this.#options = options;
+		this.#tasks = new tasks.Tasks(options);
 		this.#deployment = new deployments.Deployment(time, log);
 		this.#claims = new claims.Claims({
 			host: host.name, store: options.store, clock: time, random: options.random, decisions: log,
@@ -126,7 +129,7 @@
 			executor: new forwarder.Forwarder(this.#context, this.#local, service => this.#fleet.route(service)),
 		};
 		this.#listener = options.listener(accepted => {
-			void this.#serveCaller(accepted);
+			this.#tasks.start('session', async () => this.#serveCaller(accepted));
 		});
 		this.#caches = {
 			configuration: this.#createCache('configuration', new retentions.ConfigurationRetention(), (_name, item) => {
@@ -156,7 +159,7 @@
 	async start(): Promise<void> {
 		const {settings: {listen}, decisions: log} = this.#options;
 		const {signal} = this.#stopped;
-		void new synchronizer.Synchronizer({
+		const stateSynchronizer = new synchronizer.Synchronizer({
 			caches: this.#caches,
 			clock: this.#options.clock,
 			decisions: log,
@@ -166,8 +169,9 @@
 			follow: followSignal => {
 				this.#followStore(followSignal);
 			},
-		}).run(signal);
-		void new announcer.Announcer({
+		});
+		this.#tasks.keep('synchronizer', signal, async () => stateSynchronizer.run(signal));
+		const hostAnnouncer = new announcer.Announcer({
 			name: this.#options.settings.host.name,
 			announcement: announcer.describe(this.#options.settings),
 			store: this.#options.store,
@@ -175,13 +179,14 @@
 			clock: this.#options.clock,
 			random: this.#options.random,
 			decisions: log,
-		}).run(signal);
+		});
+		this.#tasks.keep('announcer', signal, async () => hostAnnouncer.run(signal));
 		await this.#serveHttp(listen.readiness, async () => [this.isReady ? 200 : 503, '']);
 		await this.#serveHttp(listen.metrics, async () => [200, await this.#options.metrics()]);
 		await this.#listener.listen(listen.caller);
 		log.record('started', {place: this.#options.settings.host.place, caller: listen.caller});
-		void this.#finishStartup();
-		void this.#openLinks();
+		this.#tasks.start('startup', async () => this.#finishStartup());
+		this.#tasks.keep('links', signal, async () => this.#openLinks());
 	}
 
 	/** Reports the host as not ready, waits for requests and transactions to end, and stops. */
@@ -234,7 +239,7 @@
 		while (!signal.aborted && !this.#canOpenLinks) {
 			try {
 				await transport.listen(listen.peer, accepted => {
-					void this.#servePeer(accepted);
+					this.#tasks.start('peer', async () => this.#servePeer(accepted));
 				});
 				this.#canOpenLinks = true;
 			} catch (error) {
@@ -291,7 +296,7 @@
 				firstWatchDelayMs,
 				coalesceMs: coalesceMs[cache.kind],
 			});
-			void cacheFollower.run(signal);
+			this.#tasks.keep(`follower of ${cache.kind}`, signal, async () => cacheFollower.run(signal));
 		}
 	}
 
@@ -328,11 +333,12 @@
 		}
 
 		const {signal} = this.#stopped;
-		void added.run(signal);
-		void this.#recorder.run(added, signal);
-		void new failover.Failover({
+		const groupFailover = new failover.Failover({
 			group: added, host: host.name, clock: time, random: source, authority: promotionAuthority, claims: this.#claims, decisions: log,
-		}).run(signal);
+		});
+		this.#tasks.keep(`group ${name}`, signal, async () => added.run(signal));
+		this.#tasks.keep(`in-sync set of ${name}`, signal, async () => this.#recorder.run(added, signal));
+		this.#tasks.keep(`failover of ${name}`, signal, async () => groupFailover.run(signal));
 	}
 
 	#updateServer(id: string, registration: types.Registration | undefined): void {
@@ -364,7 +370,7 @@
 				response.end(body);
 			};
 
-			void respond();
+			this.#tasks.start('http', respond);
 		});
 		await new Promise<void>((resolve, reject) => {
 			server.once('error', reject);
--- a/src/entry/follower.ts
+++ b/src/entry/follower.ts
@@ -82,13 +82,16 @@
 			return Either.isLeft(outcome) ? outcome : Either.right(false);
 		}
 
+		this.#recordUnreadable(outcome.right.unreadable);
 		const listed = outcome.right.revision;
 		if (listed < revision) {
 			record.record('list-ignored', {kind: cache.kind, revision, listed});
 			return errors.fail('store', 'store', cache.kind, `the list has revision ${listed}, the cache had ${revision} before`);
 		}
 
-		cache.apply({from: undefined, gone: [], ...outcome.right}, startedAt);
+		cache.apply({
+			from: undefined, gone: [], items: outcome.right.items, revision: listed,
+		}, startedAt);
 		return Either.right(false);
 	}
 
@@ -100,7 +103,8 @@
 			return Either.isLeft(outcome) ? outcome : Either.right(false);
 		}
 
-		const {changes, isLost: isHistoryLost} = outcome.right;
+		const {changes, isLost: isHistoryLost, unreadable} = outcome.right;
+		this.#recordUnreadable(unreadable);
 		if (isHistoryLost) {
 			record.record('history-lost', {kind: cache.kind, revision});
 			return Either.right(true);
@@ -121,6 +125,12 @@
 		return Either.right(false);
 	}
 
+	#recordUnreadable(faults: readonly string[]): void {
+		for (const fault of faults) {
+			this.#options.decisions.record('object-unreadable', {kind: this.#options.cache.kind, name: '', fault});
+		}
+	}
+
 	#updateReachability(outcome: errors.Outcome<boolean>): void {
 		const isReachable = Either.isRight(outcome);
 		if (isReachable !== this.#isReachable) {
--- a/src/entry/objects.ts
+++ b/src/entry/objects.ts
@@ -27,8 +27,12 @@
 	readonly fault: string;
 };
 
-/** All objects of a kind at a revision of the store. */
-export type Listing<K extends Kind> = {readonly items: ReadonlyArray<Item<K>>; readonly revision: number};
+/** All objects of a kind at a revision of the store. `unreadable` describes those without a valid name or revision. */
+export type Listing<K extends Kind> = {
+	readonly items: ReadonlyArray<Item<K>>;
+	readonly revision: number;
+	readonly unreadable: readonly string[];
+};
 
 /** A change of an object; without `item`, the object was removed. */
 export type Change<K extends Kind> = {readonly name: string; readonly item: Item<K> | undefined};
@@ -38,6 +42,8 @@
 	readonly changes: ReadonlyArray<Change<K>>;
 	readonly revision: number;
 	readonly isLost: boolean;
+	/** Changes of objects without a valid name or revision. */
+	readonly unreadable: readonly string[];
 };
 
 /** Failures have kind `store`; a write that is refused because of an earlier write has kind `conflict`. */
--- a/src/entry/tests/fake-cluster.ts
+++ b/src/entry/tests/fake-cluster.ts
@@ -429,7 +429,7 @@
 	override async list<K extends objects.Kind>(kind: K): Promise<errors.Outcome<objects.Listing<K>>> {
 		this.calls.push(`list ${kind}`);
 		const items = [...this.#items].filter(([key]) => key.startsWith(`${kind}/`)).map(([, item]) => item as objects.Item<K>);
-		return this.state === 'well' ? Either.right({items, revision: this.#revision}) : this.#unavailable();
+		return this.state === 'well' ? Either.right({items, revision: this.#revision, unreadable: []}) : this.#unavailable();
 	}
 
 	override async watch<K extends objects.Kind>(kind: K, revision: number): Promise<errors.Outcome<objects.Changes<K>>> {
@@ -440,13 +440,17 @@
 
 		if (this.isHistoryLost || revisions.split(revision).generation < revisions.split(this.#revision).generation) {
 			this.isHistoryLost = false;
-			return Either.right({changes: [], revision, isLost: true});
+			return Either.right({
+				changes: [], revision, isLost: true, unreadable: [],
+			});
 		}
 
 		const changes = this.#log
 			.filter(entry => entry.revision > revision && entry.key.startsWith(`${kind}/`))
 			.map(({key}) => ({name: key.slice(kind.length + 1), item: this.#items.get(key) as objects.Item<K> | undefined}));
-		return Either.right({changes, revision: this.#revision, isLost: false});
+		return Either.right({
+			changes, revision: this.#revision, isLost: false, unreadable: [],
+		});
 	}
 
 	override async read<K extends objects.Kind>(kind: K, name: string): Promise<errors.Outcome<objects.Item<K> | undefined>> {
--- a/src/entry/tests/follower.test.ts
+++ b/src/entry/tests/follower.test.ts
@@ -75,13 +75,15 @@
 	override async list<K extends objects.Kind>(kind: K): Promise<errors.Outcome<objects.Listing<K>>> {
 		await this.#time.sleep(storeLatencyMs);
 		this.calls.push(`list ${kind}`);
-		return Either.right({items: [], revision: 1});
+		return Either.right({items: [], revision: 1, unreadable: []});
 	}
 
 	override async watch<K extends objects.Kind>(kind: K, revision: number): Promise<errors.Outcome<objects.Changes<K>>> {
 		await this.#time.sleep(storeLatencyMs);
 		this.calls.push(`watch ${kind}`);
-		return Either.right({changes: [], revision, isLost: true});
+		return Either.right({
+			changes: [], revision, isLost: true, unreadable: [],
+		});
 	}
 }
 
--- a/src/entry/tests/synchronizer.test.ts
+++ b/src/entry/tests/synchronizer.test.ts
@@ -261,7 +261,8 @@
 function dropGenerations(host: Host, store: fakes.Objects): void {
 	host.store.list = async <K extends objects.Kind>(kind: K) => {
 		const outcome = await store.list(kind);
-		return Either.map(({items, revision}: objects.Listing<K>): objects.Listing<K> => ({
+		return Either.map(({items, revision, ...rest}: objects.Listing<K>): objects.Listing<K> => ({
+			...rest,
 			items: items.map(item => ({...item, revision: revisions.split(item.revision).counter})),
 			revision: revisions.split(revision).counter,
 		}))(outcome);
--- a/src/platform/decode.ts
+++ b/src/platform/decode.ts
@@ -11,11 +11,18 @@
 	primary: 'primary', bounded_staleness: 'aged', read_your_writes: 'session',
 };
 
+/** Name of the one object of its kind that holds the configuration. */
+const configurationName = 'main';
+
 type Decoder<T> = (name: string, value: unknown) => validation.Checked<T>;
 
 /** Decoders by kind of object. */
 export const decoders: {readonly [K in objects.Kind]: Decoder<objects.Values[K]>} = {
-	configuration(_name, stored) {
+	configuration(name, stored) {
+		if (name !== configurationName) {
+			return {value: undefined, fault: `the configuration is ${configurationName}`};
+		}
+
 		const {value, fault} = validation.check(validators.validateStoredConfiguration, stored);
 		return {value: value && toDeployment(value), fault};
 	},
@@ -59,6 +66,6 @@
 		slots: stored.slots,
 		state: stored.state === 'ready' ? 'ready' : 'leaving',
 		role: stored.dbRole,
-		startedAt: stored.born ?? 0,
+		startedAt: stored.born,
 	};
 }
--- a/src/platform/http.ts
+++ b/src/platform/http.ts
@@ -24,6 +24,9 @@
 /** Maximum number of open connections: one for each pending watch, and a few for other calls. */
 const maxOpenSockets = 12;
 
+/** Maximum size of a response body, several times that of a page of the store. */
+const maxBodyBytes = 16 * 1024 * 1024;
+
 /** Client of one address. */
 export class Client {
 	readonly #agent = new http.Agent({keepAlive: true, maxSockets: maxOpenSockets, noDelay: true});
@@ -60,8 +63,14 @@
 				headers: text === undefined ? headers : {...headers, 'content-type': 'application/json', 'content-length': buffer.Buffer.byteLength(text)},
 			}, response => {
 				const chunks: Uint8Array[] = [];
+				let bytes = 0;
 				response.on('data', (chunk: Uint8Array) => {
-					chunks.push(chunk);
+					bytes += chunk.length;
+					if (bytes > maxBodyBytes) {
+						request.destroy(new Error(`the response is larger than ${maxBodyBytes} bytes`));
+					} else {
+						chunks.push(chunk);
+					}
 				});
 				response.on('error', error => {
 					fail(error.message);
--- a/src/platform/objects.ts
+++ b/src/platform/objects.ts
@@ -8,6 +8,7 @@
 import type * as types from '../generated/types.js';
 import * as objects from '../entry/objects.js';
 import * as revisions from '../entry/revision.js';
+import * as validation from '../entry/validation.js';
 import * as decode from './decode.js';
 import type * as http from './http.js';
 
@@ -49,11 +50,12 @@
 
 	override async list<K extends objects.Kind>(kind: K): Promise<errors.Outcome<objects.Listing<K>>> {
 		const items: Array<objects.Item<K>> = [];
+		const unreadable: string[] = [];
 		let after = '';
 		// The revision of the first page. Later pages may be newer, and a watch from it only repeats changes that they contain.
 		let revision: number | undefined;
 		for (;;) {
-			const outcome = await this.#call({method: 'GET', path: `${pathOf(kind)}${after}`, timeoutMs});
+			const outcome = await this.#call({method: 'GET', path: `${pathOf(kind)}${after === '' ? '' : `?after=${encodeURIComponent(after)}`}`, timeoutMs});
 			if (Either.isLeft(outcome)) {
 				return outcome;
 			}
@@ -68,19 +70,27 @@
 				return errors.fail('store', 'store', kind, 'the store was restored between two pages of the list');
 			}
 
-			items.push(...body.items.map(item => toItem(kind, item, generation)));
-			const last = body.items.at(-1)?.meta.name;
-			if (!body.more || last === undefined) {
-				return Either.right({items, revision});
+			const page = readEach(validators.validateStoredObject, body.items);
+			items.push(...page.values.map(item => toItem(kind, item, generation)));
+			unreadable.push(...page.faults);
+			if (!body.more || body.items.length === 0) {
+				return Either.right({items, revision, unreadable});
 			}
 
-			after = `?after=${encodeURIComponent(last)}`;
+			const last = page.values.at(-1)?.meta.name;
+			if (last === undefined || last === after) {
+				return errors.fail('store', 'store', kind, `no name to continue the list from: ${page.faults[0] ?? 'a page was repeated'}`);
+			}
+
+			after = last;
 		}
 	}
 
 	override async watch<K extends objects.Kind>(kind: K, revision: number, waitMs: number): Promise<errors.Outcome<objects.Changes<K>>> {
 		const {generation, counter} = revisions.split(revision);
-		const lost = Either.right({changes: [], revision, isLost: true});
+		const lost = Either.right({
+			changes: [], revision, isLost: true, unreadable: [],
+		});
 		if (generation < this.#generation) {
 			return lost;
 		}
@@ -102,13 +112,17 @@
 			return lost;
 		}
 
-		return status === statusOk && responseGeneration === generation && validators.validateStoredEvents(body)
-			? Either.right({
-				changes: body.events.map(({object, tombstone}) => ({name: object.meta.name, item: tombstone ? undefined : toItem(kind, object, generation)})),
-				revision: revisions.combine({generation, counter: body.storeRevision}),
-				isLost: false,
-			})
-			: unexpectedResponse(kind, status);
+		if (status !== statusOk || responseGeneration !== generation || !validators.validateStoredEvents(body)) {
+			return unexpectedResponse(kind, status);
+		}
+
+		const events = readEach(validators.validateStoredEvent, body.events);
+		return Either.right({
+			changes: events.values.map(({object, tombstone}) => ({name: object.meta.name, item: tombstone ? undefined : toItem(kind, object, generation)})),
+			revision: revisions.combine({generation, counter: body.storeRevision}),
+			isLost: false,
+			unreadable: events.faults,
+		});
 	}
 
 	override async read<K extends objects.Kind>(kind: K, name: string): Promise<errors.Outcome<objects.Item<K> | undefined>> {
@@ -168,6 +182,15 @@
 	return `/objects/${storedNames[kind]}${name === undefined ? '' : `/${encodeURIComponent(name)}`}`;
 }
 
+/** Reads each value by itself. `faults` describes those that are left out. */
+function readEach<T>(validate: validation.Validator<T>, values: readonly unknown[]): {values: T[]; faults: string[]} {
+	const checked = values.map(value => validation.check(validate, value));
+	return {
+		values: checked.flatMap(({value}) => value === undefined ? [] : [value]),
+		faults: checked.flatMap(({fault}) => fault === '' ? [] : [fault]),
+	};
+}
+
 function toItem<K extends objects.Kind>(kind: K, {meta, spec}: types.StoredObject, generation: number): objects.Item<K> {
 	return {name: meta.name, revision: revisions.combine({generation, counter: meta.revision}), ...decode.decoders[kind](meta.name, spec)};
 }
--- a/src/platform/tests/http.test.ts
+++ b/src/platform/tests/http.test.ts
@@ -10,7 +10,8 @@
 
 const testTimeoutMs = 5000;
 
-type Reply = {readonly status: number; readonly body?: unknown; readonly era?: number};
+/** `text` is sent instead of `body`, for numbers and nesting that JSON.stringify can't produce. */
+type Reply = {readonly status: number; readonly body?: unknown; readonly text?: string; readonly era?: number};
 type ReceivedCall = {readonly method: string; readonly path: string; readonly headers: http.IncomingHttpHeaders; readonly body: string};
 
 /** Starts a server that responds with the result of `respond` and records the calls that it receives. */
@@ -26,9 +27,9 @@
 			method: request.method ?? '', path: request.url ?? '', headers: request.headers, body: chunks.map(chunk => new TextDecoder().decode(chunk)).join(''),
 		};
 		calls.push(call);
-		const {status, body, era} = await respond(call);
+		const {status, body, text, era} = await respond(call);
 		response.writeHead(status, {'content-type': 'application/json', ...(era === undefined ? {} : {'store-era': String(era)})});
-		response.end(body === undefined ? '' : JSON.stringify(body));
+		response.end(text ?? (body === undefined ? '' : JSON.stringify(body)));
 	});
 	await new Promise<void>(resolve => {
 		server.listen(0, '127.0.0.1', resolve);
@@ -228,3 +229,62 @@
 	const outcome = await created;
 	assert.ok(Either.isLeft(outcome), JSON.stringify(outcome));
 });
+
+/** Texts of objects that another writer may leave, most of which can't be read. */
+const nestingDepth = 100_000;
+const meta = '"meta":{"name":"i-x","revision":5}';
+const oddObjects = [
+	`{${meta},"spec":${'['.repeat(nestingDepth)}${']'.repeat(nestingDepth)}}`,
+	`{${meta},"spec":{"service":${'{"a":'.repeat(nestingDepth)}1${'}'.repeat(nestingDepth)}}}`,
+	`{${meta},"spec":${JSON.stringify({...server, slots: 0}).replace('"slots":0', '"slots":1e400')}}`,
+	`{${meta},"spec":${JSON.stringify({...server, address: '10.0.0.1:70000'})}}`,
+	`{${meta},"spec":"\\ud800"}`,
+	`{${meta}}`,
+	'{"meta":{"name":"i-x","revision":1e300},"spec":{}}',
+	'{"meta":{"name":"i-x","revision":-1},"spec":{}}',
+	String.raw`{"meta":{"name":"\ud800","revision":5},"spec":{}}`,
+	'{"meta":{"name":"","revision":5},"spec":{}}',
+	'{"meta":{"name":7,"revision":5},"spec":{}}',
+	'{"meta":null}',
+	'{}',
+	'null',
+	'7',
+	'[]',
+	'"text"',
+];
+
+test.test('guards against a list that stops, or a process that ends, at one odd entry of another writer', {timeout: testTimeoutMs}, async context => {
+	for (const odd of oddObjects) {
+		const [first, last] = [JSON.stringify(stored('i-1', server)), JSON.stringify(stored('i-2', server))];
+		const {client} = await serve(context, ({path}) => ({
+			status: 200, text: path.includes('after=')
+				? `{"items":[${last}],"more":false,"storeRevision":12}`
+				: `{"items":[${first},${odd}],"more":true,"storeRevision":11}`,
+		}));
+		const outcome = await new objects.Objects(client).list('servers');
+		assert.ok(Either.isRight(outcome), odd.slice(0, 80));
+		const {items, unreadable} = outcome.right;
+		assert.deepEqual(items.filter(({value}) => value !== undefined).map(({name}) => name), ['i-1', 'i-2']);
+		assert.equal(items.filter(({fault}) => fault !== '').length + unreadable.length, 1, odd.slice(0, 80));
+	}
+});
+
+test.test('guards against a watch that stops at one odd entry of another writer', {timeout: testTimeoutMs}, async context => {
+	for (const odd of oddObjects) {
+		const {client} = await serve(context, () => ({
+			status: 200, text: `{"events":[{"object":${odd},"tombstone":false},{"object":${JSON.stringify(stored('i-1', server))}}],"storeRevision":12}`,
+		}));
+		const outcome = await new objects.Objects(client).watch('servers', 5, 100);
+		assert.ok(Either.isRight(outcome), odd.slice(0, 80));
+		const {changes, unreadable} = outcome.right;
+		assert.deepEqual(changes.filter(({item}) => item?.value !== undefined).map(({name}) => name), ['i-1']);
+		assert.equal(changes.filter(({item}) => item !== undefined && item.fault !== '').length + unreadable.length, 1, odd.slice(0, 80));
+	}
+});
+
+test.test('guards against a list without an end whose pages have no name to continue from', {timeout: testTimeoutMs}, async context => {
+	const {client, calls} = await serve(context, () => ({status: 200, body: {items: [{meta: {name: 'i-1', revision: 3}}], more: true, storeRevision: 11}}));
+	const outcome = await new objects.Objects(client).list('servers');
+	assert.ok(Either.isLeft(outcome) && outcome.left.kind === 'store');
+	assert.equal(calls.length, 2);
+});
