Check the server to promote before each repeated order

Cause: an order names only the id, and nothing between two orders looked at the server that it stands for, although the host had logged its new start. The class is that of the late return: acting on what was true when the decision was taken. Ruled out: a host that doesn't learn of the restart.

Change: before each repeated order the target must be the incarnation that was chosen, respond, and hold the position of the choice, and the fence must hold; otherwise the attempt ends, pauses are lifted and the next attempt chooses.

--- a/scripts/mutate.js
+++ b/scripts/mutate.js
@@ -69,6 +69,7 @@
 	['let a leader lead on that returns during a promotion', 'failover', entry, 'entry/fence.js', 'await sent.stepDown(leader, term);', ''],
 	['pause replicas while another one may return', 'failover', entry, 'entry/failover.js', 'absent.length === 0', 'true'],
 	['repeat the order after the fence was breached', 'failover', entry, 'entry/failover.js', 'fence.breach === \'\'', 'true'],
+	['repeat the order for a server that started again without its log', 'failover', entry, 'entry/failover.js', 'checked = await this.#checkTarget(fence);', ''],
 	['count an unsynchronized server as evidence of the log end', 'failover', entry, 'entry/failover.js', 'responding.filter(({ member: server }) => server.isSynchronized)', 'responding'],
 	['promote while the server list still grows', 'failover', entry, 'entry/failover.js', 'now - lastAddedAt < membershipSettleMs', 'false'],
 	['pause replication above the next term', 'failover', entry, 'entry/failover.js', 'Math.max(...found.map(({ status }) => status.term)) + 1', 'Math.max(...found.map(({ status }) => status.term)) + 5'],
--- a/src/entry/failover.ts
+++ b/src/entry/failover.ts
@@ -326,14 +326,15 @@
 	}
 
 	/**
-	Requests the promotion until the authority responds, the fence is breached or another host has claimed the promotion, then waits
-	for the server to become leader.
+	Requests the promotion until the authority responds, the target may no longer be promoted or another host has claimed the
+	promotion, then waits for the server to become leader.
 	*/
 	async #promote(fence: fences.Fence, {service, token}: claims.Claim): Promise<errors.Outcome<member.Member>> {
 		const {target} = fence;
 		const deadline = this.#options.clock.now() + promoteTimeoutMs;
 		let outcome: errors.Outcome<authority.Result> = errors.fail('store', 'store', service, 'no promotion request was sent');
-		do {
+		let checked: errors.Outcome<void> = this.#checkIncarnation(target);
+		while (Either.isRight(checked)) {
 			outcome = await this.#options.authority.promote({
 				service, server: target.id, holder: this.#options.host, token,
 			});
@@ -345,7 +346,16 @@
 			}
 
 			await this.#options.clock.sleep(promoteRetryMs);
-		} while (this.#options.clock.now() < deadline && fence.breach === '' && !this.#options.claims.isClaimedByOther(service));
+			if (this.#options.clock.now() >= deadline || this.#options.claims.isClaimedByOther(service)) {
+				break;
+			}
+
+			checked = await this.#checkTarget(fence);
+		}
+
+		if (Either.isLeft(checked)) {
+			return checked;
+		}
 
 		if (Either.isLeft(outcome)) {
 			return outcome;
@@ -354,10 +364,34 @@
 		return outcome.right === 'accepted' ? this.#awaitLeadership(target) : errors.fail('conflict', 'store', service, 'the authority refused the promotion');
 	}
 
+	/**
+	Whether the target may still be promoted: an order names only its id, and until the order is repeated the server may have
+	started again without its log, or the fence may have been breached.
+	*/
+	async #checkTarget(fence: fences.Fence): Promise<errors.Outcome<void>> {
+		const {target, required} = fence;
+		const [current] = await this.#orders.status([target]);
+		if (!current) {
+			return errors.fail('not-run', 'observe', target.id, 'the server to promote no longer responds');
+		}
+
+		if (position.compare(current.status.position, required) < 0) {
+			return errors.fail('not-run', 'observe', target.id, `the server to promote has lost its log, it ended at ${position.format(required)}`);
+		}
+
+		return fence.breach === '' ? this.#checkIncarnation(target) : errors.fail('not-run', 'observe', target.id, fence.breach);
+	}
+
+	#checkIncarnation(target: member.Member): errors.Outcome<void> {
+		return this.#options.group.members.includes(target)
+			? Either.right(undefined)
+			: errors.fail('not-run', 'observe', target.id, 'the server to promote has started again or left');
+	}
+
 	async #awaitLeadership(target: member.Member): Promise<errors.Outcome<member.Member>> {
 		const {group: serviceGroup, clock: time} = this.#options;
 		const deadline = time.now() + leadershipTimeoutMs;
-		while (time.now() < deadline) {
+		while (time.now() < deadline && serviceGroup.members.includes(target)) {
 			if (serviceGroup.leader === target) {
 				return Either.right(target);
 			}
--- a/src/entry/tests/failover.test.ts
+++ b/src/entry/tests/failover.test.ts
@@ -265,6 +265,39 @@
 	await setup.stop();
 });
 
+// Guards against the loss of all commits: an order names only the id, and the server that was chosen starts again without its log.
+for (const isIgnoringStepDown of [false, true]) {
+	test.test(`a server that starts again without its log is not promoted by a repeated order, ${isIgnoringStepDown ? 'beside a leader that leads on' : 'after a step-down'}`, async () => {
+		const setup = new fixture.Fixture();
+		await setup.start();
+		await setup.startFailover();
+		const a = setup.cluster.get('a');
+		a.isIgnoringStepDown = isIgnoringStepDown;
+		setup.cluster.commit(a);
+		setup.authority.isUnavailable = true;
+		setup.group.register(setup.cluster.registration('a', {state: 'leaving'}));
+		await awaitPromotionRequest(setup);
+		const target = setup.cluster.get(setup.authority.requests[0].server);
+		target.index = 0;
+		target.heldTerm = 0;
+		target.isReplicationCut = true;
+		await setup.time.advance(100);
+		setup.group.register(setup.cluster.registration(target.name, {startedAt: 60_000}));
+		await setup.time.advance(400);
+		setup.authority.isUnavailable = false;
+		setup.authority.requests.length = 0;
+		await setup.time.advance(1500);
+		assert.ok(setup.authority.requests.every(({server}) => server !== target.name));
+		target.isReplicationCut = false;
+		setup.cluster.commit(a);
+		await setup.time.advance(6000);
+		assert.ok(setup.cluster.servers.find(({role}) => role === 'primary')!.index >= 1);
+		assert.ok(setup.group.leader && setup.group.leader.id !== 'a');
+		assert.deepEqual(setup.cluster.servers.filter(({heldTerm, term}) => heldTerm > term), []);
+		await setup.stop();
+	});
+}
+
 test.test('a leaving leader is replaced by a server that has every commit', async () => {
 	const setup = new fixture.Fixture();
 	await setup.start();
