Pause servers that did not respond when their group was queried

Cause, found by reading: the servers that a fence of pauses leaves alone were the members at the time of the pause, so one that registered during the step-down before it, or did not respond to the query, was never paused.

Change: only the old leader and the servers that responded are known to the fence; any other member is paused as soon as it responds.

Evidence: the tests of failover pass; no test of its own, since the window is that of one call.

--- a/src/entry/failover.ts
+++ b/src/entry/failover.ts
@@ -240,9 +240,9 @@
 
 	/** Pauses replication on the other candidates and chooses the one that can be promoted without losing an acknowledged commit. */
 	async #pauseReplicas(found: readonly candidates.Candidate[], reason: Reason, choice: Omit<fences.Choice, 'target'>): Promise<errors.Outcome<fences.Fence>> {
-		const known = this.#options.group.members;
-		const target = await this.#chooseTarget(found, reason, choice.term);
 		const servers = found.map(({member: server}) => server);
+		const known = choice.leader ? [...servers, choice.leader] : servers;
+		const target = await this.#chooseTarget(found, reason, choice.term);
 		if (Either.isLeft(target)) {
 			await this.#orders.resume(servers);
 			return target;
--- a/src/entry/fence.ts
+++ b/src/entry/fence.ts
@@ -113,7 +113,7 @@
 	readonly #known: readonly member.Member[];
 	readonly #held: Set<member.Member>;
 
-	/** `known` are the servers of the group that were queried, `paused` those of them that are paused. */
+	/** `known` are the old leader and the servers that responded to the query, `paused` those of them that are paused. */
 	constructor(context: Context, choice: Choice, known: readonly member.Member[], paused: readonly member.Member[]) {
 		super(context, choice);
 		this.#known = known;
@@ -137,7 +137,7 @@
 		await sent.resume(candidates.filter(({status}) => status.heldTerm === term && status.term < term).map(({member: server}) => server));
 	}
 
-	/** Also pauses servers that register meanwhile. */
+	/** Also pauses servers that register meanwhile, or that did not respond before. */
 	async #renewPauses(signal: AbortSignal): Promise<void> {
 		const {group: serviceGroup, clock: time} = this.context;
 		while (!signal.aborted) {
