Ask only a leader that responds to step down, and once

Cause, found by reading the change: a leader that crashed with commits pending counts as stalled before it counts as silent, so an attempt could wait up to 1.5 s for its answers to the step-down. Besides, the query after a step-down allowed one silent replica once the old leader no longer counted as leader.

Change: stalled and leaving wait until the leader responds again or counts as failed; the step-down is tried once in an attempt; one server may be silent only if no leader is named.

Evidence: two tests guard the outcomes, replacement within 3 s and no promotion without the silent replica. Neither fails without the change: the target of 3 s holds with three tries as well, and the window of the other is one call.

--- a/src/entry/failover.ts
+++ b/src/entry/failover.ts
@@ -106,8 +106,9 @@
 			return leaderlessSince !== undefined && now - leaderlessSince > leaderlessTimeoutMs ? 'leaderless' : undefined;
 		}
 
-		if (leader.failingSince !== undefined && now - leader.failingSince > unresponsiveTimeoutMs) {
-			return 'silent';
+		if (leader.failingSince !== undefined) {
+			// The other reasons ask the leader to step down, so they wait until it responds again or counts as failed.
+			return now - leader.failingSince > unresponsiveTimeoutMs ? 'silent' : undefined;
 		}
 
 		if (leader.stalledSince !== undefined && now - leader.stalledSince > stallTimeoutMs) {
@@ -182,7 +183,7 @@
 		const replicas = members.filter(server => server !== leader);
 		const responding = await this.#orders.status(replicas);
 		const synchronized = responding.filter(({member: server}) => server.isSynchronized);
-		if (synchronized.length < replicas.length + missing.length - (mayHaveLeader ? 1 : 0)) {
+		if (synchronized.length < replicas.length + missing.length - (!leader && mayHaveLeader ? 1 : 0)) {
 			const lacking = [...replicas.filter(server => !synchronized.some(entry => entry.member === server)).map(({id}) => id), ...missing];
 			return errors.fail('not-run', 'observe', name, `${lacking.join(', ')} may hold acknowledged commits but did not respond, or lost its log`);
 		}
--- a/src/entry/orders.ts
+++ b/src/entry/orders.ts
@@ -49,14 +49,17 @@
 		await Promise.all(servers.map(async server => this.#send(server, {kind: 'resume'})));
 	}
 
-	/** Tells a server to give up the lead of all terms below `term`, and returns its status after that. */
+	/**
+	Tells a server to give up the lead of all terms below `term`, and returns its status after that. Makes one attempt: a leader
+	that doesn't answer may have failed, and is then replaced without it.
+	*/
 	async stepDown(server: member.Member, term: number): Promise<errors.Outcome<candidate.Candidate>> {
-		return this.#send(server, {kind: 'step-down', term});
+		return this.#send(server, {kind: 'step-down', term}, 1);
 	}
 
-	async #send(server: member.Member, command: statement.Command): Promise<errors.Outcome<candidate.Candidate>> {
+	async #send(server: member.Member, command: statement.Command, attempts = maxAttempts): Promise<errors.Outcome<candidate.Candidate>> {
 		let outcome: errors.Outcome<candidate.Candidate> = errors.fail('not-run', 'send', server.id, 'no request was sent');
-		for (let attempt = 0; attempt < maxAttempts; attempt++) {
+		for (let attempt = 0; attempt < attempts; attempt++) {
 			const sentAt = this.#options.clock.now();
 			const acquired = await server.pool.acquire(requestTimeoutMs);
 			if (Either.isLeft(acquired)) {
--- a/src/entry/tests/failover.test.ts
+++ b/src/entry/tests/failover.test.ts
@@ -241,6 +241,39 @@
 	await setup.stop();
 });
 
+// Guards against the loss of a commit held by a replica that becomes silent after the leader has stepped down.
+test.test('a replica that stops responding after the step-down is missed', async () => {
+	const setup = new fixture.Fixture();
+	await setup.start();
+	await setup.startFailover();
+	const [a, b, c] = setup.cluster.servers;
+	c.isReplicationCut = true;
+	assert.equal(setup.cluster.commit(a), true);
+	setup.group.register(setup.cluster.registration('a', {state: 'leaving'}));
+	for (let waitedMs = 0; a.role === 'primary' && waitedMs < 2000; waitedMs++) {
+		await setup.time.advance(1);
+	}
+
+	b.isUnresponsive = true;
+	await setup.time.advance(8000);
+	assert.ok(setup.authority.requests.every(({server}) => server !== 'c'));
+	assert.equal(setup.cluster.servers.find(({role}) => role === 'primary')?.name, 'a');
+	await setup.stop();
+});
+
+// Guards against a failover that waits for the answer of a dead leader to an order.
+test.test('a leader that fails while commits are pending is replaced within 3 s', async () => {
+	const setup = new fixture.Fixture();
+	await setup.start();
+	await setup.startFailover();
+	// The commits stall before the probes of the leader fail.
+	setup.group.leader?.commitSent(setup.time.now() - 500);
+	setup.cluster.get('a').isUnresponsive = true;
+	await setup.time.advance(3000);
+	assert.notEqual(setup.group.leader?.id, 'a');
+	await setup.stop();
+});
+
 // Guards against orders for a server that lacks commits acknowledged since it was chosen.
 test.test('a promotion is given up if another server acknowledged commits that the target lacks', async () => {
 	const setup = new fixture.Fixture();
