Shorten the delay before a failed store is called again in the callers' tests

Cause: the test starts a host while the store is down. The host calls the store again after a random delay of up to 10 s (storeReturnMs), as it is meant to, and the deployment waits 10 s for it.

Change: the deployment of these tests sets the delay to 1 s. No check and no bound changed.

--- a/src/caller/tests/session.test.ts
+++ b/src/caller/tests/session.test.ts
@@ -42,9 +42,12 @@
 
 type Fixture = {site: deployment.Deployment; relay: Relay; session: caller.session.Session; hosts: string[]};
 
+/** A host calls a failed store again after a random delay of up to 10 s by default, as long as a deployment waits for a host. */
+const timing = 'storeReturnMs = 1000';
+
 async function withSession(body: (fixture: Fixture) => Promise<void>, lagMs = 10): Promise<void> {
 	const site = await deployment.Deployment.start({
-		places: ['p-1', 'p-2', 'p-3'], hosts: ['p-2', 'p-3'], schema, classes, lagMs,
+		places: ['p-1', 'p-2', 'p-3'], hosts: ['p-2', 'p-3'], schema, classes, lagMs, timing,
 	});
 	const [first = 0, second = 0] = site.entries.map(({ports}) => ports.caller);
 	const relay = new Relay(first);
