Don't count commits that wait for a replica as the silence of their leader

One host took a primary that ran on for six others for silent, 960 ms at once, and replaced it without a step-down.

Cause: commits that wait for a replica held all connections of the host's pool, so no probe was sent; further connections were refused at the server's limit; the first commit that timed out then counted as a failure since it was sent.

Change: a write that gets no reply is no sign of silence, probes show that. A refusal at the limit is no failure while the server has responded within 3 s.

--- a/src/core/pool.ts
+++ b/src/core/pool.ts
@@ -34,6 +34,11 @@
 	readonly isPreferred?: (connection: C) => boolean;
 	/** `fail` by default, so that the request can try another server. */
 	readonly atLimit?: LimitPolicy;
+	/**
+	Whether the request is for a probe or an order. It is served first, and may open one connection above the pool's limit,
+	since the others may all be held by statements that wait.
+	*/
+	readonly isControl?: boolean;
 };
 
 type Idle<C> = {readonly connection: C; readonly since: number};
@@ -91,7 +96,17 @@
 
 	/** Whether this pool has no connection and the server recently refused one at its limit. */
 	get isBlockedByLimit(): boolean {
-		return this.#held.size + this.#idle.length === 0 && this.#clock.now() - this.#refusedAt < limitMemoryMs;
+		return this.#held.size + this.#idle.length === 0 && this.wasRefused;
+	}
+
+	/** Whether the server recently refused a connection at its limit, so that a missing connection is no sign of a failure. */
+	get wasRefused(): boolean {
+		return this.#clock.now() - this.#refusedAt < limitMemoryMs;
+	}
+
+	/** The limit, with one more connection while a probe or an order waits. */
+	get #effectiveLimit(): number {
+		return this.#connectionLimit + (this.#waiters[0]?.request.isControl ? 1 : 0);
 	}
 
 	get #isBackingOff(): boolean {
@@ -222,7 +237,7 @@
 				}
 			};
 
-			this.#waiters.push(waiter);
+			this.#enqueue(waiter);
 			signal?.addEventListener('abort', cancel);
 			this.#serveWaiters();
 			if (!settled.signal.aborted) {
@@ -231,6 +246,12 @@
 		});
 	}
 
+	/** Adds a waiter: those for probes and orders before the others. */
+	#enqueue(waiter: Waiter<C>): void {
+		const index = waiter.request.isControl ? this.#waiters.findIndex(({request}) => !request.isControl) : -1;
+		this.#waiters.splice(index === -1 ? this.#waiters.length : index, 0, waiter);
+	}
+
 	/** Serves waiters from idle connections, then by opening connections up to the limit. */
 	#serveWaiters(): void {
 		for (let idle = this.#nextIdle(); idle; idle = this.#nextIdle()) {
@@ -273,7 +294,7 @@
 	#useIdle(idle: Idle<C>): void {
 		const {connection, since} = idle;
 		const isOld = this.#clock.now() - since > this.#limits.idleLimitMs;
-		if (!connection.isOpen || isOld || this.open >= this.#connectionLimit) {
+		if (!connection.isOpen || isOld || this.open >= this.#effectiveLimit) {
 			connection.close();
 		} else if (this.#isRecentlyUsed(idle)) {
 			this.#assign(connection);
@@ -283,7 +304,7 @@
 	}
 
 	#needsConnection(expectedConnections: number): boolean {
-		return !this.#isClosed && this.#waiters.length > expectedConnections && this.open < this.#connectionLimit && !this.#isBackingOff;
+		return !this.#isClosed && this.#waiters.length > expectedConnections && this.open < this.#effectiveLimit && !this.#isBackingOff;
 	}
 
 	/** Obtains a connection for the waiters, and opens a second one in parallel if a `first` attempt is slow. */
@@ -381,7 +402,7 @@
 	}
 
 	#makeAvailable(connection: C): void {
-		if (!connection.isOpen || this.#isClosed || this.open >= this.#connectionLimit) {
+		if (!connection.isOpen || this.#isClosed || this.open >= this.#effectiveLimit) {
 			connection.close();
 		} else if (this.#waiters.length > 0) {
 			this.#assign(connection);
--- a/src/entry/group.ts
+++ b/src/entry/group.ts
@@ -41,6 +41,10 @@
 const clockErrorMs = 5;
 /** Timeout of a request that takes no execution slot on the server. */
 const probeTimeoutMs = 300;
+/** Time after the last response for which refused connections show that a server responds; a proxy may reset all of them. */
+const maxRefusalMs = 3000;
+/** Time without a response after which a probe may use a connection above the limit of the pool. */
+const controlAfterMs = 300;
 /**
 Idle time after which connections above the soft limit are closed. It is short, since servers count open connections for
 several seconds after their host lost power, and the host can't reopen them meanwhile.
@@ -380,10 +384,13 @@
 
 	async #sendBegin(server: member.Member): Promise<void> {
 		const startedAt = this.#options.clock.now();
-		const acquired = await server.pool.acquire(probeTimeoutMs);
+		// Statements that wait may hold all connections for longer than a failure takes to be noticed.
+		const isControl = startedAt - server.lastResponseAt > controlAfterMs;
+		const acquired = await server.pool.acquire(probeTimeoutMs, {isControl});
 		if (Either.isLeft(acquired)) {
-			// While all connections are in use, the outcomes of their requests show whether the server responds.
-			if (server.pool.busy === 0) {
+			// A shortage of connections is no failure: statements use them, or the server has refused one at its limit.
+			const isRefused = server.pool.wasRefused && startedAt - server.lastResponseAt < maxRefusalMs;
+			if ((server.pool.busy === 0 || isControl) && !isRefused) {
 				server.recordFailure(startedAt);
 			}
 
--- a/src/entry/lease.ts
+++ b/src/entry/lease.ts
@@ -52,7 +52,10 @@
 		const startedAt = this.#clock.now();
 		const outcome = await this.#awaitReply(applied, this.#connection.send(this.#createCommand(work, minPosition), timeoutMs));
 		if (Either.isLeft(outcome)) {
-			this.member.recordFailure(startedAt);
+			// A write waits for the replicas, so its timeout doesn't show that the server is silent. Probes show that.
+			if (work.mode === 'read') {
+				this.member.recordFailure(startedAt);
+			}
 		} else {
 			this.member.recordResponse(this.#clock.now() - startedAt);
 			this.member.recordPosition(outcome.right.position);
--- a/src/entry/tests/failover.test.ts
+++ b/src/entry/tests/failover.test.ts
@@ -1,5 +1,6 @@
 import * as assert from 'node:assert/strict';
 import * as test from 'node:test';
+import * as writes from '../write.js';
 import * as fixture from './fixture.js';
 
 /** Advances the clock until the authority has received a request. */
@@ -226,6 +227,30 @@
 	await setup.stop();
 });
 
+// Guards against the promotion of another server while the leader only lacks a replica: the commits that wait fill the pool
+// of a host, so that it could not probe the leader, and the first one that timed out counted as a long silence.
+test.test('a leader whose commits wait and which refuses further connections does not count as silent', async () => {
+	const setup = new fixture.Fixture();
+	await setup.start();
+	await setup.startFailover();
+	const [a, b, c] = setup.cluster.servers;
+	setup.cluster.requiresReplica = true;
+	a.isIgnoringStepDown = true;
+	b.isUnresponsive = true;
+	setup.group.markMissing('b');
+	await setup.time.advance(8000);
+	c.isReplicationCut = true;
+	const writer = new writes.Writer(setup.context);
+	const replies = Array.from({length: 4}, async (_, index) => writer.execute(setup.statementJob(`WRITE ${index} x`, {id: `q${index}`})));
+	await setup.time.advance(20);
+	a.isAtLimit = true;
+	await setup.time.advance(1500);
+	await Promise.all(replies);
+	assert.notEqual(setup.failover.reason(), 'silent');
+	assert.deepEqual(setup.authority.requests, []);
+	await setup.stop();
+});
+
 // Guards against commits that a leader acknowledges which was silent when it was replaced and returns before the new one leads.
 test.test('a silent leader that returns during a promotion steps down', async () => {
 	const setup = new fixture.Fixture();
