--- a/src/entry/claims.ts
+++ b/src/entry/claims.ts
@@ -17,6 +17,8 @@
 	readonly clock: clock.Clock;
 	readonly random: random.Source;
 	readonly decisions: decisions.Decisions;
+	/** Called with each new claim of another host in a service, and its fencing token. */
+	readonly onClaim?: (service: string, token: number) => void;
 };
 
 /** A claim held by this host, with its fencing token. */
@@ -72,6 +74,9 @@
 		this.#entries.set(service, {
 			revision, value, receivedAt: this.#options.clock.now(), nonces,
 		});
+		if (value && value.holder !== this.#options.host) {
+			this.#options.onClaim?.(service, revision);
+		}
 	}
 
 	/** Whether any host has ever claimed a promotion in the service. */
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -20,12 +20,14 @@
 import * as follower from './follower.js';
 import * as forwarder from './forwarder.js';
 import * as groups from './group.js';
+import * as hosts from './hosts.js';
 import type * as jobs from './job.js';
 import * as local from './local.js';
 import type * as objects from './objects.js';
 import type * as notices from './notice.js';
 import * as caches from './cache.js';
 import * as recorders from './recorder.js';
+import * as reporters from './reporter.js';
 import * as responders from './responder.js';
 import * as retentions from './retention.js';
 import * as sessions from './session.js';
@@ -88,6 +90,8 @@
 	readonly #responders = new Set<responders.Responder>();
 	readonly #fleet: fleet.Fleet;
 	readonly #context: jobs.Context;
+	readonly #hosts: hosts.Hosts;
+	readonly #reporter: reporters.Reporter;
 	readonly #local: local.Local;
 	readonly #claims: claims.Claims;
 	readonly #recorder: recorders.Recorder;
@@ -107,7 +111,14 @@
 		this.#tasks = new tasks.Tasks(options);
 		this.#deployment = new deployments.Deployment(time, log);
 		this.#claims = new claims.Claims({
-			host: host.name, store: options.store, clock: time, random: options.random, decisions: log,
+			host: host.name,
+			store: options.store,
+			clock: time,
+			random: options.random,
+			decisions: log,
+			onClaim: (service, token) => {
+				this.#groups.get(service)?.confirmations.recordClaim(token);
+			},
 		});
 		this.#recorder = new recorders.Recorder({
 			store: options.store, clock: time, random: options.random, decisions: log, revision: () => this.#caches.servers.revision ?? 0,
@@ -122,6 +133,8 @@
 			connectionLimit: service => this.#deployment.content?.databases.find(({name}) => name === service)?.connectionLimit ?? 1,
 			serverPlaces: service => new Set([...this.#registrations.values()].filter(server => server.service === service).map(({place}) => place)),
 		});
+		this.#hosts = new hosts.LinkedHosts({clock: time, colleagues: service => this.#canOpenLinks ? this.#fleet.colleagues(service) : []});
+		this.#reporter = new reporters.Reporter({clock: time, decisions: log, findGroup: service => this.#groups.get(service)});
 		this.#local = new local.Local(this.#context, service => this.#groups.get(service));
 		this.#sessionOptions = {
 			context: this.#context,
@@ -262,7 +275,9 @@
 
 	/** Executes the requests of another host that arrive over a link opened by that host. */
 	async #servePeer(accepted: link.Link<types.EntryMessage>): Promise<void> {
-		const responder = new responders.Responder(accepted, {executor: this.#local, context: this.#context, caches: this.#caches});
+		const responder = new responders.Responder(accepted, {
+			executor: this.#local, context: this.#context, caches: this.#caches, reporter: this.#reporter,
+		});
 		this.#responders.add(responder);
 		if (this.#isDraining) {
 			responder.drain();
@@ -322,7 +337,7 @@
 	#addGroup(name: string): void {
 		const {clock: time, random: source, decisions: log, connect, authority: promotionAuthority, settings: {host}} = this.#options;
 		const added = new groups.Group({
-			name, clock: time, decisions: log, connect,
+			name, clock: time, decisions: log, connect, isIsolated: () => this.#isIsolated(name),
 		});
 		this.#groups.set(name, added);
 		this.#updateQuotas();
@@ -334,13 +349,27 @@
 
 		const {signal} = this.#stopped;
 		const groupFailover = new failover.Failover({
-			group: added, host: host.name, clock: time, random: source, authority: promotionAuthority, claims: this.#claims, decisions: log,
+			group: added, host: host.name, clock: time, random: source, authority: promotionAuthority, claims: this.#claims, hosts: this.#hosts, decisions: log,
 		});
 		this.#tasks.keep(`group ${name}`, signal, async () => added.run(signal));
 		this.#tasks.keep(`in-sync set of ${name}`, signal, async () => this.#recorder.run(added, signal));
 		this.#tasks.keep(`failover of ${name}`, signal, async () => groupFailover.run(signal));
 	}
 
+	/**
+	Whether this host would not learn of a claim: its view of the store is old, and no link to or from another host is open.
+	The age is that of the servers' list, which is confirmed every few seconds.
+	*/
+	#isIsolated(service: string): boolean {
+		const maxAgeMs = this.#options.settings.consistency.configurationMs * synchronizer.maxAgeFraction;
+		if (this.#caches.servers.ageMs <= maxAgeMs || this.#fleet.hasOpenLink || this.#responders.size > 0) {
+			return false;
+		}
+
+		this.#hosts.prepare(service);
+		return this.#fleet.colleagues(service).length > 0;
+	}
+
 	#updateServer(id: string, registration: types.Registration | undefined): void {
 		this.#fleet.invalidate();
 		const known = this.#registrations.get(id);
--- a/src/entry/fleet.ts
+++ b/src/entry/fleet.ts
@@ -123,6 +123,23 @@
 		return owners[0] !== 'local' && (owners[1] === 'local' || this.#roundRobin % 2 === 0) ? owners.toReversed() : owners;
 	}
 
+	/**
+	The other hosts that may use connections of their own to a service's servers: all of them, or the first in rank of each
+	region, with one more in each for the time while the owners change.
+	*/
+	colleagues(service: string): peers.Peer[] {
+		const {self: {name: self}} = this.#options;
+		const names = this.isDirect(service)
+			? [...this.#hosts.keys()]
+			: this.#regions.flatMap(region => placement.rank(this.#view(service, region)).slice(0, placement.ownersPerRegion + 1).map(({name}) => name));
+		return names.filter(name => name !== self).flatMap(name => this.#peer(name) ?? []);
+	}
+
+	/** Whether a link to another host is open. */
+	get hasOpenLink(): boolean {
+		return [...this.#peers.values()].some(({isOpen}) => isOpen);
+	}
+
 	/** The host that follows the store for its region, chosen among hosts that are not `excluded`; `undefined` if it is this host. */
 	observer(excluded: ReadonlySet<string>): peers.Peer | undefined {
 		const {self} = this.#options;
@@ -155,13 +172,22 @@
 	}
 
 	#rank(service: string): readonly string[] {
-		const {self, connectionLimit, serverPlaces} = this.#options;
-		const view = {
-			hosts: [...this.#hosts.values()], region: self.region, service, serverPlaces: serverPlaces(service), connectionLimit: connectionLimit(service),
-		};
+		const {self} = this.#options;
+		const view = this.#view(service, self.region);
 		return placement.isDirect(view) ? [self.name] : placement.rank(view).map(({name}) => name);
 	}
 
+	get #regions(): string[] {
+		return [...new Set([...this.#hosts.values()].map(({region}) => region))];
+	}
+
+	#view(service: string, region: string): placement.View {
+		const {connectionLimit, serverPlaces} = this.#options;
+		return {
+			hosts: [...this.#hosts.values()], region, service, serverPlaces: serverPlaces(service), connectionLimit: connectionLimit(service),
+		};
+	}
+
 	#peer(name: string): peers.Peer | undefined {
 		const known = this.#peers.get(name);
 		const host = this.#hosts.get(name);
--- a/src/entry/group.ts
+++ b/src/entry/group.ts
@@ -13,6 +13,7 @@
 import * as notifier from '../core/notifier.js';
 import * as position from '../core/position.js';
 import type * as backend from './backend.js';
+import * as confirmations from './confirmation.js';
 import type * as decisions from './decisions.js';
 import * as insync from './insync.js';
 import * as member from './member.js';
@@ -30,6 +31,8 @@
 	readonly decisions: decisions.Decisions;
 	/** Creates the client for a registered server. */
 	readonly connect: (registration: types.Registration) => backend.Server;
+	/** Whether this host can neither see the store nor be reached by another host. */
+	readonly isIsolated: () => boolean;
 };
 
 /** Age at which the read index is refreshed, so that bounded-staleness reads find a recent one without a round trip. */
@@ -67,6 +70,8 @@
 export class Group {
 	/** Notified when the leader, the read indexes or the servers change. */
 	readonly changed = new notifier.Notifier();
+	/** Decides which commits may be confirmed to their callers. */
+	readonly confirmations: confirmations.Confirmations;
 	readonly #options: Options;
 	readonly #members = new Map<string, member.Member>();
 	/** Ids of servers with a leader probe in flight. */
@@ -92,6 +97,7 @@
 	constructor(options: Options) {
 		this.#options = options;
 		this.#inSync = new insync.InSync(options.clock);
+		this.confirmations = new confirmations.Confirmations(options);
 		this.#leaderlessSince = options.clock.now();
 	}
 
@@ -288,7 +294,7 @@
 				return;
 			}
 
-			this.#setLeader(server);
+			this.#setLeader(server, logEnd.term);
 		}
 
 		const latest = this.#readIndexes.at(-1);
@@ -306,6 +312,14 @@
 		}
 	}
 
+	/** Records that the leader has confirmed that it stepped down. Replies to earlier requests no longer confirm it. */
+	recordStepDown(server: member.Member): void {
+		this.#confirmedAt = this.#options.clock.now();
+		if (this.#leader === server) {
+			this.#clearLeader('the server stepped down');
+		}
+	}
+
 	/** The leader, after waiting up to `timeoutMs` for one to be found. */
 	async awaitLeader(timeoutMs: number): Promise<member.Member | undefined> {
 		const deadline = this.#options.clock.now() + timeoutMs;
@@ -345,6 +359,11 @@
 		}
 	}
 
+	/** Checks at once whether a server responds, also while statements hold all connections to it. */
+	async verifyResponse(server: member.Member): Promise<void> {
+		await this.#sendBegin(server, true);
+	}
+
 	/** Updates the server's status and the leader from the outcome of a plain BEGIN sent at `sentAt`. */
 	recordBegin(server: member.Member, sentAt: clock.Mark, outcome: errors.Outcome<statement.Reply>): void {
 		if (Either.isLeft(outcome)) {
@@ -382,10 +401,10 @@
 		}
 	}
 
-	async #sendBegin(server: member.Member): Promise<void> {
+	async #sendBegin(server: member.Member, isUrgent = false): Promise<void> {
 		const startedAt = this.#options.clock.now();
 		// Statements that wait may hold all connections for longer than a failure takes to be noticed.
-		const isControl = startedAt - server.lastResponseAt > controlAfterMs;
+		const isControl = isUrgent || startedAt - server.lastResponseAt > controlAfterMs;
 		const acquired = await server.pool.acquire(probeTimeoutMs, {isControl});
 		if (Either.isLeft(acquired)) {
 			// A shortage of connections is no failure: statements use them, or the server has refused one at its limit.
@@ -501,11 +520,12 @@
 		this.changed.notify();
 	}
 
-	#setLeader(server: member.Member): void {
+	#setLeader(server: member.Member, term: number): void {
 		const replaced = this.#leader;
 		this.#leader = server;
 		this.#removedLeader = undefined;
 		this.#leaderEpoch++;
+		this.confirmations.recordLeader(term);
 		this.#readIndexes = [];
 		this.#options.decisions.record('leader-found', {
 			service: this.name, server: server.id, replaced: replaced?.id ?? '', leaderlessMs: replaced ? 0 : Math.round(this.#options.clock.now() - this.#leaderlessSince),
--- /dev/null
+++ b/src/entry/hosts.ts
@@ -0,0 +1,98 @@
+/**
+The other hosts that work in a service, as a failover asks them: whether the leader responds to them, and for orders that
+this host can't deliver itself. What one host sees is no evidence that a server has failed (indirect probes of SWIM,
+the quorum of observers of Sentinel).
+*/
+import * as Either from 'fp-ts/lib/Either.js';
+import type * as types from '../generated/types.js';
+import type * as clock from '../core/clock.js';
+import type * as peers from './peer.js';
+
+/** A question to all other hosts, with the order that they carry out first. */
+export type Question = Omit<types.LeaderInquiry, 'kind' | 'id'>;
+
+/** The reports of the hosts that answered in time. */
+export type Answers = {readonly reports: readonly types.LeaderReport[]; readonly isComplete: boolean};
+
+/** Asks the other hosts. */
+export abstract class Hosts {
+	/** Prepares for questions about a service, so that the first one doesn't wait for links. */
+	abstract prepare(service: string): void;
+
+	/**
+	Sends a question to every host that works in the service, and waits a short time for the answers, or for the first one that
+	`isSufficient` accepts.
+	*/
+	abstract ask(question: Question, isSufficient?: (report: types.LeaderReport) => boolean): Promise<Answers>;
+}
+
+/** Time for an answer: a round trip between regions, a probe of the leader, and the opening of a link. */
+const answerTimeoutMs = 250;
+/** Time after a missing answer for which the next answer of that host isn't awaited, unless its link is open. */
+const skipAfterSilenceMs = 5000;
+
+export type Options = {
+	readonly clock: clock.Clock;
+	/** Links to the hosts that work in a service, other than this one. */
+	readonly colleagues: (service: string) => readonly peers.Peer[];
+};
+
+/** Asks over links. */
+export class LinkedHosts extends Hosts {
+	readonly #options: Options;
+	/** Clock time of the last missing answer, by name of the host. */
+	readonly #silentAt = new Map<string, number>();
+
+	constructor(options: Options) {
+		super();
+		this.#options = options;
+	}
+
+	override prepare(service: string): void {
+		for (const peer of this.#options.colleagues(service)) {
+			peer.connect();
+		}
+	}
+
+	override async ask(question: Question, isSufficient: (report: types.LeaderReport) => boolean = () => false): Promise<Answers> {
+		const asked = this.#options.colleagues(question.service);
+		const reports: types.LeaderReport[] = [];
+		await new Promise<void>(resolve => {
+			const add = async (peer: peers.Peer): Promise<void> => {
+				const report = await this.#askOne(peer, question);
+				if (report) {
+					reports.push(report);
+				}
+
+				if (report && isSufficient(report)) {
+					resolve();
+				}
+			};
+
+			void this.#resolveAfter(asked.map(async peer => add(peer)), resolve);
+		});
+		return {reports: [...reports], isComplete: reports.length === asked.length};
+	}
+
+	async #resolveAfter(tasks: ReadonlyArray<Promise<void>>, resolve: () => void): Promise<void> {
+		await Promise.all(tasks);
+		resolve();
+	}
+
+	async #askOne(peer: peers.Peer, question: Question): Promise<types.LeaderReport | undefined> {
+		const isSkipped = !peer.isOpen && this.#options.clock.now() - (this.#silentAt.get(peer.name) ?? Number.NEGATIVE_INFINITY) < skipAfterSilenceMs;
+		const answer = this.#receive(peer, question);
+		return isSkipped ? undefined : answer;
+	}
+
+	async #receive(peer: peers.Peer, question: Question): Promise<types.LeaderReport | undefined> {
+		const outcome = await peer.inquire(question, answerTimeoutMs);
+		if (Either.isRight(outcome)) {
+			this.#silentAt.delete(peer.name);
+			return outcome.right;
+		}
+
+		this.#silentAt.set(peer.name, this.#options.clock.now());
+		return undefined;
+	}
+}
--- a/src/entry/orders.ts
+++ b/src/entry/orders.ts
@@ -20,6 +20,8 @@
 /** Timeout of one request to a server, and the number of attempts. */
 const requestTimeoutMs = 500;
 const maxAttempts = 3;
+/** Timeout of an order that is sent while the service has no leader. */
+const urgentTimeoutMs = 200;
 
 /** Sends orders and records their answers. */
 export class Orders {
@@ -35,6 +37,12 @@
 		return outcomes.flatMap(outcome => Either.isRight(outcome) ? [outcome.right] : []);
 	}
 
+	/** Like `status`, but with one short attempt, for the time in which the service has no leader. */
+	async urgentStatus(servers: readonly member.Member[]): Promise<candidate.Candidate[]> {
+		const outcomes = await Promise.all(servers.map(async server => this.#options.clock.limit(this.#send(server, {kind: 'status'}, 1), urgentTimeoutMs)));
+		return outcomes.flatMap(outcome => outcome && Either.isRight(outcome) ? [outcome.right] : []);
+	}
+
 	/** Pauses replication on the servers and returns their status. Errors: those of the first server that failed. */
 	async pause(servers: readonly member.Member[], term: number): Promise<errors.Outcome<candidate.Candidate[]>> {
 		const outcomes = await Promise.all(servers.map(async server => this.#send(server, {kind: 'pause', term})));
--- a/src/entry/peer.ts
+++ b/src/entry/peer.ts
@@ -23,7 +23,7 @@
 /** A request that has a reply. */
 export type Request = types.RunRequest | types.BeginRequest | types.StatementRequest | types.CommitRequest;
 type WithoutId<T> = T extends Request ? Omit<T, 'id'> : never;
-type Pending = {readonly delivery: link.Delivery; readonly settle: (outcome: errors.Outcome<statement.Reply>) => void};
+type Pending<T> = {readonly delivery: link.Delivery; readonly settle: (outcome: errors.Outcome<T>) => void};
 
 /** A subscription to the peer's caches of the store's objects: the revisions already known, and the receiver of updates. */
 export type Subscription = {
@@ -39,7 +39,8 @@
 /** A client for one other host. */
 export class Peer {
 	readonly #options: Options;
-	readonly #pending = new Map<number, Pending>();
+	readonly #pending = new Map<number, Pending<statement.Reply>>();
+	readonly #inquiries = new Map<number, Pending<types.LeaderReport>>();
 	#link: link.Link<types.EntryMessage> | undefined;
 	#opening: Promise<link.Link<types.EntryMessage> | undefined> | undefined;
 	#failedAt = Number.NEGATIVE_INFINITY;
@@ -83,19 +84,15 @@
 	was lost after the write.
 	*/
 	async request(request: WithoutId<Request>, timeoutMs: number): Promise<errors.Outcome<statement.Reply>> {
-		const opened = await this.#awaitLink(Math.min(openTimeoutMs, timeoutMs));
-		if (!opened) {
-			return errors.fail('not-run', 'forward', this.name, 'no link could be opened');
-		}
+		return this.#send(this.#pending, id => ({...request, id}), timeoutMs);
+	}
 
-		this.#lastId++;
-		const id = this.#lastId;
-		const replied = new Promise<errors.Outcome<statement.Reply>>(resolve => {
-			this.#pending.set(id, {delivery: opened.send({...request, id}), settle: resolve});
-		});
-		const outcome = await this.#options.clock.limit(replied, timeoutMs);
-		this.#pending.delete(id);
-		return outcome ?? errors.fail('outcome-unknown', 'forward', this.name, `no reply within ${Math.round(timeoutMs)} ms`);
+	/** Asks about the leader of a service, with the failures of `request`. */
+	async inquire(inquiry: Omit<types.LeaderInquiry, 'kind' | 'id'>, timeoutMs: number): Promise<errors.Outcome<types.LeaderReport>> {
+		// The time includes that of opening a link.
+		const sent = this.#send(this.#inquiries, id => ({kind: 'leader-inquiry', id, ...inquiry}), timeoutMs);
+		const outcome = await this.#options.clock.limit(sent, timeoutMs);
+		return outcome ?? errors.fail('outcome-unknown', 'forward', this.name, `no answer within ${Math.round(timeoutMs)} ms`);
 	}
 
 	/** Sends a message that has no reply, if the link is open. The peer rolls back open transactions when a link closes. */
@@ -119,6 +116,23 @@
 		this.#link?.close();
 	}
 
+	/** Sends a message under a new id and waits for its entry in `pending` to be settled. */
+	async #send<T>(pending: Map<number, Pending<T>>, create: (id: number) => types.EntryMessage, timeoutMs: number): Promise<errors.Outcome<T>> {
+		const opened = await this.#awaitLink(Math.min(openTimeoutMs, timeoutMs));
+		if (!opened) {
+			return errors.fail('not-run', 'forward', this.name, 'no link could be opened');
+		}
+
+		this.#lastId++;
+		const id = this.#lastId;
+		const replied = new Promise<errors.Outcome<T>>(resolve => {
+			pending.set(id, {delivery: opened.send(create(id)), settle: resolve});
+		});
+		const outcome = await this.#options.clock.limit(replied, timeoutMs);
+		pending.delete(id);
+		return outcome ?? errors.fail('outcome-unknown', 'forward', this.name, `no reply within ${Math.round(timeoutMs)} ms`);
+	}
+
 	async #awaitLink(timeoutMs: number): Promise<link.Link<types.EntryMessage> | undefined> {
 		if (this.isOpen) {
 			return this.#link;
@@ -156,6 +170,8 @@
 		for (let message = await opened.next(); message; message = await opened.next()) {
 			if (message.kind === 'reply') {
 				this.#pending.get(message.id)?.settle(Either.right(message.reply));
+			} else if (message.kind === 'leader-report') {
+				this.#inquiries.get(message.id)?.settle(Either.right(message));
 			} else if (notices.isState(message)) {
 				this.#subscription?.apply(message);
 			} else if (message.kind === 'leaving') {
@@ -166,7 +182,7 @@
 			}
 		}
 
-		for (const {delivery, settle} of this.#pending.values()) {
+		for (const {delivery, settle} of [...this.#pending.values(), ...this.#inquiries.values()]) {
 			settle(delivery.state === 'written'
 				? errors.fail('outcome-unknown', 'forward', this.name, 'the link was lost before the reply')
 				: errors.fail('not-run', 'forward', this.name, 'the link was lost before the request was written'));
--- a/src/entry/responder.ts
+++ b/src/entry/responder.ts
@@ -7,6 +7,7 @@
 import type * as jobs from './job.js';
 import type * as leases from './lease.js';
 import * as notices from './notice.js';
+import type * as reporters from './reporter.js';
 import type * as objects from './objects.js';
 import type * as caches from './cache.js';
 import * as states from './state.js';
@@ -20,6 +21,7 @@
 	readonly executor: executor.Executor;
 	readonly context: jobs.Context;
 	readonly caches: notices.Caches;
+	readonly reporter: reporters.Reporter;
 };
 
 /** Time reserved for the reply to reach the peer before the peer's timeout. */
@@ -31,6 +33,7 @@
 	readonly #executor: executor.Executor;
 	readonly #context: jobs.Context;
 	readonly #caches: notices.Caches;
+	readonly #reporter: reporters.Reporter;
 	/** Functions that end the peer's subscriptions, one for each cache. */
 	#subscriptions: Array<() => void> = [];
 	readonly #transactions = new Map<number, OpenTransaction>();
@@ -39,11 +42,12 @@
 	readonly #rolledBack = new Set<number>();
 	#activeRequests = 0;
 
-	constructor(accepted: link.Link<types.EntryMessage>, {executor: local, context, caches}: Options) {
+	constructor(accepted: link.Link<types.EntryMessage>, {executor: local, context, caches, reporter}: Options) {
 		this.#link = accepted;
 		this.#executor = local;
 		this.#context = context;
 		this.#caches = caches;
+		this.#reporter = reporter;
 	}
 
 	/** Whether the peer is subscribed to this host's caches of the store's objects. */
@@ -109,12 +113,18 @@
 				break;
 			}
 
+			case 'leader-inquiry': {
+				this.#link.send(await this.#reporter.answer(message));
+				break;
+			}
+
 			case 'subscribe': {
 				this.#subscribe(message.isWanted ? message.known : undefined);
 				break;
 			}
 
 			case 'reply':
+			case 'leader-report':
 			case 'leaving':
 			case 'configuration':
 			case 'servers':
--- /dev/null
+++ b/src/entry/succession.ts
@@ -0,0 +1,316 @@
+/**
+Fences the leader of one group and chooses its successor: the part of a failover between the claim and the order.
+
+An acknowledged commit is in the logs of the leader and of at least one replica, which may be one that no host knows of yet.
+So neither the fence nor the choice rests on the list of servers:
+
+- A leader that responds to any host steps down.
+- A leader that responds to no host is fenced at the hosts, which withhold what it acknowledges from then on, and at the
+  known replicas, which are paused. The successor needs the positions that the hosts have confirmed.
+*/
+import * as Either from 'fp-ts/lib/Either.js';
+import type * as types from '../generated/types.js';
+import type * as clock from '../core/clock.js';
+import * as errors from '../core/errors.js';
+import * as position from '../core/position.js';
+import * as candidates from './candidate.js';
+import type * as claims from './claims.js';
+import type * as decisions from './decisions.js';
+import * as fences from './fence.js';
+import type * as group from './group.js';
+import type * as hosts from './hosts.js';
+import type * as member from './member.js';
+import type * as orders from './orders.js';
+import type * as statement from './statement.js';
+
+/** Why the leader has to be replaced. */
+export type Reason = 'silent' | 'leaderless' | 'stalled' | 'leaving';
+
+export type Options = {
+	readonly group: group.Group;
+	readonly clock: clock.Clock;
+	readonly decisions: decisions.Decisions;
+	readonly hosts: hosts.Hosts;
+	readonly orders: orders.Orders;
+};
+
+/** One attempt to replace a leader, under a claim. */
+export type Attempt = {
+	readonly reason: Reason;
+	readonly leader: member.Member | undefined;
+	/** The replicas that responded before the claim. */
+	readonly found: readonly candidates.Candidate[];
+	/** Whether the leader responds to another host, as these reported before the claim. */
+	readonly isSeenByOthers: boolean;
+	readonly claim: claims.Claim;
+};
+
+/** An attempt with the next leader's term. */
+type Dated = Attempt & {readonly term: number};
+
+/** Time for the target to catch up with the other replicas while the leader still replicates. */
+const catchUpTimeoutMs = 1500;
+const catchUpPollMs = 30;
+/** A leader that has acknowledged a commit to another host within this time is not stalled. */
+const stallEvidenceMs = 400;
+/** Time from the claim until hosts that did not answer have seen it in the store. */
+const claimPropagationMs = 150;
+
+/** Fences leaders and chooses successors. */
+export class Succession {
+	readonly #options: Options;
+
+	constructor(options: Options) {
+		this.#options = options;
+	}
+
+	/**
+	The servers other than the leader and their status, if together they hold every acknowledged commit. A commit is on the
+	leader and at least one replica, so all servers but the leader must respond, and none of these may have lost its log since
+	the commit, or be behind a replica that has been removed since.
+	*/
+	async findCandidates(leader: member.Member | undefined): Promise<errors.Outcome<candidates.Candidate[]>> {
+		const {group: {name, members, acknowledged, mayHaveLeader, missing}, orders: sent} = this.#options;
+		const replicas = members.filter(server => server !== leader);
+		const responding = await sent.status(replicas);
+		const synchronized = responding.filter(({member: server}) => server.isSynchronized);
+		if (synchronized.length < replicas.length + missing.length - (!leader && mayHaveLeader ? 1 : 0)) {
+			const lacking = [...replicas.filter(server => !synchronized.some(entry => entry.member === server)).map(({id}) => id), ...missing];
+			return errors.fail('not-run', 'observe', name, `${lacking.join(', ')} may hold acknowledged commits but did not respond, or lost its log`);
+		}
+
+		const target = candidates.mostAdvanced(responding);
+		return target && has(target, acknowledged)
+			? Either.right(responding)
+			: errors.fail('not-run', 'observe', name, `no responding server holds ${acknowledged ? position.format(acknowledged) : 'a log'}`);
+	}
+
+	/** Fences the leader and chooses the server that can be promoted without losing an acknowledged commit. */
+	async prepare(attempt: Attempt): Promise<errors.Outcome<fences.Fence>> {
+		// The primary starts the next term, which ends a pause. Pausing with a higher term would outlast the promotion.
+		const term = Math.max(...attempt.found.map(({status}) => status.term)) + 1;
+		const dated = {...attempt, term};
+		const {leader, reason} = attempt;
+		if (!leader) {
+			return this.#fenceAtHosts(dated);
+		}
+
+		switch (reason) {
+			case 'leaving': {
+				await this.announce(attempt.claim, 'keep');
+				return this.#replaceLeaving(dated, leader);
+			}
+
+			case 'stalled': {
+				return this.#replaceStalled(dated, leader);
+			}
+
+			case 'silent':
+			case 'leaderless': {
+				return this.#replaceSilent(dated, leader);
+			}
+		}
+	}
+
+	/** Tells all hosts, this one included, what becomes of the commits that they withhold under a claim. */
+	async announce({service, token}: claims.Claim, order: 'keep' | 'discard'): Promise<void> {
+		this.#options.group.confirmations.end(token, order === 'keep' ? 'kept' : 'discarded');
+		void this.#options.hosts.ask({
+			service, order, server: '', term: 0, token,
+		});
+	}
+
+	async #replaceLeaving(attempt: Dated, leader: member.Member): Promise<errors.Outcome<fences.Fence>> {
+		const stepped = await this.#stepDown(attempt, leader);
+		if (Either.isLeft(stepped)) {
+			return stepped;
+		}
+
+		return stepped.right.status.role === 'replica' ? this.#chooseAfterStepDown(attempt) : this.#fenceAtHosts(attempt);
+	}
+
+	/**
+	Replaces a leader whose commits wait. Only its pending commits are missing in the replicas, unless one has come back, so
+	it must be shown that nobody has received an acknowledgement since.
+	*/
+	async #replaceStalled(attempt: Dated, leader: member.Member): Promise<errors.Outcome<fences.Fence>> {
+		const {group: {name, confirmations}, clock: time} = this.#options;
+		const startedAt = time.now();
+		const {reports} = await this.#suspend(attempt);
+		const isRecent = (agoMs: number | null): boolean => agoMs !== null && agoMs < stallEvidenceMs;
+		if (isRecent(startedAt - confirmations.acknowledgedAt) || reports.some(({acknowledgedAgoMs}) => isRecent(acknowledgedAgoMs))) {
+			return this.#giveUp(attempt, errors.fail('not-run', 'observe', name, 'the leader acknowledges commits again'));
+		}
+
+		const stepped = await this.#stepDown(attempt, leader);
+		if (Either.isLeft(stepped)) {
+			// The order may have been carried out.
+			await this.announce(attempt.claim, 'discard');
+			return stepped;
+		}
+
+		if (stepped.right.status.role === 'replica') {
+			return this.#chooseAfterStepDown(attempt);
+		}
+
+		return this.#options.group.absent.length === 0
+			? this.#pauseReplicas(attempt, reports)
+			: this.#giveUp(attempt, errors.fail('not-run', 'observe', name, `the leader did not step down, and ${this.#options.group.absent.join(', ')} may return and acknowledge commits`));
+	}
+
+	/** Replaces a leader that this host can't reach: a host that can tells it to step down. */
+	async #replaceSilent(attempt: Dated, leader: member.Member): Promise<errors.Outcome<fences.Fence>> {
+		if (!attempt.isSeenByOthers) {
+			return this.#fenceAtHosts(attempt);
+		}
+
+		await this.announce(attempt.claim, 'keep');
+		const status = await this.#delegateStepDown(attempt, leader);
+		return status?.role === 'replica'
+			? this.#chooseAfterStepDown(attempt)
+			: errors.fail('not-run', 'observe', this.#options.group.name, 'the leader responds to other hosts, but none could make it step down');
+	}
+
+	/** Fences a leader that no order reaches, or that leads on: at the hosts, and by pauses at the known replicas. */
+	async #fenceAtHosts(attempt: Dated): Promise<errors.Outcome<fences.Fence>> {
+		const {reports, isComplete} = await this.#suspend(attempt);
+		if (!isComplete) {
+			await this.#options.clock.sleep(claimPropagationMs);
+		}
+
+		return this.#pauseReplicas(attempt, reports);
+	}
+
+	/** Suspends the confirmation of the leader's commits at all hosts. */
+	async #suspend({leader, term, claim: {service, token}}: Dated): Promise<hosts.Answers> {
+		this.#options.group.confirmations.suspend(term, token);
+		return this.#options.hosts.ask({
+			service, order: 'suspend', server: leader?.id ?? '', term, token,
+		});
+	}
+
+	/** Tells the leader to step down, through another host if this one gets no connection. */
+	async #stepDown(attempt: Dated, leader: member.Member): Promise<errors.Outcome<candidates.Candidate>> {
+		const outcome = await this.#options.orders.stepDown(leader, attempt.term);
+		if (Either.isRight(outcome)) {
+			return outcome;
+		}
+
+		const status = await this.#delegateStepDown(attempt, leader);
+		return status ? Either.right({member: leader, status}) : outcome;
+	}
+
+	/** Has the other hosts tell the leader to step down. Returns its answer after that, `undefined` if none got one. */
+	async #delegateStepDown({claim: {service, token}, term}: Dated, leader: member.Member): Promise<types.ServerStatus | undefined> {
+		const {reports} = await this.#options.hosts.ask({
+			service, order: 'step-down', server: leader.id, term, token,
+		}, ({status}) => status?.role === 'replica');
+		const answers = reports.flatMap(({status}) => status ? [status] : []);
+		return answers.find(({role}) => role === 'replica') ?? answers[0];
+	}
+
+	/** Chooses among the replicas of a leader that has stepped down. */
+	async #chooseAfterStepDown(attempt: Dated): Promise<errors.Outcome<fences.Fence>> {
+		const found = await this.findCandidates(attempt.leader);
+		await this.announce(attempt.claim, 'discard');
+		if (Either.isLeft(found)) {
+			return found;
+		}
+
+		const target = candidates.mostAdvanced(found.right);
+		return target ? this.#steppedDown(attempt, target) : errors.fail('not-run', 'observe', this.#options.group.name, 'no server responded');
+	}
+
+	#steppedDown({leader, term}: Dated, target: candidates.Candidate): errors.Outcome<fences.Fence> {
+		if (leader) {
+			this.#options.group.recordStepDown(leader);
+		}
+
+		return Either.right(new fences.SteppedDown(this.#fenceContext, {target, leader, term}));
+	}
+
+	/** Pauses replication on the other candidates and chooses the one that can be promoted without losing an acknowledged commit. */
+	async #pauseReplicas(attempt: Dated, reports: readonly types.LeaderReport[]): Promise<errors.Outcome<fences.Fence>> {
+		const {found, leader, term} = attempt;
+		const servers = found.map(({member: server}) => server);
+		const target = await this.#chooseAmongPaused(attempt);
+		const confirmed = this.#confirmed(reports);
+		if (Either.isLeft(target) || !has(target.right, confirmed)) {
+			await this.#options.orders.resume(servers);
+			return this.#giveUp(attempt, Either.isLeft(target) ? target : errors.fail('not-run', 'observe', target.right.member.id, `another host has confirmed ${confirmed ? position.format(confirmed) : ''}`));
+		}
+
+		const known = leader ? [...servers, leader] : servers;
+		const paused = servers.filter(server => server !== target.right.member);
+		return Either.right(new fences.Paused(this.#fenceContext, {leader, term, target: target.right}, known, paused));
+	}
+
+	async #chooseAmongPaused({found, reason, term}: Dated): Promise<errors.Outcome<candidates.Candidate>> {
+		const {group: {name}, orders: sent} = this.#options;
+		const target = candidates.mostAdvanced(found);
+		if (!target) {
+			return errors.fail('not-run', 'observe', name, 'no server responded');
+		}
+
+		const paused = await sent.pause(found.filter(entry => entry !== target).map(({member: server}) => server), term);
+		if (Either.isLeft(paused)) {
+			return paused;
+		}
+
+		const required = candidates.mostAdvanced(paused.right)?.status.position ?? target.status.position;
+		const caughtUp = await this.#catchUp(target, required, reason);
+		if (caughtUp) {
+			return Either.right(caughtUp);
+		}
+
+		// The target can't catch up, so a server that is ahead is promoted, and the target must stop acknowledging as well.
+		const pausedTarget = await sent.pause([target.member], term);
+		const successor = Either.isRight(pausedTarget) ? candidates.mostAdvanced([...paused.right, ...pausedTarget.right]) : undefined;
+		return successor ? Either.right(successor) : errors.fail('not-run', 'observe', name, `${target.member.id} lacks commits and did not respond`);
+	}
+
+	/** The target once its log reaches `required`. Waits for it if the leader is leaving and still replicates. */
+	async #catchUp(target: candidates.Candidate, required: statement.Position, reason: Reason): Promise<candidates.Candidate | undefined> {
+		if (has(target, required)) {
+			return target;
+		}
+
+		const {clock: time, orders: sent} = this.#options;
+		const deadline = time.now() + (reason === 'leaving' ? catchUpTimeoutMs : 0);
+		do {
+			const [current] = await sent.status([target.member]);
+			if (current && has(current, required)) {
+				return current;
+			}
+
+			await time.sleep(catchUpPollMs);
+		} while (time.now() < deadline);
+
+		return undefined;
+	}
+
+	/** The latest position that this host or one of the reports knows to be confirmed. */
+	#confirmed(reports: readonly types.LeaderReport[]): statement.Position | null {
+		let confirmed = this.#options.group.acknowledged;
+		for (const {acknowledged} of reports) {
+			confirmed = acknowledged ? position.latest(confirmed, acknowledged) : confirmed;
+		}
+
+		return confirmed;
+	}
+
+	/** Ends an attempt in which nothing was ordered, so the leader leads on. */
+	async #giveUp(attempt: Attempt, failure: errors.Outcome<never>): Promise<errors.Outcome<never>> {
+		await this.announce(attempt.claim, 'keep');
+		return failure;
+	}
+
+	get #fenceContext(): fences.Context {
+		return this.#options;
+	}
+}
+
+/** Whether a server's log reaches a position. */
+function has({status}: candidates.Candidate, required: statement.Position | null): boolean {
+	return !required || position.compare(status.position, required) >= 0;
+}
--- a/src/entry/synchronizer.ts
+++ b/src/entry/synchronizer.ts
@@ -29,7 +29,7 @@
 Fraction of `configurationMs` after which this host follows the store itself. The rest of that time is for the list of the
 store's objects, which takes longer in the large fleets that have a longer bound.
 */
-const maxAgeFraction = 5 / 6;
+export const maxAgeFraction = 5 / 6;
 /** Time for a new observer to send a recent state, and the time for which an observer that doesn't is excluded. */
 const stateTimeoutMs = 1500;
 const exclusionMs = 5000;
--- /dev/null
+++ b/src/entry/tests/confirmation.test.ts
@@ -0,0 +1,86 @@
+import * as assert from 'node:assert/strict';
+import * as test from 'node:test';
+import * as clock from '../../core/clock.js';
+import * as confirmation from '../confirmation.js';
+
+const waitMs = 500;
+
+function make(isIsolated = false): {time: clock.Manual; confirmations: confirmation.Confirmations} {
+	const time = new clock.Manual();
+	const confirmations = new confirmation.Confirmations({clock: time, isIsolated: () => isIsolated});
+	confirmations.recordLeader(1);
+	return {time, confirmations};
+}
+
+test.test('a commit is confirmed at once while no failover is known', async () => {
+	const {confirmations} = make();
+	assert.equal(await confirmations.confirm({term: 1, index: 5}, waitMs), true);
+});
+
+// Guards against the loss of commits that a leader acknowledges while its successor is chosen, seen by hosts through the
+// claim in the store, through a message of the claimant, or through neither.
+for (const [name, begin, end, isConfirmed] of [
+	['a claim without news', 'claim', 'none', false],
+	['a claim that needs no suspension', 'claim', 'kept', true],
+	['a suspension', 'suspend', 'none', false],
+	['a suspension whose commits the next leader has', 'suspend', 'kept', true],
+	['a suspension whose commits the next leader may lack', 'suspend', 'discarded', false],
+	['a suspension that ends with a new leader', 'suspend', 'leader', false],
+] as const) {
+	test.test(`a commit that is acknowledged during ${name} is ${isConfirmed ? 'confirmed' : 'in doubt'}`, async () => {
+		const {time, confirmations} = make();
+		if (begin === 'claim') {
+			confirmations.recordClaim(7);
+		} else {
+			confirmations.suspend(2, 7);
+		}
+
+		let result: boolean | undefined;
+		const confirming = async (): Promise<void> => {
+			result = await confirmations.confirm({term: 1, index: 5}, waitMs);
+		};
+
+		void confirming();
+		await time.advance(100);
+		assert.equal(result, undefined);
+		assert.equal(confirmations.withheld, 1);
+		if (end === 'leader') {
+			confirmations.recordLeader(2);
+		} else if (end !== 'none') {
+			confirmations.end(7, end);
+		}
+
+		await time.advance(waitMs);
+		assert.equal(result, isConfirmed);
+	});
+}
+
+test.test('a claim that was announced before the store shows it withholds nothing', async () => {
+	const {confirmations} = make();
+	confirmations.end(7, 'kept');
+	confirmations.recordClaim(7);
+	assert.equal(await confirmations.confirm({term: 1, index: 5}, waitMs), true);
+});
+
+test.test('commits of the next leader are confirmed while those of its predecessor are discarded', async () => {
+	const {confirmations} = make();
+	confirmations.suspend(2, 7);
+	confirmations.end(7, 'discarded');
+	assert.equal(await confirmations.confirm({term: 1, index: 5}, waitMs), false);
+	assert.equal(await confirmations.confirm({term: 2, index: 6}, waitMs), true);
+});
+
+// Guards against writes that stay in doubt after a claimant has ended without a word.
+test.test('a suspension without news ends when other hosts may claim again', async () => {
+	const {time, confirmations} = make();
+	confirmations.suspend(2, 7);
+	await time.advance(4100);
+	assert.equal(await confirmations.confirm({term: 1, index: 5}, waitMs), true);
+});
+
+test.test('an isolated host confirms nothing', async () => {
+	const {time, confirmations} = make(true);
+	const confirming = confirmations.confirm({term: 1, index: 5}, waitMs);
+	await time.advance(waitMs + 100);
+	assert.equal(await confirming, false);
+});
--- /dev/null
+++ b/src/entry/tests/fake-fleet.ts
@@ -0,0 +1,441 @@
+/**
+Several hosts in front of one fake group, each with its own view: its connections to a server, its links to other hosts and
+its view of the store can fail alone, and it sees a registration when a test says so. The fleet records which commits were
+confirmed to callers, and every one that a new primary lacks.
+*/
+import * as Either from 'fp-ts/lib/Either.js';
+import type * as types from '../../generated/types.js';
+import * as clock from '../../core/clock.js';
+import * as errors from '../../core/errors.js';
+import * as random from '../../core/random.js';
+import type * as authority from '../authority.js';
+import * as backend from '../backend.js';
+import * as claims from '../claims.js';
+import * as decisions from '../decisions.js';
+import * as failover from '../failover.js';
+import * as groups from '../group.js';
+import * as hosts from '../hosts.js';
+import * as reporters from '../reporter.js';
+import * as states from '../state.js';
+import type * as statement from '../statement.js';
+import * as writes from '../write.js';
+import * as cluster from './fake-cluster.js';
+
+/** A step of a failover, at which a test can let something happen. */
+export type Step = 'claim' | 'fence' | 'choice' | 'order';
+
+const service = 'ledgers';
+const linkDelayMs = 4;
+const storeDelayMs = 10;
+const answerTimeoutMs = 250;
+/** Time for which a primary answers nobody. */
+const silenceMs = 900;
+/** Time in which a caller waits for the reply to a write. */
+const writeTimeoutMs = 800;
+
+/** How a host reaches one server. */
+class Path extends backend.Server {
+	/** Nothing passes in either direction. */
+	isCut = false;
+	/** The server refuses further connections of this host. */
+	isAtLimit = false;
+	readonly #server: cluster.Server;
+	readonly #onCommand: (command: statement.Command) => void;
+
+	constructor(server: cluster.Server, onCommand: (command: statement.Command) => void) {
+		super();
+		this.#server = server;
+		this.#onCommand = onCommand;
+	}
+
+	override get name(): string {
+		return this.#server.name;
+	}
+
+	override get place(): string {
+		return this.#server.place;
+	}
+
+	override async connect(timeoutMs: number): Promise<errors.Outcome<backend.Connection>> {
+		if (this.isCut) {
+			await this.#server.cluster.clock.sleep(timeoutMs);
+			return errors.fail('not-run', 'connect', this.name, 'no response');
+		}
+
+		if (this.isAtLimit) {
+			return errors.fail('not-run', 'admit', this.name, 'too many connections');
+		}
+
+		const outcome = await this.#server.connect(timeoutMs);
+		return Either.map((connection: backend.Connection): backend.Connection => new PathConnection(this, connection, this.#server.cluster.clock, this.#onCommand))(outcome);
+	}
+}
+
+/** A connection that loses what is sent while its path is cut. */
+class PathConnection extends backend.Connection {
+	readonly #path: Path;
+	readonly #connection: backend.Connection;
+	readonly #clock: clock.Clock;
+	readonly #onCommand: (command: statement.Command) => void;
+
+	constructor(path: Path, connection: backend.Connection, time: clock.Clock, onCommand: (command: statement.Command) => void) {
+		super();
+		this.#path = path;
+		this.#connection = connection;
+		this.#clock = time;
+		this.#onCommand = onCommand;
+	}
+
+	override get server(): string {
+		return this.#path.name;
+	}
+
+	override get isOpen(): boolean {
+		return this.#connection.isOpen;
+	}
+
+	override async send(command: statement.Command, timeoutMs: number): Promise<errors.Outcome<statement.Reply>> {
+		return this.#pass(async () => this.#connection.send(command, timeoutMs), command, timeoutMs);
+	}
+
+	override async requestStatus(command: statement.Command, timeoutMs: number): Promise<errors.Outcome<statement.ServerStatus>> {
+		return this.#pass(async () => this.#connection.requestStatus(command, timeoutMs), command, timeoutMs);
+	}
+
+	override async reset(timeoutMs: number): Promise<errors.Outcome<void>> {
+		return this.#pass(async () => this.#connection.reset(timeoutMs), {kind: 'reset'}, timeoutMs);
+	}
+
+	override close(): void {
+		this.#connection.close();
+	}
+
+	async #pass<T>(send: () => Promise<errors.Outcome<T>>, command: statement.Command, timeoutMs: number): Promise<errors.Outcome<T>> {
+		const sentAt = this.#clock.now();
+		if (!this.#path.isCut) {
+			this.#onCommand(command);
+			const outcome = await send();
+			if (!this.#path.isCut) {
+				return outcome;
+			}
+		}
+
+		await this.#clock.sleep(sentAt + timeoutMs - this.#clock.now());
+		this.close();
+		return errors.fail('outcome-unknown', 'receive', this.server, 'no response');
+	}
+}
+
+/** Questions to the other hosts of the fleet. */
+class FleetHosts extends hosts.Hosts {
+	readonly #fleet: Fleet;
+	readonly #self: () => Host;
+
+	constructor(fleet: Fleet, self: () => Host) {
+		super();
+		this.#fleet = fleet;
+		this.#self = self;
+	}
+
+	override prepare(): void {
+		// Links are always open.
+	}
+
+	override async ask(question: hosts.Question): Promise<hosts.Answers> {
+		const others = this.#fleet.hosts.filter(host => host !== this.#self());
+		const answers = await Promise.all(others.map(async host => this.#fleet.time.limit(this.#askOne(host, question), answerTimeoutMs)));
+		const reports = answers.flatMap(answer => answer ? [answer] : []);
+		return {reports, isComplete: reports.length === others.length};
+	}
+
+	async #askOne(host: Host, question: hosts.Question): Promise<types.LeaderReport | undefined> {
+		const isLost = (): boolean => host.isLinkCut || this.#self().isLinkCut;
+		await this.#fleet.time.sleep(linkDelayMs);
+		if (isLost()) {
+			return this.#lose();
+		}
+
+		const report = await host.reporter.answer({kind: 'leader-inquiry', id: 1, ...question});
+		await this.#fleet.time.sleep(linkDelayMs);
+		return isLost() || host.losesAnswers ? this.#lose() : report;
+	}
+
+	async #lose(): Promise<undefined> {
+		await this.#fleet.time.sleep(answerTimeoutMs);
+		return undefined;
+	}
+}
+
+/** Decisions as lines of text, so that a failed test can show what the hosts did. */
+class Journal extends decisions.Silent {
+	readonly #write: (entry: string) => void;
+
+	constructor(write: (entry: string) => void) {
+		super();
+		this.#write = write;
+	}
+
+	override record(name?: string, fields?: decisions.Fields): void {
+		this.#write(`${name ?? ''} ${JSON.stringify(fields)}`);
+	}
+}
+
+/** One host of the fleet. */
+export class Host {
+	readonly name: string;
+	/** No message passes between this host and the others. */
+	isLinkCut = false;
+	/** This host neither sees the claims in the store nor makes any. */
+	isStoreCut = false;
+	/** The answers of this host to others are lost, after it has carried out their orders. */
+	losesAnswers = false;
+	/** A server whose registration this host does not see. */
+	readonly unseen = new Set<string>();
+	readonly paths = new Map<string, Path>();
+	readonly group: groups.Group;
+	readonly claims: claims.Claims;
+	readonly failover: failover.Failover;
+	readonly reporter: reporters.Reporter;
+	readonly #fleet: Fleet;
+	readonly #writer: writes.Writer;
+	readonly #decisions: decisions.Decisions;
+
+	constructor(fleet: Fleet, name: string, seed: number) {
+		const {time, store} = fleet;
+		this.name = name;
+		this.#fleet = fleet;
+		this.#decisions = new Journal(entry => {
+			fleet.journal.push(`${Math.round(time.now())} ${name} ${entry}`);
+		});
+		this.group = new groups.Group({
+			name: service, clock: time, decisions: this.#decisions, connect: ({id}) => this.paths.get(id)!, isIsolated: () => this.isStoreCut && this.isLinkCut,
+		});
+		for (const server of fleet.cluster.servers) {
+			this.paths.set(server.name, new Path(server, command => {
+				fleet.reach(command.kind === 'step-down' || command.kind === 'pause' ? 'fence' : undefined);
+			}));
+		}
+
+		this.claims = new claims.Claims({
+			host: name,
+			store,
+			clock: time,
+			random: new random.Seeded(seed),
+			decisions: this.#decisions,
+			onClaim: (_service, token) => {
+				this.group.confirmations.recordClaim(token);
+			},
+		});
+		const claim = this.claims.claim.bind(this.claims);
+		this.claims.claim = async claimed => {
+			fleet.reach('claim');
+			return this.isStoreCut ? errors.fail('store', 'store', service, 'no response') : claim(claimed);
+		};
+
+		this.reporter = new reporters.Reporter({clock: time, decisions: this.#decisions, findGroup: () => this.group});
+		this.failover = new failover.Failover({
+			group: this.group,
+			host: name,
+			clock: time,
+			random: new random.Seeded(seed + 100),
+			authority: fleet.authority,
+			claims: this.claims,
+			hosts: new FleetHosts(fleet, () => this),
+			decisions: this.#decisions,
+		});
+		this.#writer = new writes.Writer({clock: time, place: 'west', decisions: this.#decisions});
+	}
+
+	run(signal: AbortSignal): void {
+		this.group.resize({softLimit: 2, hardLimit: 2});
+		for (const {name} of this.#fleet.cluster.servers) {
+			this.group.register(this.#fleet.cluster.registration(name));
+		}
+
+		this.group.adopt(undefined);
+		void this.group.run(signal);
+		void this.failover.run(signal);
+		void this.#followStore(signal);
+	}
+
+	/** Executes a write of a caller. Returns whether it was confirmed. */
+	async write(id: string): Promise<boolean> {
+		const {time} = this.#fleet;
+		const reply = await this.#writer.execute({
+			id,
+			route: {
+				name: 'r', database: 'd', kind: 'primary', maximumAgeMs: 0, statementTimeoutMs: writeTimeoutMs, targetMs: 300, priority: 1, service,
+			},
+			group: this.group,
+			state: new states.State(),
+			sessionPosition: null,
+			arrivedAt: time.mark(),
+			deadline: time.now() + writeTimeoutMs,
+			spentMs: 0,
+			work: {
+				id, mode: 'write', text: `WRITE ${id}`, prepared: undefined, parameters: '',
+			},
+		});
+		return reply.refusal === null;
+	}
+
+	/** Keeps the group active and follows the claims, as traffic and the store's followers do. */
+	async #followStore(signal: AbortSignal): Promise<void> {
+		const {store, time} = this.#fleet;
+		while (!signal.aborted) {
+			this.group.touch();
+			const found = await store.read('claims', service);
+			await time.sleep(storeDelayMs, signal);
+			if (!this.isStoreCut && Either.isRight(found) && found.right) {
+				this.claims.update(service, found.right);
+			}
+		}
+	}
+}
+
+/** A fleet of three hosts. Server `a` is the first primary. */
+export class Fleet {
+	readonly time = new clock.Manual();
+	readonly cluster = new cluster.Cluster(this.time);
+	readonly store = new cluster.Objects();
+	readonly authority = new cluster.Authority(this.cluster);
+	readonly hosts: readonly Host[];
+	/** Ids of the writes that were confirmed to their callers. */
+	readonly confirmed = new Set<string>();
+	/** Writes that were confirmed though a primary lacks them. */
+	readonly violations: string[] = [];
+	/** What the hosts have decided, for the message of a failed test. */
+	readonly journal: string[] = [];
+	/** Actions that a test has set for the first time that a failover reaches a step. */
+	readonly actions = new Map<Step, () => void>();
+	readonly #stopped = new AbortController();
+	#lastId = 0;
+	#leaderlessSince: number | undefined;
+	#maxLeaderlessMs = 0;
+
+	constructor(seed = 1) {
+		this.cluster.requiresReplica = true;
+		this.hosts = ['one', 'two', 'three'].map((name, index) => new Host(this, name, seed + index));
+		const promote = this.cluster.promote.bind(this.cluster);
+		this.cluster.promote = name => {
+			promote(name);
+			this.journal.push(`${Math.round(this.time.now())} promotion of ${name}`);
+			this.#check(`promotion of ${name}`);
+		};
+
+		const order = this.authority.promote.bind(this.authority);
+		this.authority.promote = async (request: authority.Request) => {
+			this.reach('choice');
+			const outcome = await order(request);
+			this.reach('order');
+			return outcome;
+		};
+	}
+
+	get primary(): cluster.Server | undefined {
+		return this.cluster.servers.find(({role}) => role === 'primary');
+	}
+
+	/** Longest time for which no server led. */
+	get maxLeaderlessMs(): number {
+		return this.#maxLeaderlessMs;
+	}
+
+	/** Starts all hosts and waits until failovers are possible. */
+	async start(): Promise<void> {
+		for (const host of this.hosts) {
+			host.run(this.#stopped.signal);
+		}
+
+		void this.#watchPrimary();
+		await this.time.advance(4000);
+	}
+
+	async stop(): Promise<void> {
+		this.#stopped.abort();
+		await this.time.advance(2000);
+	}
+
+	/** Starts a write at a host. */
+	write(host: Host): void {
+		this.#lastId++;
+		void this.#write(host, `w${this.#lastId}`);
+	}
+
+	/** Runs the action that waits for a step. */
+	reach(step: Step | undefined): void {
+		const action = step && this.actions.get(step);
+		if (action) {
+			this.actions.delete(step);
+			action();
+		}
+	}
+
+	/** Lets a server go dark and disappear from all lists. */
+	async remove(name: string): Promise<void> {
+		this.cluster.get(name).isUnresponsive = true;
+		this.markMissing(name);
+		await this.time.advance(5000);
+	}
+
+	/** Ends a server's registration. */
+	markMissing(name: string): void {
+		for (const {group} of this.hosts) {
+			group.markMissing(name);
+		}
+	}
+
+	/** Announces that a server leaves. */
+	announceLeaving(name: string): void {
+		for (const {group} of this.hosts) {
+			group.register(this.cluster.registration(name, {state: 'leaving'}));
+		}
+	}
+
+	/** Lets a server answer nobody for some time. */
+	async silence(server: cluster.Server): Promise<void> {
+		server.isUnresponsive = true;
+		await this.time.sleep(silenceMs);
+		server.isUnresponsive = false;
+	}
+
+	/** Brings a dark server back, which the hosts see after a delay, or never. */
+	restore(name: string, seenAfterMs: number | undefined): void {
+		this.cluster.get(name).isUnresponsive = false;
+		if (seenAfterMs !== undefined) {
+			void this.#register(name, seenAfterMs);
+		}
+	}
+
+	async #register(name: string, afterMs: number): Promise<void> {
+		await this.time.sleep(afterMs);
+		for (const {group, unseen} of this.hosts) {
+			if (!unseen.has(name)) {
+				group.register(this.cluster.registration(name, {role: this.cluster.get(name).role}));
+			}
+		}
+	}
+
+	async #write(host: Host, id: string): Promise<void> {
+		if (await host.write(id)) {
+			this.confirmed.add(id);
+			this.#check(`confirmation of ${id} by ${host.name}`);
+		}
+	}
+
+	#check(event: string): void {
+		const log = new Set(this.primary?.log);
+		const lost = [...this.confirmed].filter(id => this.primary && !log.has(id));
+		if (lost.length > 0) {
+			this.violations.push(`${event}: ${this.primary?.name ?? ''} lacks ${lost.join(', ')}`);
+		}
+	}
+
+	async #watchPrimary(): Promise<void> {
+		while (!this.#stopped.signal.aborted) {
+			this.#leaderlessSince = this.primary ? undefined : this.#leaderlessSince ?? this.time.now();
+			this.#maxLeaderlessMs = Math.max(this.#maxLeaderlessMs, this.time.now() - (this.#leaderlessSince ?? this.time.now()));
+			await this.time.sleep(10, this.#stopped.signal);
+		}
+	}
+}
--- a/src/entry/transaction.ts
+++ b/src/entry/transaction.ts
@@ -88,6 +88,10 @@
 		member.recordPosition(position);
 		if (isCommit && refusal === null && position) {
 			this.#group.confirmLeader(member, sentAt, position);
+			if (!await this.#group.confirmations.confirm(position, sentAt.monotonicMs + timeoutMs - this.#context.clock.now())) {
+				return this.#failCommit(id, errors.failure('outcome-unknown', 'receive', member.id, 'a failover is in progress, and the next primary may lack the commit'));
+			}
+
 			this.#group.acknowledge(before, position);
 		} else if (refusal === 'read-only') {
 			this.#group.denyLeader(member, sentAt);
--- a/src/entry/write.ts
+++ b/src/entry/write.ts
@@ -2,6 +2,7 @@
 Writes outside transactions. A write is sent again only after a reply that guarantees that it did not run.
 */
 import * as Either from 'fp-ts/lib/Either.js';
+import type * as clock from '../core/clock.js';
 import * as jobs from './job.js';
 import * as leaders from './leader.js';
 import type * as leases from './lease.js';
@@ -50,6 +51,10 @@
 			const {refusal, position} = outcome.right;
 			if (refusal === null && position) {
 				job.group.confirmLeader(lease.member, sentAt, position);
+				if (!await job.group.confirmations.confirm(position, jobs.remainingMs(this.#context, job))) {
+					return this.#doubt(job, lease, sentAt, 'a failover is in progress, and the next primary may lack the write');
+				}
+
 				job.group.acknowledge(before, position);
 			} else if (refusal === 'read-only') {
 				job.group.denyLeader(lease.member, sentAt);
@@ -62,13 +67,17 @@
 			return statement.refuse('busy', outcome.left.message, 'none');
 		}
 
+		return this.#doubt(job, lease, sentAt, `the reply of ${lease.member.id} was lost: ${outcome.left.message}`);
+	}
+
+	#doubt(job: jobs.StatementJob, {member}: leases.Lease, sentAt: clock.Mark, reason: string): statement.Reply {
 		this.#context.decisions.request('outcome-unknown', job.id, {
 			service: job.group.name,
 			route: job.route.name,
-			server: lease.member.id,
-			reason: outcome.left.message,
+			server: member.id,
+			reason,
 			afterMs: Math.round(this.#context.clock.now() - sentAt.monotonicMs),
 		});
-		return statement.refuse('in-doubt', `the reply of ${lease.member.id} was lost: ${outcome.left.message}`, 'none');
+		return statement.refuse('in-doubt', reason, 'none');
 	}
 }
