Bound the choice after a step-down by the old primary's answer, and let it lead again if no replica is complete

Cause: after the step-down the successor was the most advanced server that the host knew, though the answer had named a longer log, which a replica had received that was back but not registered yet. When that replica was known by then, the attempt was given up and nobody led.

Change: the answer to the step-down bounds every acknowledged commit. A replica that has that position leads next, known or found only then; if none has it within 150 ms, the old primary itself. A stalled primary may be replaced by a replica that lacks only what was never acknowledged: no host, this one included, has received an acknowledgement since the suspension, and the replica has every position that a host has confirmed. A leaving primary is told to step down only when a replica receives.

The soak has a plan of this class, 'returns'.

--- a/src/entry/failover.ts
+++ b/src/entry/failover.ts
@@ -119,8 +119,7 @@
 			return 'stalled';
 		}
 
-		// A leader that is told to step down leads again if no replica has its whole log.
-		const hasSuccessor = members.some(server => server !== leader && server.isReady && server.behindSince === undefined);
+		const hasSuccessor = members.some(server => server !== leader && server.isReady);
 		return !leader.isReady && hasSuccessor ? 'leaving' : undefined;
 	}
 
--- a/src/entry/fence.ts
+++ b/src/entry/fence.ts
@@ -1,9 +1,10 @@
 /**
 Fences of a failover: from the choice of the next leader until it leads, nothing may acknowledge a commit that it lacks.
 
-A leader that responds is told to step down. Without a leader no commit is acknowledged, whichever servers return, restart
-or register meanwhile. A leader that doesn't respond can't be told, so replication is paused on each server through which
-it could acknowledge a commit, as far as this host knows them.
+A leader that responds to any host is told to step down. Without a leader no commit is acknowledged, whichever servers
+return, restart or register meanwhile. A leader that doesn't respond can't be told, so replication is paused on each known
+server through which it could acknowledge a commit; what it acknowledges through others is withheld by the hosts, see
+`confirmation.ts`.
 */
 import * as Either from 'fp-ts/lib/Either.js';
 import type * as clock from '../core/clock.js';
--- a/src/entry/succession.ts
+++ b/src/entry/succession.ts
@@ -4,7 +4,8 @@
 An acknowledged commit is in the logs of the leader and of at least one replica, which may be one that no host knows of yet.
 So neither the fence nor the choice rests on the list of servers:
 
-- A leader that responds to any host steps down.
+- A leader that responds to any host steps down. Its answer carries the end of its log, which bounds every commit that it
+  acknowledged. A server that has this position is complete; if no replica has, the old leader itself leads again.
 - A leader that responds to no host is fenced at the hosts, which withhold what it acknowledges from then on, and at the
   known replicas, which are paused. The successor needs the positions that the hosts have confirmed.
 */
@@ -51,6 +52,10 @@
 /** Time for the target to catch up with the other replicas while the leader still replicates. */
 const catchUpTimeoutMs = 1500;
 const catchUpPollMs = 30;
+/** Time for a replica to receive what is on its way from a leader that has stepped down, and if it received nothing before. */
+const drainTimeoutMs = 150;
+const stalledDrainTimeoutMs = 50;
+const drainPollMs = 15;
 /** A leader that has acknowledged a commit to another host within this time is not stalled. */
 const stallEvidenceMs = 400;
 /** Time from the claim until hosts that did not answer have seen it in the store. */
@@ -121,12 +126,18 @@
 	}
 
 	async #replaceLeaving(attempt: Dated, leader: member.Member): Promise<errors.Outcome<fences.Fence>> {
+		// Without a replica that receives, the leader would step down only to lead again.
+		const target = candidates.mostAdvanced(attempt.found);
+		if (!target || (leader.position && !await this.#catchUp(target, leader.position, attempt.reason))) {
+			return errors.fail('not-run', 'observe', this.#options.group.name, 'no replica receives what the leader has');
+		}
+
 		const stepped = await this.#stepDown(attempt, leader);
 		if (Either.isLeft(stepped)) {
 			return stepped;
 		}
 
-		return stepped.right.status.role === 'replica' ? this.#chooseAfterStepDown(attempt) : this.#fenceAtHosts(attempt);
+		return stepped.right.status.role === 'replica' ? this.#chooseComplete(attempt, stepped.right) : this.#fenceAtHosts(attempt);
 	}
 
 	/**
@@ -150,7 +161,7 @@
 		}
 
 		if (stepped.right.status.role === 'replica') {
-			return this.#chooseAfterStepDown(attempt);
+			return this.#chooseAfterStall(attempt, stepped.right, reports);
 		}
 
 		return this.#options.group.absent.length === 0
@@ -167,7 +178,7 @@
 		await this.announce(attempt.claim, 'keep');
 		const status = await this.#delegateStepDown(attempt, leader);
 		return status?.role === 'replica'
-			? this.#chooseAfterStepDown(attempt)
+			? this.#chooseComplete(attempt, {member: leader, status})
 			: errors.fail('not-run', 'observe', this.#options.group.name, 'the leader responds to other hosts, but none could make it step down');
 	}
 
@@ -209,16 +220,50 @@
 		return answers.find(({role}) => role === 'replica') ?? answers[0];
 	}
 
-	/** Chooses among the replicas of a leader that has stepped down. */
-	async #chooseAfterStepDown(attempt: Dated): Promise<errors.Outcome<fences.Fence>> {
-		const found = await this.findCandidates(attempt.leader);
-		await this.announce(attempt.claim, 'discard');
-		if (Either.isLeft(found)) {
-			return found;
-		}
+	/** Chooses a server that has the whole log of a leader that has stepped down: a replica, or else the old leader. */
+	async #chooseComplete(attempt: Dated, stepped: candidates.Candidate): Promise<errors.Outcome<fences.Fence>> {
+		const target = await this.#awaitComplete(stepped, drainTimeoutMs) ?? stepped;
+		await this.announce(attempt.claim, 'keep');
+		return this.#steppedDown(attempt, target);
+	}
 
-		const target = candidates.mostAdvanced(found.right);
-		return target ? this.#steppedDown(attempt, target) : errors.fail('not-run', 'observe', this.#options.group.name, 'no server responded');
+	/**
+	Chooses after the step-down of a stalled leader. Without a complete replica, one that lacks pending commits only can lead,
+	which helps if the leader was cut from its replicas. If a host has received an acknowledgement since, the old leader leads.
+	*/
+	async #chooseAfterStall(attempt: Dated, stepped: candidates.Candidate, before: readonly types.LeaderReport[]): Promise<errors.Outcome<fences.Fence>> {
+		const complete = await this.#awaitComplete(stepped, stalledDrainTimeoutMs);
+		const found = complete ? undefined : await this.#findUnacknowledged(attempt, before);
+		await this.announce(attempt.claim, found ? 'discard' : 'keep');
+		return this.#steppedDown(attempt, complete ?? found ?? stepped);
+	}
+
+	/** A replica that has every commit of which a host knows, if none has received an acknowledgement since the suspension. */
+	async #findUnacknowledged({leader, claim: {service, token}, term, found}: Dated, before: readonly types.LeaderReport[]): Promise<candidates.Candidate | undefined> {
+		const {group: serviceGroup, hosts: others, orders: sent} = this.#options;
+		const {reports} = await others.ask({
+			service, order: 'report', server: '', term, token,
+		});
+		const isUnacknowledged = serviceGroup.confirmations.withheld === 0 && reports.length >= before.length && reports.every(({withheld}) => withheld === 0);
+		const current = await sent.urgentStatus(serviceGroup.members.filter(server => server !== leader));
+		const isComplete = found.every(({member: server}) => current.some(entry => entry.member === server));
+		const target = candidates.mostAdvanced(current);
+		return isUnacknowledged && isComplete && target?.member.isSynchronized && has(target, this.#confirmed([...before, ...reports])) ? target : undefined;
+	}
+
+	/** Waits for a replica to have the whole log of a leader that has stepped down. */
+	async #awaitComplete({member: leader, status}: candidates.Candidate, timeoutMs: number): Promise<candidates.Candidate | undefined> {
+		const {group: serviceGroup, clock: time, orders: sent} = this.#options;
+		const deadline = time.now() + timeoutMs;
+		for (;;) {
+			const replicas = await sent.urgentStatus(serviceGroup.members.filter(server => server !== leader));
+			const complete = replicas.filter(replica => has(replica, status.position));
+			if (complete.length > 0 || time.now() >= deadline) {
+				return candidates.mostAdvanced(complete);
+			}
+
+			await time.sleep(drainPollMs);
+		}
 	}
 
 	#steppedDown({leader, term}: Dated, target: candidates.Candidate): errors.Outcome<fences.Fence> {
--- a/src/entry/tests/fake-fleet.ts
+++ b/src/entry/tests/fake-fleet.ts
@@ -26,7 +26,11 @@
 
 const service = 'ledgers';
 const linkDelayMs = 4;
-const storeDelayMs = 10;
+const storeDelayMs = 20;
+/** Interval at which the fleet looks for a primary. */
+const primaryPollMs = 20;
+/** Time after the last registration from which failovers are possible, and after which a missing server is removed. */
+const settleMs = 2700;
 const answerTimeoutMs = 250;
 /** Time for which a primary answers nobody. */
 const silenceMs = 900;
@@ -348,12 +352,12 @@
 		}
 
 		void this.#watchPrimary();
-		await this.time.advance(4000);
+		await this.time.advance(settleMs);
 	}
 
 	async stop(): Promise<void> {
 		this.#stopped.abort();
-		await this.time.advance(2000);
+		await this.time.advance(writeTimeoutMs);
 	}
 
 	/** Starts a write at a host. */
@@ -375,7 +379,7 @@
 	async remove(name: string): Promise<void> {
 		this.cluster.get(name).isUnresponsive = true;
 		this.markMissing(name);
-		await this.time.advance(5000);
+		await this.time.advance(settleMs);
 	}
 
 	/** Ends a server's registration. */
@@ -435,7 +439,7 @@
 		while (!this.#stopped.signal.aborted) {
 			this.#leaderlessSince = this.primary ? undefined : this.#leaderlessSince ?? this.time.now();
 			this.#maxLeaderlessMs = Math.max(this.#maxLeaderlessMs, this.time.now() - (this.#leaderlessSince ?? this.time.now()));
-			await this.time.sleep(10, this.#stopped.signal);
+			await this.time.sleep(primaryPollMs, this.#stopped.signal);
 		}
 	}
 }
--- a/src/soak/fault.ts
+++ b/src/soak/fault.ts
@@ -244,6 +244,66 @@
 	}
 }
 
+/** When a dark replica returns: some time after the commits have stalled, or some time after the order of a promotion. */
+type ReturnMoment = 'stall' | 'order';
+
+/**
+One replica of a group is dark, and then the other one receives nothing, so that commits stall. The dark replica returns and
+lets the primary acknowledge commits again, while a failover may be in progress.
+*/
+export class Starvation extends Fault {
+	readonly text: string;
+	readonly scopes = [] as const;
+	readonly #group: number;
+	readonly #moment: ReturnMoment;
+	readonly #returnMs: number;
+	#dark: sites.Backend | undefined;
+	#deaf: sites.Backend | undefined;
+
+	constructor(group: number, moment: ReturnMoment, returnMs: number) {
+		super();
+		this.#group = group;
+		this.#moment = moment;
+		this.#returnMs = returnMs;
+		this.text = `commits of group ${group} stall until a dark replica returns ${returnMs} ms after the ${moment}`;
+	}
+
+	override begin(site: sites.Site): void {
+		const {name} = site.groups[this.#group];
+		const [dark, deaf] = site.backends.filter(({group, server}) => group.name === name && server.role === 'replica');
+		if (crash(site, dark)) {
+			[this.#dark, this.#deaf] = [dark, deaf];
+		}
+	}
+
+	override async hold(site: sites.Site, durationMs: number): Promise<void> {
+		await site.time.sleep(removalMs);
+		const [dark, deaf] = [this.#dark, this.#deaf];
+		if (!dark || !deaf) {
+			return;
+		}
+
+		deaf.server.isDeaf = true;
+		const deadline = site.time.now() + (this.#moment === 'order' ? maxStallMs : durationMs);
+		const {orderCount} = deaf.group;
+		while (site.time.now() < deadline && (this.#moment === 'stall' || deaf.group.orderCount === orderCount)) {
+			await site.time.sleep(orderPollMs);
+		}
+
+		await site.time.sleep(this.#returnMs);
+		dark.server.isUnresponsive = false;
+		await site.time.sleep(removalMs);
+	}
+
+	override end(site: sites.Site): void {
+		if (this.#dark && this.#deaf) {
+			this.#dark.server.isUnresponsive = false;
+			this.#deaf.server.isDeaf = false;
+			site.register(this.#dark, 'ready');
+		}
+	}
+}
+
 type ConnectionFaultKind = 'reset' | 'silenced' | 'one-way' | 'delayed' | 'refused';
 
 /** Disturbs the connections to one server, or the links to one entry host. */
@@ -315,6 +375,10 @@
 }
 
 const replacementPollMs = 50;
+/** Time after which all hosts have removed a server without a registration, and the longest stall of commits. */
+const removalMs = 3200;
+const maxStallMs = 3000;
+const orderPollMs = 10;
 const signals = ['SIGKILL', 'SIGTERM', 'SIGSTOP', 'SIGHUP'] as const;
 const storeStates = ['refused', 'silent', 'slow', 'answers-lost'] as const;
 const serverFaultKinds = ['dark', 'lagging', 'losing answers', 'draining'] as const;
--- a/src/soak/main.ts
+++ b/src/soak/main.ts
@@ -11,7 +11,7 @@
 	.option('seed', {type: 'number', default: Date.now() % 1_000_000, describe: 'First seed; derived from the clock by default'})
 	.option('count', {type: 'number', default: 1, describe: 'Number of consecutive seeds, run one after another'})
 	.option('seconds', {type: 'number', default: 15, describe: 'Duration of fault injection for each seed, in s'})
-	.option('plan', {choices: ['mixed', 'restores'] as const, default: 'mixed' as const, describe: 'Faults to draw: any, or series with restores of the store from an older copy'})
+	.option('plan', {choices: ['mixed', 'restores', 'returns'] as const, default: 'mixed' as const, describe: 'Faults to draw: any, series with restores of the store from an older copy, or series in which commits stall until a dark replica returns'})
 	.option('logs', {type: 'string', default: '', describe: 'Directory for the host logs of failed seeds'})
 	.strict()
 	.parse();
--- a/src/soak/plan.ts
+++ b/src/soak/plan.ts
@@ -7,7 +7,7 @@
 import type * as sites from './site.js';
 
 /** Name of a plan. */
-export type Kind = 'mixed' | 'restores';
+export type Kind = 'mixed' | 'restores' | 'returns';
 
 /** A fault and its duration. */
 export type Step = {readonly fault: faults.Fault; readonly durationMs: number};
@@ -18,6 +18,8 @@
 const maxOutageMs = 1500;
 const minCopyAgeMs = 1000;
 const maxCopyAgeMs = 9000;
+/** Longest time from a stall of commits, or the order of a promotion, until a dark replica is back. */
+const maxReturnMs = 400;
 
 /** Draws one fault after another. */
 export abstract class Plan {
@@ -95,6 +97,29 @@
 	}
 }
 
+/**
+Series in which commits stall and a dark replica returns, with any fault beside each. The draws come from a source of their
+own, like those of `Restores`.
+*/
+class Returns extends Plan {
+	readonly #random: random.Source;
+	readonly #size: sites.Size;
+	#isStarved = false;
+
+	constructor(source: random.Source, size: sites.Size) {
+		super(source);
+		this.#random = source;
+		this.#size = size;
+	}
+
+	protected override draw(): faults.Fault {
+		this.#isStarved = !this.#isStarved;
+		return this.#isStarved
+			? new faults.Starvation(this.#random.integer(0, this.#size.groups - 1), this.#random.integer(0, 1) === 0 ? 'stall' : 'order', this.#random.integer(0, maxReturnMs))
+			: faults.draw(this.#random, this.#size);
+	}
+}
+
 /** Creates a plan. `source` is the random source of the run with this seed. */
 export function create(kind: Kind, {seed, source, size}: {readonly seed: number; readonly source: random.Source; readonly size: sites.Size}): Plan {
 	switch (kind) {
@@ -105,5 +130,9 @@
 		case 'restores': {
 			return new Restores(new randoms.Seeded(seed), size);
 		}
+
+		case 'returns': {
+			return new Returns(new randoms.Seeded(seed), size);
+		}
 	}
 }
--- a/src/soak/replicated.ts
+++ b/src/soak/replicated.ts
@@ -28,6 +28,8 @@
 	isUnresponsive = false;
 	/** Replication lag. */
 	lagMs = defaultLagMs;
+	/** The server responds but receives no replication. */
+	isDeaf = false;
 	/** Fraction of responses that are lost, from 0 to 1. */
 	lossRate = 0;
 
@@ -53,6 +55,7 @@
 	readonly servers: readonly Server[];
 	readonly #clock: clock.Clock;
 	readonly #listener: PromotionListener;
+	#orderCount = 0;
 
 	constructor(name: string, places: readonly string[], time: clock.Clock, listener: PromotionListener) {
 		this.name = name;
@@ -61,6 +64,11 @@
 		this.servers = places.map((place, index) => new Server(`${name}-${index}`, place, index === 0 ? 'primary' : 'replica'));
 	}
 
+	/** Number of accepted orders of a promotion. */
+	get orderCount(): number {
+		return this.#orderCount;
+	}
+
 	/** Replicates to all servers until `signal` aborts. */
 	async run(signal: AbortSignal): Promise<void> {
 		await Promise.all(this.servers.map(async server => {
@@ -95,6 +103,7 @@
 			return false;
 		}
 
+		this.#orderCount++;
 		void this.#promote(target);
 		return true;
 	}
@@ -118,7 +127,7 @@
 	#replicate(server: Server): void {
 		const primary = this.servers.find(({role}) => role === 'primary');
 		const isReplicationPaused = server.heldTerm > (primary?.term ?? 0);
-		if (!primary || server === primary || server.isUnresponsive || primary.isUnresponsive || isReplicationPaused || server.term > primary.term) {
+		if (!primary || server === primary || server.isUnresponsive || server.isDeaf || primary.isUnresponsive || isReplicationPaused || server.term > primary.term) {
 			return;
 		}
 
--- a/src/soak/tests/soak.test.ts
+++ b/src/soak/tests/soak.test.ts
@@ -21,6 +21,18 @@
 	});
 }
 
+const returnsMs = 9000;
+/** Seeds of the regression for commits that were lost through a replica that returned during a failover. */
+const returnSeeds = [29, 30];
+
+for (const seed of returnSeeds) {
+	test.test(`soak of seed ${seed} with returns: no acknowledged commit is lost when a dark replica returns during a failover`, {timeout: testTimeoutMs}, async () => {
+		const report = await soak.run(seed, {faultsMs: returnsMs, plan: 'returns'});
+		assert.deepEqual(report.violations, [], report.events.join('\n'));
+		assert.ok(report.served > 0);
+	});
+}
+
 const restoresMs = 8000;
 /** 502 and 504: after a restore hosts kept the old configuration, did not announce themselves again, and did not replace a lost primary. */
 const restoreSeeds = [502, 504];
