--- a/scripts/mutate.js
+++ b/scripts/mutate.js
@@ -12,7 +12,7 @@
 
 const root = path.join(path.dirname(url.fileURLToPath(import.meta.url)), '..');
 const scratch = path.join(root, 'out', 'mutate');
-const testTimeoutMs = 90_000;
+const testTimeoutMs = 240_000;
 const concurrency = 2;
 const trace = 'host/tests/trace.test.js';
 const fuzz = 'bench/tests/fuzz.test.js';
@@ -22,7 +22,8 @@
 const write = 'core/tests/write.test.js';
 const session = 'core/tests/session.test.js';
 const statement = 'core/tests/statement.test.js';
-const entry = ['group', 'read', 'write', 'session', 'failover', 'claims', 'follower', 'synchronizer', 'announcer', 'cache', 'revision', 'recorder'].map(name => `entry/tests/${name}.test.js`);
+const entry = ['group', 'read', 'write', 'session', 'failover', 'claims', 'follower', 'synchronizer', 'announcer', 'cache', 'revision', 'recorder', 'confirmation'].map(name => `entry/tests/${name}.test.js`);
+const fencing = 'entry/tests/fencing.test.js';
 const callers = 'platform/tests/caller.test.js';
 const objects = 'platform/tests/http.test.js';
 
@@ -55,24 +56,35 @@
 
 /** Mutations of entry hosts on the users' platform, with the affected component in place of the promise. */
 const entryMutations = [
-	['promote while a replica is unresponsive', 'failover', entry, 'entry/failover.js', 'synchronized.length < replicas.length + missing.length - (!leader && mayHaveLeader ? 1 : 0)', 'false'],
+	['promote while a replica is unresponsive', 'failover', entry, 'entry/succession.js', 'synchronized.length < replicas.length + missing.length - (!leader && mayHaveLeader ? 1 : 0)', 'false'],
 	['let a replica be silent after the removal of the leader', 'failover', entry, 'entry/group.js', 'this.#leader === undefined && this.#removedLeader === undefined', 'this.#leader === undefined'],
 	['count a server as synchronized after the removal of a replica', 'failover', entry, 'entry/group.js', 'other.recordLostLog(lostAt);', ''],
 	['verify a log only against the oldest read index', 'failover', entry, 'entry/group.js', 'this.#readIndexes.findLast(readIndex =>', 'this.#readIndexes.slice(0, 1).find(readIndex =>'],
 	['don\'t pause a server that registers during a promotion', 'failover', entry, 'entry/fence.js', 'server !== this.target && !this.#known.includes(server)', 'false'],
 	['don\'t renew the pause', 'failover', entry, 'entry/fence.js', 'current.status.heldTerm >= term', 'true'],
 	['take a server that joined later for one that lost its log', 'recovery', entry, 'entry/insync.js', 'return has(this.#stored, registration);', 'return false;'],
-	['don\'t miss a server that disappeared before the start', 'recovery', entry, 'entry/failover.js', 'replicas.length + missing.length', 'replicas.length'],
+	['don\'t miss a server that disappeared before the start', 'recovery', entry, 'entry/succession.js', 'replicas.length + missing.length', 'replicas.length'],
 	['drop a server from the in-sync set while another one may lack its commits', 'recovery', entry, 'entry/insync.js', 'return isInDoubt ? undefined', 'return false ? undefined'],
-	['promote beside a leader that responds', 'failover', entry, 'entry/failover.js', '!leader || reason === \'silent\'', 'true'],
-	['take a leader that leads on for one that stepped down', 'failover', entry, 'entry/failover.js', 'steppedDown.right.status.role === \'replica\'', 'true'],
+	['promote beside a leader that responds', 'failover', [fencing], 'entry/succession.js', 'if (!attempt.isSeenByOthers)', 'if (true)'],
+	['take a leader that leads on for one that stepped down', 'failover', [fencing], 'entry/succession.js', 'return stepped.right.status.role === \'replica\' ?', 'return true ?'],
+	['replace a leader that responds to other hosts', 'failover', [fencing], 'entry/failover.js', 'responding.length === 0 || isShared', 'true'],
+	['count a full pool as silence', 'failover', entry, 'entry/group.js', '!isRefused', 'true'],
+	['count a write without an answer as silence', 'failover', entry, 'entry/lease.js', 'work.mode === \'read\'', 'true'],
+	['choose a server behind the answer to the step-down', 'failover', [fencing], 'entry/succession.js', 'replicas.filter(replica => has(replica, status.position))', 'replicas'],
+	['give up when no replica is complete after a step-down', 'failover', [fencing], 'entry/succession.js', 'complete ?? found ?? stepped', 'complete ?? found ?? attempt.found[0]'],
+	['replace a stalled leader that acknowledges again', 'failover', [fencing], 'entry/succession.js', 'return isUnacknowledged && isComplete &&', 'return isComplete &&'],
+	['confirm commits while a successor is chosen', 'failover', [fencing], 'entry/confirmation.js', ': \'withheld\'', ': \'confirmed\''],
+	['confirm commits that the successor lacks', 'failover', [fencing], 'entry/succession.js', 'found ? \'discard\' : \'keep\'', '\'keep\''],
+	['ignore a claim that only the store shows', 'failover', entry, 'entry/confirmation.js', 'token > this.#announcedToken && this.#leaderTerm > 0', 'false'],
+	['ignore what other hosts have confirmed', 'failover', [fencing], 'entry/succession.js', 'confirmed = acknowledged ?', 'confirmed = false ?'],
+	['confirm commits at an isolated host', 'failover', entry, 'entry/confirmation.js', 'isClaimed || this.#options.isIsolated()', 'isClaimed'],
 	['let a leader lead on that returns during a promotion', 'failover', entry, 'entry/fence.js', 'await sent.stepDown(leader, term);', ''],
-	['pause replicas while another one may return', 'failover', entry, 'entry/failover.js', 'absent.length === 0', 'true'],
+	['pause replicas while another one may return', 'failover', entry, 'entry/succession.js', 'absent.length === 0', 'true'],
 	['repeat the order after the fence was breached', 'failover', entry, 'entry/failover.js', 'fence.breach === \'\'', 'true'],
 	['repeat the order for a server that started again without its log', 'failover', entry, 'entry/failover.js', 'checked = await this.#checkTarget(fence);', ''],
-	['count an unsynchronized server as evidence of the log end', 'failover', entry, 'entry/failover.js', 'responding.filter(({ member: server }) => server.isSynchronized)', 'responding'],
+	['count an unsynchronized server as evidence of the log end', 'failover', entry, 'entry/succession.js', 'responding.filter(({ member: server }) => server.isSynchronized)', 'responding'],
 	['promote while the server list still grows', 'failover', entry, 'entry/failover.js', 'now - lastAddedAt < membershipSettleMs', 'false'],
-	['pause replication above the next term', 'failover', entry, 'entry/failover.js', 'Math.max(...found.map(({ status }) => status.term)) + 1', 'Math.max(...found.map(({ status }) => status.term)) + 5'],
+	['pause replication above the next term', 'failover', entry, 'entry/succession.js', 'Math.max(...attempt.found.map(({ status }) => status.term)) + 1', 'Math.max(...attempt.found.map(({ status }) => status.term)) + 5'],
 	['ignore the claim of another host', 'failover', entry, 'entry/claims.js', 'entry.value.holder !== this.#options.host', 'false'],
 	['forget a claim whose response was lost', 'failover', entry, 'entry/claims.js', 'found.right?.value?.nonce === value.nonce', 'false'],
 	['read at a replaced primary', 'read', entry, 'entry/read.js', 'Either.isLeft(begun) || begun.right.refusal !== null', 'Either.isLeft(begun)'],
@@ -80,7 +92,7 @@
 	['read without a minimum position', 'read', entry, 'entry/lease.js', 'id, text: text ?? \'\', minPosition,', 'id, text: text ?? \'\', minPosition: null,'],
 	['retry a write after a lost response', 'write', entry, 'entry/write.js', 'return statement.refuse(\'in-doubt\'', 'return statement.refuse(\'busy\''],
 	['follow a leader of an earlier term', 'group', entry, 'entry/group.js', 'if (!isNewer) {', 'if (false) {'],
-	['keep the read indexes of a replaced leader', 'group', entry, 'entry/group.js', 'this.#leaderEpoch++;\n        this.#readIndexes = [];', 'this.#leaderEpoch++;'],
+	['keep the read indexes of a replaced leader', 'group', entry, 'entry/group.js', 'this.confirmations.recordLeader(term);\n        this.#readIndexes = [];', 'this.confirmations.recordLeader(term);'],
 	['ignore the time that the machine was suspended', 'group', entry, 'core/clock.js', 'Math.max(to.monotonicMs - from.monotonicMs, to.wallMs - from.wallMs)', 'to.monotonicMs - from.monotonicMs'],
 	['keep another session\'s values', 'session', entry, 'entry/state.js', 'commands.push({ kind: \'reset\' });', ''],
 	['prepare all statements under one name', 'session', entry, 'entry/state.js', String.raw`return \`\${mode} \${shape}\`;`.replaceAll('\\', ''), 'return mode;'],
@@ -93,7 +105,7 @@
 	['watch the store at once after the list', 'fleet start', entry, 'entry/follower.js', 'isFirst ? this.#options.firstWatchDelayMs : 0', '0'],
 	['announce a host that is announced already', 'fleet start', entry, 'entry/announcer.js', '!this.#isAnnounced', 'true'],
 	['compare the counter of a restored store alone', 'restored store', entry, 'entry/revision.js', '(generation * (maxCounter + 1)) + counter', 'counter'],
-	['apply changes of the time before a restoration', 'restored store', [objects], 'platform/objects.js', 'responseGeneration === generation && ', ''],
+	['apply changes of the time before a restoration', 'restored store', [objects], 'platform/objects.js', 'responseGeneration !== generation || ', ''],
 	['leave a watch waiting through a restoration', 'restored store', [objects], 'platform/objects.js', 'this.#restored.abort();', ''],
 	['list without a pause while the list is older', 'restored store', entry, 'entry/follower.js', 'listed < revision', 'false'],
 	['replace a claim that the store has lost', 'restored store', entry, 'entry/claims.js', '{ ...entry, revision: undefined }', 'entry'],
@@ -104,7 +116,7 @@
 ];
 
 /** Leaves the code unchanged, so all tests must pass; otherwise a failure for another reason would count as a detection. */
-const baseline = ['(none)', '', [trace, fuzz, session, statement, observer, pool, read, write, ...entry, callers, objects], 'core/read.js', 'ageAtSendMs + ', 'ageAtSendMs + '];
+const baseline = ['(none)', '', [trace, fuzz, session, statement, observer, pool, read, write, ...entry, fencing, callers, objects], 'core/read.js', 'ageAtSendMs + ', 'ageAtSendMs + '];
 
 function prepare(index, mutation) {
 	const [name, file, from, to] = [mutation[0], ...mutation.slice(3)];
--- a/src/entry/tests/fencing.test.ts
+++ b/src/entry/tests/fencing.test.ts
@@ -106,6 +106,38 @@
 	}
 });
 
+// Guards against a promotion beside a primary that runs on for a host: that host can tell it to step down.
+test.test('hosts that lack a primary do not replace it while it answers another host and leads on', async () => {
+	for (const step of steps) {
+		const fleet = await play({
+			cause: 'silent', reach: 'some hosts', step, seenAfterMs: 0, isSteppingDown: false, isDeaf: false,
+		});
+		assert.deepEqual(fleet.authority.requests.filter(({holder}) => holder !== 'three'), [], fleet.journal.join('\n'));
+	}
+});
+
+// Guards against a needless change of primary because of one host's path to it.
+test.test('one host that lacks the primary does not replace it', async () => {
+	const fleet = new fleets.Fleet();
+	await fleet.start();
+	fleet.hosts[0].paths.get('a')!.isCut = true;
+	for (let index = 0; index < 60; index++) {
+		fleet.write(fleet.hosts[index % 3]);
+		await fleet.time.advance(50);
+	}
+
+	assert.deepEqual(fleet.authority.requests, [], fleet.journal.join('\n'));
+	await fleet.stop();
+});
+
+// Guards against writes that end in doubt though the old primary, which is complete, could confirm them.
+test.test('a stalled primary that acknowledges commits again while it is replaced leads again', async () => {
+	const fleet = await play({
+		cause: 'stalled', reach: 'everybody', step: 'fence', seenAfterMs: 1200, isSteppingDown: true, isDeaf: true,
+	});
+	assert.deepEqual(fleet.authority.requests.map(({server}) => server).slice(0, 1), ['a'], fleet.journal.join('\n'));
+});
+
 /** Time without a registration after which all hosts have removed a server. */
 const removalMs = 2700;
 
