--- a/scripts/mutate.js
+++ b/scripts/mutate.js
@@ -79,7 +79,7 @@
 	['ignore what other hosts have confirmed', 'failover', [fencing], 'entry/succession.js', 'confirmed = acknowledged ?', 'confirmed = false ?'],
 	['confirm commits at an isolated host', 'failover', entry, 'entry/confirmation.js', 'isClaimed || this.#options.isIsolated()', 'isClaimed'],
 	['let a leader lead on that returns during a promotion', 'failover', entry, 'entry/fence.js', 'await sent.stepDown(leader, term);', ''],
-	['pause replicas while another one may return', 'failover', entry, 'entry/succession.js', 'absent.length === 0', 'true'],
+	['pause replicas while another one may return', 'failover', entry, 'entry/succession.js', 'this.#options.group.absent.length === 0', 'true'],
 	['repeat the order after the fence was breached', 'failover', entry, 'entry/failover.js', 'fence.breach === \'\'', 'true'],
 	['repeat the order for a server that started again without its log', 'failover', entry, 'entry/failover.js', 'checked = await this.#checkTarget(fence);', ''],
 	['count an unsynchronized server as evidence of the log end', 'failover', entry, 'entry/succession.js', 'responding.filter(({ member: server }) => server.isSynchronized)', 'responding'],
