Log which host passed a configuration on, and how old its state was

Callers saw two configurations that came into force too late on a large fleet. The log line configuration-accepted named the store as its source also when another host had passed the configuration on, so that neither the path nor the age of a late or an older configuration could be read from the logs.

The cache reports the source of each change; the line names the store or the host, and the age of that state. The test of the cache fails if the source is always the store.

--- a/src/entry/cache.ts
+++ b/src/entry/cache.ts
@@ -13,10 +13,13 @@
 	readonly clock: clock.Clock;
 	readonly decisions: decisions.Decisions;
 	readonly retention: retentions.Retention<K>;
-	/** Called with each changed object; without an item, the object was removed. */
-	readonly onChange: (name: string, item: objects.Item<K> | undefined) => void;
+	/** Called with each changed object and the source of the update; without an item, the object was removed. */
+	readonly onChange: (name: string, item: objects.Item<K> | undefined, source: string) => void;
 };
 
+/** Source of the updates that don't come from another host. */
+export const storeSource = 'store';
+
 /** The changes from revision `from` to `revision`; without `from`, the complete state. */
 export type Update<K extends objects.Kind> = {
 	readonly from: number | undefined;
@@ -72,8 +75,11 @@
 		return this.#items.get(name);
 	}
 
-	/** Applies an update that was the store's state at clock time `confirmedAt`. Returns false if an earlier update is missing. */
-	apply(update: Update<K>, confirmedAt: number): boolean {
+	/**
+	Applies an update that was the store's state at clock time `confirmedAt`. `source` is the host that passed it on, or the
+	store. Returns false if an earlier update is missing.
+	*/
+	apply(update: Update<K>, confirmedAt: number, source = storeSource): boolean {
 		const current = this.#revision;
 		const isApplicable = update.from === undefined || (current !== undefined && update.from <= current);
 		if (!isApplicable || (current !== undefined && update.revision < current)) {
@@ -81,7 +87,7 @@
 		}
 
 		this.#confirmedAt = Math.max(this.#confirmedAt, confirmedAt);
-		const applied = current === undefined || update.revision > current ? this.#advance(update) : this.#adopt(update);
+		const applied = current === undefined || update.revision > current ? this.#advance(update, source) : this.#adopt(update, source);
 		for (const listener of this.#listeners) {
 			listener(applied);
 		}
@@ -98,7 +104,7 @@
 	}
 
 	/** Advances to the revision of an update. Returns what changed for those who have followed this cache so far. */
-	#advance(update: Update<K>): Update<K> {
+	#advance(update: Update<K>, source: string): Update<K> {
 		const current = this.#revision;
 		const [before, after] = [revisions.split(current ?? update.revision), revisions.split(update.revision)];
 		this.#revision = update.revision;
@@ -109,17 +115,17 @@
 		}
 
 		const applied = update.from === undefined ? this.#retain(update) : update;
-		this.#update(applied);
+		this.#update(applied, source);
 		return {...applied, from: update.from === undefined ? undefined : current};
 	}
 
 	/** Takes over what the sender of an update at this cache's revision has retained and this cache does not have. */
-	#adopt({revision, items}: Update<K>): Update<K> {
+	#adopt({revision, items}: Update<K>, source: string): Update<K> {
 		const isRetained = isOfEarlierGeneration(revision);
 		const adopted = {
 			from: revision, revision, items: items.filter(item => isRetained(item) && this.#options.retention.isKept(item, this.#items.get(item.name))), gone: [],
 		};
-		this.#update(adopted);
+		this.#update(adopted, source);
 		return adopted;
 	}
 
@@ -135,12 +141,12 @@
 		return {...restored, items: [...items.values()]};
 	}
 
-	#update({from, items, gone}: Update<K>): void {
+	#update({from, items, gone}: Update<K>, source: string): void {
 		const listed = new Set(items.map(({name}) => name));
 		const removed = from === undefined ? [...this.#items.keys()].filter(name => !listed.has(name)) : gone;
 		for (const name of removed) {
 			if (this.#items.delete(name)) {
-				this.#options.onChange(name, undefined);
+				this.#options.onChange(name, undefined, source);
 			}
 		}
 
@@ -148,19 +154,19 @@
 			const known = this.#items.get(item.name);
 			if (known?.revision !== item.revision) {
 				this.#items.set(item.name, item);
-				this.#emitChange(item);
+				this.#emitChange(item, source);
 			}
 		}
 	}
 
-	#emitChange(item: objects.Item<K>): void {
+	#emitChange(item: objects.Item<K>, source: string): void {
 		if (item.value === undefined) {
 			this.#options.decisions.record('object-unreadable', {
 				kind: this.#options.kind, name: item.name, revision: item.revision, fault: item.fault,
 			});
 		}
 
-		this.#options.onChange(item.name, item);
+		this.#options.onChange(item.name, item, source);
 	}
 }
 
--- a/src/entry/deployment.ts
+++ b/src/entry/deployment.ts
@@ -31,14 +31,17 @@
 		return this.#content?.idleTransactionMs ?? defaultIdleTransactionMs;
 	}
 
-	/** Accepts a configuration if its version is higher than the current one. `source` is logged as its origin. */
-	accept(content: types.Deployment, source: string): void {
+	/**
+	Accepts a configuration if its version is higher than the current one. `source`, the store or the name of another host,
+	and the time since its state was confirmed are logged.
+	*/
+	accept(content: types.Deployment, source: string, ageMs = 0): void {
 		if (this.#content && content.version <= this.#content.version) {
 			return;
 		}
 
 		this.#decisions.record('configuration-accepted', {
-			version: content.version, replaced: this.#content?.version ?? 0, routes: content.routes.length, source,
+			version: content.version, replaced: this.#content?.version ?? 0, routes: content.routes.length, source, ageMs: Math.round(ageMs),
 		});
 		this.#content = content;
 		this.#routes = new Map(content.routes.map(route => [route.database, route]));
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -145,9 +145,9 @@
 			this.#tasks.start('session', async () => this.#serveCaller(accepted));
 		});
 		this.#caches = {
-			configuration: this.#createCache('configuration', new retentions.ConfigurationRetention(), (_name, item) => {
+			configuration: this.#createCache('configuration', new retentions.ConfigurationRetention(), (_name, item, source) => {
 				if (item?.value) {
-					this.#applyDeployment(item.value);
+					this.#applyDeployment(item.value, source);
 				}
 			}),
 			servers: this.#createCache('servers', new retentions.ServerRetention(), (name, item) => {
@@ -323,8 +323,8 @@
 		return kind === 'configuration' || kind === 'servers' ? this.#options.settings.consistency.configurationMs / 2 : slowWatchMs;
 	}
 
-	#applyDeployment(content: types.Deployment): void {
-		this.#deployment.accept(content, 'store');
+	#applyDeployment(content: types.Deployment, source: string): void {
+		this.#deployment.accept(content, source, this.#caches.configuration.ageMs);
 		for (const {name} of this.#deployment.content?.databases ?? []) {
 			if (!this.#groups.has(name)) {
 				this.#addGroup(name);
--- a/src/entry/notice.ts
+++ b/src/entry/notice.ts
@@ -35,12 +35,12 @@
 	return message.kind === 'configuration' || message.kind === 'servers' || message.kind === 'hosts' || message.kind === 'claims';
 }
 
-/** Applies an update to the cache of its kind. Returns false if an earlier update is missing. */
-export function apply(all: Caches, {kind, from, revision, items, gone}: types.StateNotice, confirmedAt: number): boolean {
+/** Applies an update that the host `source` sent to the cache of its kind. Returns false if an earlier update is missing. */
+export function apply(all: Caches, {kind, from, revision, items, gone}: types.StateNotice, confirmedAt: number, source: string): boolean {
 	const update = {
 		from: from ?? undefined, revision, items: items.map(({value, ...item}) => ({...item, ...read(kind, value, item.fault)})), gone,
 	};
-	return (all[kind] as caches.Cache<objects.Kind>).apply(update as caches.Update<objects.Kind>, confirmedAt);
+	return (all[kind] as caches.Cache<objects.Kind>).apply(update as caches.Update<objects.Kind>, confirmedAt, source);
 }
 
 /** Reads a value that another host passed on. That host may be of a build that checks less. */
--- a/src/entry/synchronizer.ts
+++ b/src/entry/synchronizer.ts
@@ -134,7 +134,7 @@
 		}
 
 		const confirmedAt = this.#options.clock.now() - notice.ageMs;
-		if (notices.apply(this.#options.caches, notice, confirmedAt)) {
+		if (notices.apply(this.#options.caches, notice, confirmedAt, observer.name)) {
 			if (this.#options.caches[notice.kind].revision !== notice.revision) {
 				// The cache is newer and ignores the update.
 				return;
--- a/src/entry/tests/cache.test.ts
+++ b/src/entry/tests/cache.test.ts
@@ -51,6 +51,26 @@
 	return revisions.combine({generation: 1, counter});
 }
 
+test.test('guards against a log that names the store as the source of what another host passed on', () => {
+	const sources: string[] = [];
+	const cache = new caches.Cache<'configuration'>({
+		kind: 'configuration',
+		retention: new retentions.ConfigurationRetention(),
+		clock: new clock.Manual(),
+		decisions: new decisions.Silent(),
+		onChange(_name, _item, source) {
+			sources.push(source);
+		},
+	});
+	cache.apply({
+		from: undefined, revision: 21, items: [item('main', 21, configuration(1))], gone: [],
+	}, 0, 'entry-1');
+	cache.apply({
+		from: 21, revision: 22, items: [item('main', 22, configuration(2))], gone: [],
+	}, 0);
+	assert.deepEqual(sources, ['entry-1', 'store']);
+});
+
 test.test('guards against passing on a configuration that was replaced after the copy from which the store was restored', () => {
 	const {cache, changes} = make('configuration', new retentions.ConfigurationRetention());
 	const sent: Array<caches.Update<'configuration'>> = [];
