Stop following the store once the observer's later updates can be applied

A host that starts lists every kind at the store's latest revision. The observer's cache of a kind without changes has the revision at which its last watch ended, up to 20 s earlier. The host ignored the observer's state of that kind as older than its own, so it never counted the observer as current: it went on following the store, and excluded one host after the other as observer, each of which followed the store as well while it was subscribed to.

An update of the same generation now counts as state that the observer has sent, since a cache can apply every later update from an earlier revision on. An update of an earlier generation still doesn't count.

The new test fails without the change: the host that started still follows the store 5 s later.

--- a/src/entry/synchronizer.ts
+++ b/src/entry/synchronizer.ts
@@ -9,6 +9,7 @@
 import * as notices from './notice.js';
 import type * as objects from './objects.js';
 import type * as peers from './peer.js';
+import * as revisions from './revision.js';
 
 export type Options = {
 	readonly caches: notices.Caches;
@@ -135,11 +136,14 @@
 
 		const confirmedAt = this.#options.clock.now() - notice.ageMs;
 		if (notices.apply(this.#options.caches, notice, confirmedAt, observer.name)) {
-			if (this.#options.caches[notice.kind].revision !== notice.revision) {
-				// The cache is newer and ignores the update.
+			const {revision = 0} = this.#options.caches[notice.kind];
+			if (revisions.split(revision).generation !== revisions.split(notice.revision).generation) {
+				// The cache ignores updates of an earlier generation, and has nothing in common with their later ones.
 				return;
 			}
 
+			// A cache that is newer than the update in the same generation can apply the observer's later ones.
+
 			this.#confirmedAt.set(notice.kind, Math.max(confirmedAt, this.#confirmedAt.get(notice.kind) ?? confirmedAt));
 		} else {
 			// An earlier update is missing, so the complete state is requested.
--- a/src/entry/tests/fake-cluster.ts
+++ b/src/entry/tests/fake-cluster.ts
@@ -525,11 +525,15 @@
 	}
 }
 
+const quietWatchMs = 20_000;
+
 /**
 The shared store as reached from one host; `state` is that of the network path between them. Watches take time on the
 manual clock, so that a follower doesn't spin.
 */
 export class HostStore extends Objects {
+	/** Kinds whose watches wait for as long as that of a kind without changes. */
+	readonly quietKinds = new Set<objects.Kind>();
 	readonly #store: Objects;
 	readonly #clock: clock.Clock;
 
@@ -544,7 +548,7 @@
 	}
 
 	override async watch<K extends objects.Kind>(kind: K, revision: number, waitMs = 100): Promise<errors.Outcome<objects.Changes<K>>> {
-		await this.#clock.sleep(waitMs);
+		await this.#clock.sleep(this.quietKinds.has(kind) ? quietWatchMs : waitMs);
 		return this.state === 'well' ? this.#store.watch(kind, revision) : super.watch(kind, revision);
 	}
 }
--- a/src/entry/tests/synchronizer.test.ts
+++ b/src/entry/tests/synchronizer.test.ts
@@ -260,6 +260,32 @@
 	await region.stop();
 });
 
+test.test('guards against a host that follows the store for as long as its list of a kind without changes is newer than the observer\'s', async () => {
+	const region = new Region();
+	await region.start(5);
+	// The observer's watches of the kinds without changes return only after a while, so their revisions stay behind.
+	for (const {store} of region.hosts) {
+		store.quietKinds.add('hosts').add('claims');
+	}
+
+	await region.time.advance(1000);
+	for (let version = 2; version < 6; version++) {
+		region.store.put('configuration', 'main', configuration(version));
+	}
+
+	await region.time.advance(2000);
+	const started = new Host('host-5', 5, region);
+	started.store.quietKinds.add('hosts').add('claims');
+	region.hosts.push(started);
+	await region.time.advance(5000);
+	assert.equal(started.synchronizer.isFollowingStore, false);
+	assert.equal(region.followerCount, 1);
+	region.store.put('hosts', 'host-9', region.announcement('host-9', 9));
+	await region.time.advance(25_000);
+	assert.ok(started.caches.hosts.item('host-9'));
+	await region.stop();
+});
+
 /** Makes a host read the store like builds that don't know of restorations: its revisions are the store's own counters. */
 function dropGenerations(host: Host, store: fakes.Objects): void {
 	host.store.list = async <K extends objects.Kind>(kind: K) => {
