End the watches of a host that stops following the store

A host that stopped following the store discarded the results of its watches, but the calls went on: for up to 20 s those of the hosts and the claims, each on a connection of its own. The client opens at most 12 connections, so a host that started and stopped following six times within 20 s, as a deputy of an observer that keeps failing, had none left. Its next calls waited for one until they timed out, those for the configuration and for a claim as well.

A watch takes a signal that ends the call and releases its connection. The client takes several signals, since a watch also ends when the store was restored, and removes its listeners with the call.

The new test of the client fails without the signal (the list gets no connection within 5 s), that of the follower with a signal that never aborts.

--- a/src/entry/follower.ts
+++ b/src/entry/follower.ts
@@ -98,7 +98,7 @@
 	/** Applies the changes of one watch. Returns right(true) if the store has discarded the changes after `revision`, so that a list is required. */
 	async #watch(revision: number, signal: AbortSignal): Promise<errors.Outcome<boolean>> {
 		const {cache, store, clock: time, watchMs, coalesceMs, decisions: record} = this.#options;
-		const outcome = await store.watch(cache.kind, revision, watchMs);
+		const outcome = await store.watch(cache.kind, revision, watchMs, signal);
 		if (Either.isLeft(outcome) || signal.aborted) {
 			return Either.isLeft(outcome) ? outcome : Either.right(false);
 		}
--- a/src/entry/objects.ts
+++ b/src/entry/objects.ts
@@ -51,8 +51,8 @@
 	/** All objects of a kind. */
 	abstract list<K extends Kind>(kind: K): Promise<errors.Outcome<Listing<K>>>;
 
-	/** Waits up to `waitMs` for changes after `revision`. */
-	abstract watch<K extends Kind>(kind: K, revision: number, waitMs: number): Promise<errors.Outcome<Changes<K>>>;
+	/** Waits up to `waitMs` for changes after `revision`. When `signal` aborts, the call ends and fails. */
+	abstract watch<K extends Kind>(kind: K, revision: number, waitMs: number, signal: AbortSignal): Promise<errors.Outcome<Changes<K>>>;
 
 	/** One object; `undefined` if there is none. */
 	abstract read<K extends Kind>(kind: K, name: string): Promise<errors.Outcome<Item<K> | undefined>>;
--- a/src/entry/tests/follower.test.ts
+++ b/src/entry/tests/follower.test.ts
@@ -3,7 +3,7 @@
 import * as Either from 'fp-ts/lib/Either.js';
 import type * as types from '../../generated/types.js';
 import * as clock from '../../core/clock.js';
-import type * as errors from '../../core/errors.js';
+import * as errors from '../../core/errors.js';
 import * as random from '../../core/random.js';
 import * as decisions from '../decisions.js';
 import * as deployments from '../deployment.js';
@@ -106,6 +106,35 @@
 	assert.equal(cache.revision, 21);
 });
 
+/** A store whose watches wait until they are aborted. */
+class WaitingStore extends fakes.Objects {
+	waiting = 0;
+
+	override async watch<K extends objects.Kind>(kind: K, _revision: number, _waitMs?: number, signal?: AbortSignal): Promise<errors.Outcome<objects.Changes<K>>> {
+		this.waiting++;
+		await new Promise(resolve => {
+			signal?.addEventListener('abort', resolve);
+		});
+		this.waiting--;
+		return errors.fail('store', 'store', kind, 'the call was aborted');
+	}
+}
+
+test.test('guards against a watch that holds its connection to the store after this host has stopped following it', async () => {
+	const time = new clock.Manual();
+	const store = new WaitingStore();
+	const {hosts: cache} = states.caches(time, new decisions.Silent());
+	const stopped = new AbortController();
+	void new follower.Follower({
+		cache, store, clock: time, random: new random.Seeded(1), decisions: new decisions.Silent(), watchMs: 20_000, firstWatchDelayMs: 0, coalesceMs: 0,
+	}).run(stopped.signal);
+	await time.advance(500);
+	assert.equal(store.waiting, 1);
+	stopped.abort();
+	await time.advance(1);
+	assert.equal(store.waiting, 0);
+});
+
 test.test('an older configuration never replaces a newer one', () => {
 	const deployment = new deployments.Deployment(new clock.Manual(), new decisions.Silent());
 	deployment.accept(configuration(7), 'store');
--- a/src/platform/http.ts
+++ b/src/platform/http.ts
@@ -14,8 +14,8 @@
 	readonly headers?: Readonly<Record<string, string>>;
 	readonly body?: unknown;
 	readonly timeoutMs: number;
-	/** Ends the call early, which then fails. */
-	readonly signal?: AbortSignal;
+	/** Each ends the call early, which then fails and releases its connection. They may outlive the call. */
+	readonly signals?: readonly AbortSignal[];
 };
 
 /** A response with its parsed body, which is `undefined` if it isn't JSON. */
@@ -43,14 +43,22 @@
 
 	/** Makes a call. Errors: `store` if no complete response arrives; the call may still take effect. */
 	async call({
-		method, path, headers = {}, body, timeoutMs, signal,
+		method, path, headers = {}, body, timeoutMs, signals = [],
 	}: Call): Promise<errors.Outcome<Response>> {
 		const {host, port} = address.parse(this.#address);
 		const text = body === undefined ? undefined : JSON.stringify(body);
 		return new Promise(resolve => {
-			const fail = (reason: string): void => {
+			const settle = (outcome: errors.Outcome<Response>): void => {
 				clearTimeout(timer);
-				resolve(errors.fail('store', 'store', this.#address, `${method} ${path}: ${reason}`));
+				for (const signal of signals) {
+					signal.removeEventListener('abort', abort);
+				}
+
+				resolve(outcome);
+			};
+
+			const fail = (reason: string): void => {
+				settle(errors.fail('store', 'store', this.#address, `${method} ${path}: ${reason}`));
 			};
 
 			const request = http.request({
@@ -59,7 +67,6 @@
 				port,
 				method,
 				path,
-				signal,
 				headers: text === undefined ? headers : {...headers, 'content-type': 'application/json', 'content-length': buffer.Buffer.byteLength(text)},
 			}, response => {
 				const chunks: Uint8Array[] = [];
@@ -76,18 +83,29 @@
 					fail(error.message);
 				});
 				response.on('end', () => {
-					clearTimeout(timer);
-					resolve(Either.right({status: response.statusCode ?? 0, headers: response.headers, body: parse(buffer.Buffer.concat(chunks).toString())}));
+					settle(Either.right({status: response.statusCode ?? 0, headers: response.headers, body: parse(buffer.Buffer.concat(chunks).toString())}));
 				});
 			});
 			// A connection that lost one response delivers no later ones, so it is destroyed rather than reused.
 			const timer = setTimeout(() => {
 				request.destroy(new Error(`no response within ${timeoutMs} ms`));
 			}, timeoutMs);
+			const abort = (): void => {
+				request.destroy(new Error('the call was aborted'));
+			};
+
+			for (const signal of signals) {
+				signal.addEventListener('abort', abort);
+			}
+
 			request.on('error', error => {
 				fail(error.message);
 			});
-			request.end(text);
+			if (signals.some(({aborted}) => aborted)) {
+				abort();
+			} else {
+				request.end(text);
+			}
 		});
 	}
 }
--- a/src/platform/objects.ts
+++ b/src/platform/objects.ts
@@ -86,7 +86,7 @@
 		}
 	}
 
-	override async watch<K extends objects.Kind>(kind: K, revision: number, waitMs: number): Promise<errors.Outcome<objects.Changes<K>>> {
+	override async watch<K extends objects.Kind>(kind: K, revision: number, waitMs: number, signal: AbortSignal): Promise<errors.Outcome<objects.Changes<K>>> {
 		const {generation, counter} = revisions.split(revision);
 		const lost = Either.right({
 			changes: [], revision, isLost: true, unreadable: [],
@@ -96,7 +96,7 @@
 		}
 
 		const outcome = await this.#call({
-			method: 'GET', path: `${pathOf(kind)}?watch=${counter}&waitMs=${waitMs}`, timeoutMs: timeoutMs + waitMs, signal: this.#restored.signal,
+			method: 'GET', path: `${pathOf(kind)}?watch=${counter}&waitMs=${waitMs}`, timeoutMs: timeoutMs + waitMs, signals: [this.#restored.signal, signal],
 		});
 		// The counter has another meaning since, whether this response or one to another call showed the restoration.
 		if (generation < this.#generation) {
--- a/src/platform/tests/http.test.ts
+++ b/src/platform/tests/http.test.ts
@@ -9,6 +9,7 @@
 import * as revisions from '../../entry/revision.js';
 
 const testTimeoutMs = 5000;
+const unaborted = new AbortController().signal;
 
 /** `text` is sent instead of `body`, for numbers and nesting that JSON.stringify can't produce. */
 type Reply = {readonly status: number; readonly body?: unknown; readonly text?: string; readonly era?: number};
@@ -100,12 +101,12 @@
 	];
 	const {client} = await serve(context, () => replies.shift() ?? {status: 500});
 	const store = new objects.Objects(client);
-	const changed = await store.watch('servers', 5, 100);
+	const changed = await store.watch('servers', 5, 100, unaborted);
 	assert.ok(Either.isRight(changed));
 	assert.deepEqual(changed.right.changes.map(({name, item}) => [name, item !== undefined]), [['i-1', true], ['i-2', false]]);
-	const lost = await store.watch('servers', 9, 100);
+	const lost = await store.watch('servers', 9, 100, unaborted);
 	assert.ok(Either.isRight(lost) && lost.right.isLost);
-	const down = await store.watch('servers', 9, 100);
+	const down = await store.watch('servers', 9, 100, unaborted);
 	assert.ok(Either.isLeft(down));
 	assert.equal(down.left.kind, 'store');
 });
@@ -128,13 +129,13 @@
 test.test('guards against changes missed by a watch from a revision that the restored store has given out again', {timeout: testTimeoutMs}, async context => {
 	const {client, calls} = await serve(context, () => ({status: 200, body: {events: [], storeRevision: 25}, era: 2}));
 	const store = new objects.Objects(client);
-	const first = await store.watch('configuration', 21, 100);
+	const first = await store.watch('configuration', 21, 100, unaborted);
 	assert.ok(Either.isRight(first) && first.right.isLost);
-	const second = await store.watch('configuration', 21, 100);
+	const second = await store.watch('configuration', 21, 100, unaborted);
 	assert.ok(Either.isRight(second) && second.right.isLost);
 	assert.equal(calls.length, 1);
 	const current = revisions.combine({generation: 1, counter: 25});
-	const third = await store.watch('configuration', current, 100);
+	const third = await store.watch('configuration', current, 100, unaborted);
 	assert.ok(Either.isRight(third) && !third.right.isLost);
 	assert.equal(third.right.revision, current);
 	assert.equal(calls[1]?.path, '/objects/config?watch=25&waitMs=100');
@@ -142,7 +143,7 @@
 
 test.test('guards against changes of the time before a restoration, in a response that arrives late', {timeout: testTimeoutMs}, async context => {
 	const {client} = await serve(context, () => ({status: 200, body: {events: [{object: stored('main', {})}], storeRevision: 30}, era: 1}));
-	const outcome = await new objects.Objects(client).watch('configuration', revisions.combine({generation: 1, counter: 25}), 100);
+	const outcome = await new objects.Objects(client).watch('configuration', revisions.combine({generation: 1, counter: 25}), 100, unaborted);
 	assert.ok(Either.isLeft(outcome) && outcome.left.kind === 'store');
 });
 
@@ -153,12 +154,36 @@
 		})
 		: {status: 404, era: 2});
 	const store = new objects.Objects(client);
-	const watch = store.watch('hosts', 21, 60_000);
+	const watch = store.watch('hosts', 21, 60_000, unaborted);
 	await store.read('claims', 'ledgers');
 	const outcome = await watch;
 	assert.ok(Either.isRight(outcome) && outcome.right.isLost);
 });
 
+test.test('guards against calls that find no free connection because watches of a host that left the store still wait', {timeout: testTimeoutMs}, async context => {
+	const {client} = await serve(context, async ({path}) => path.includes('watch=')
+		? new Promise(() => {
+			// The watch gets no response.
+		})
+		: {status: 200, body: {items: [], more: false, storeRevision: 21}});
+	const store = new objects.Objects(client);
+	const watches: Array<Promise<unknown>> = [];
+	for (let times = 0; times < 20; times++) {
+		const left = new AbortController();
+		watches.push(store.watch('hosts', 21, 20_000, left.signal), store.watch('claims', 21, 20_000, left.signal));
+		await new Promise(resolve => {
+			setTimeout(resolve, 5);
+		});
+		left.abort();
+	}
+
+	const listed = await store.list('configuration');
+	assert.ok(Either.isRight(listed));
+	await Promise.all(watches);
+	const refused = await store.watch('hosts', 21, 20_000, AbortSignal.abort());
+	assert.ok(Either.isLeft(refused));
+});
+
 test.test('guards against an object replaced because it has the revision of a lost one', {timeout: testTimeoutMs}, async context => {
 	const {client, calls} = await serve(context, () => ({status: 404, era: 2}));
 	const store = new objects.Objects(client);
@@ -274,7 +299,7 @@
 		const {client} = await serve(context, () => ({
 			status: 200, text: `{"events":[{"object":${odd},"tombstone":false},{"object":${JSON.stringify(stored('i-1', server))}}],"storeRevision":12}`,
 		}));
-		const outcome = await new objects.Objects(client).watch('servers', 5, 100);
+		const outcome = await new objects.Objects(client).watch('servers', 5, 100, unaborted);
 		assert.ok(Either.isRight(outcome), odd.slice(0, 80));
 		const {changes, unreadable} = outcome.right;
 		assert.deepEqual(changes.filter(({item}) => item?.value !== undefined).map(({name}) => name), ['i-1']);
