Order no promotion once hosts may confirm the old primary's commits again

Cause: a primary that answers nobody is fenced by the hosts, which withhold its commits for 4 s after they have heard of the claim. The order was sent without looking at the age of the claim: repeated for up to 8 s while the platform refused it, or sent late by a host whose process had been stopped in between. Meanwhile the primary may answer other hosts again and commit through a replica that returned; these commits are confirmed, and the target lacks them. Nobody claims anew since the primary responds, so the fencing token of the order is still the highest.

Ruled out for a leader that stepped down: it acknowledges nothing until a server is promoted, so its fence has no such end.

Change: no order is sent later than 2.5 s after the claim (4 s less a promotion of up to 1 s); the attempt is given up, and the next one fences anew. The model of hosts can stop the process of one host, and reaches a step at the suspension.

Conclusion: not shown for real processes. An order that the platform received in time and carries out seconds later is still open: only a newer fencing token would stop it.

--- a/src/entry/failover.ts
+++ b/src/entry/failover.ts
@@ -173,6 +173,7 @@
 			return errors.fail('conflict', 'store', name, 'another host has claimed the promotion');
 		}
 
+		const claimedAt = this.#options.clock.mark();
 		const claimed = await promotionClaims.claim(name);
 		if (Either.isLeft(claimed)) {
 			return claimed;
@@ -184,7 +185,7 @@
 		}
 
 		const fence = await this.#succession.prepare({
-			reason, leader: leader ?? views?.leader, found: found.right, isSeenByOthers: (views?.responding ?? 0) > 0, claim: claimed.right,
+			reason, leader: leader ?? views?.leader, found: found.right, isSeenByOthers: (views?.responding ?? 0) > 0, claim: claimed.right, claimedAt,
 		});
 		return Either.isLeft(fence) ? fence : this.#promoteWithin(fence.right, claimed.right);
 	}
@@ -254,7 +255,7 @@
 		const {target} = fence;
 		const deadline = this.#options.clock.now() + promoteTimeoutMs;
 		let outcome: errors.Outcome<authority.Result> = errors.fail('store', 'store', service, 'no promotion request was sent');
-		let checked: errors.Outcome<void> = this.#checkIncarnation(target);
+		let checked: errors.Outcome<void> = this.#checkFence(fence);
 		while (Either.isRight(checked)) {
 			outcome = await this.#options.authority.promote({
 				service, server: target.id, holder: this.#options.host, token,
@@ -300,10 +301,15 @@
 			return errors.fail('not-run', 'observe', target.id, `the server to promote has lost its log, it ended at ${position.format(required)}`);
 		}
 
-		return fence.breach === '' ? this.#checkIncarnation(target) : errors.fail('not-run', 'observe', target.id, fence.breach);
+		return this.#checkFence(fence);
 	}
 
-	#checkIncarnation(target: member.Member): errors.Outcome<void> {
+	/** Whether the fence still holds around the incarnation of the target that was chosen. */
+	#checkFence({target, breach, isCurrent}: fences.Fence): errors.Outcome<void> {
+		if (breach !== '' || !isCurrent) {
+			return errors.fail('not-run', 'observe', target.id, breach === '' ? 'too much time has passed since the claim' : breach);
+		}
+
 		return this.#options.group.members.includes(target)
 			? Either.right(undefined)
 			: errors.fail('not-run', 'observe', target.id, 'the server to promote has started again or left');
--- a/src/entry/fence.ts
+++ b/src/entry/fence.ts
@@ -7,7 +7,7 @@
 `confirmation.ts`.
 */
 import * as Either from 'fp-ts/lib/Either.js';
-import type * as clock from '../core/clock.js';
+import * as clock from '../core/clock.js';
 import * as position from '../core/position.js';
 import type * as candidate from './candidate.js';
 import type * as decisions from './decisions.js';
@@ -23,11 +23,12 @@
 	readonly decisions: decisions.Decisions;
 };
 
-/** The next leader with its status at the choice, the leader to replace, and the next leader's term. */
+/** The next leader with its status at the choice, the leader to replace, the next leader's term, and the time of the claim. */
 export type Choice = {
 	readonly target: candidate.Candidate;
 	readonly leader: member.Member | undefined;
 	readonly term: number;
+	readonly claimedAt: clock.Mark;
 };
 
 /**
@@ -35,6 +36,11 @@
 old leader may return, and another server may register, restart without its pause, or be resumed by a late order.
 */
 const renewalIntervalMs = 100;
+/**
+Time from the claim after which no order is sent any more. The hosts withhold commits for 4 s after they have heard of the
+claim, and a promotion takes effect up to 1 s after its order.
+*/
+const maxOrderAgeMs = 2500;
 /** Time for the target to receive a commit that another server has received. */
 const replicationSkewMs = 100;
 
@@ -63,6 +69,9 @@
 		return this.#breach;
 	}
 
+	/** Whether nothing can be acknowledged until a promotion that is ordered now has taken effect. */
+	abstract get isCurrent(): boolean;
+
 	/** Renews the fence until `signal` aborts. */
 	abstract maintain(signal: AbortSignal): Promise<void>;
 
@@ -103,6 +112,11 @@
 
 /** The old leader has confirmed that it stepped down. */
 export class SteppedDown extends Fence {
+	/** Holds until a server is promoted. */
+	override get isCurrent(): boolean {
+		return true;
+	}
+
 	override async maintain(signal: AbortSignal): Promise<void> {
 		void this.watchLeader(signal);
 	}
@@ -124,6 +138,10 @@
 		this.#held = new Set(paused);
 	}
 
+	override get isCurrent(): boolean {
+		return clock.between(this.choice.claimedAt, this.context.clock.mark()) < maxOrderAgeMs;
+	}
+
 	override async maintain(signal: AbortSignal): Promise<void> {
 		void this.watchLeader(signal);
 		await this.#renewPauses(signal);
--- a/src/entry/succession.ts
+++ b/src/entry/succession.ts
@@ -44,6 +44,8 @@
 	/** Whether the leader responds to another host, as these reported before the claim. */
 	readonly isSeenByOthers: boolean;
 	readonly claim: claims.Claim;
+	/** Time before the claim: no host has heard of it earlier. */
+	readonly claimedAt: clock.Mark;
 };
 
 /** An attempt with the next leader's term. */
@@ -266,17 +268,19 @@
 		}
 	}
 
-	#steppedDown({leader, term}: Dated, target: candidates.Candidate): errors.Outcome<fences.Fence> {
+	#steppedDown({leader, term, claimedAt}: Dated, target: candidates.Candidate): errors.Outcome<fences.Fence> {
 		if (leader) {
 			this.#options.group.recordStepDown(leader);
 		}
 
-		return Either.right(new fences.SteppedDown(this.#fenceContext, {target, leader, term}));
+		return Either.right(new fences.SteppedDown(this.#fenceContext, {
+			target, leader, term, claimedAt,
+		}));
 	}
 
 	/** Pauses replication on the other candidates and chooses the one that can be promoted without losing an acknowledged commit. */
 	async #pauseReplicas(attempt: Dated, reports: readonly types.LeaderReport[]): Promise<errors.Outcome<fences.Fence>> {
-		const {found, leader, term} = attempt;
+		const {found, leader, term, claimedAt} = attempt;
 		const servers = found.map(({member: server}) => server);
 		const target = await this.#chooseAmongPaused(attempt);
 		const confirmed = this.#confirmed(reports);
@@ -287,7 +291,9 @@
 
 		const known = leader ? [...servers, leader] : servers;
 		const paused = servers.filter(server => server !== target.right.member);
-		return Either.right(new fences.Paused(this.#fenceContext, {leader, term, target: target.right}, known, paused));
+		return Either.right(new fences.Paused(this.#fenceContext, {
+			target: target.right, leader, term, claimedAt,
+		}, known, paused));
 	}
 
 	async #chooseAmongPaused({found, reason, term}: Dated): Promise<errors.Outcome<candidates.Candidate>> {
--- a/src/entry/tests/fake-fleet.ts
+++ b/src/entry/tests/fake-fleet.ts
@@ -22,7 +22,7 @@
 import * as cluster from './fake-cluster.js';
 
 /** A step of a failover, at which a test can let something happen. */
-export type Step = 'claim' | 'fence' | 'choice' | 'order';
+export type Step = 'claim' | 'suspension' | 'fence' | 'choice' | 'order';
 
 const service = 'ledgers';
 const linkDelayMs = 4;
@@ -44,11 +44,13 @@
 	/** The server refuses further connections of this host. */
 	isAtLimit = false;
 	readonly #server: cluster.Server;
+	readonly #host: Host;
 	readonly #onCommand: (command: statement.Command) => void;
 
-	constructor(server: cluster.Server, onCommand: (command: statement.Command) => void) {
+	constructor(server: cluster.Server, host: Host, onCommand: (command: statement.Command) => void) {
 		super();
 		this.#server = server;
+		this.#host = host;
 		this.#onCommand = onCommand;
 	}
 
@@ -71,22 +73,23 @@
 		}
 
 		const outcome = await this.#server.connect(timeoutMs);
-		return Either.map((connection: backend.Connection): backend.Connection => new PathConnection(this, connection, this.#server.cluster.clock, this.#onCommand))(outcome);
+		await this.#host.awaitRunning();
+		return Either.map((connection: backend.Connection): backend.Connection => new PathConnection(this, this.#host, connection, this.#onCommand))(outcome);
 	}
 }
 
 /** A connection that loses what is sent while its path is cut. */
 class PathConnection extends backend.Connection {
 	readonly #path: Path;
+	readonly #host: Host;
 	readonly #connection: backend.Connection;
-	readonly #clock: clock.Clock;
 	readonly #onCommand: (command: statement.Command) => void;
 
-	constructor(path: Path, connection: backend.Connection, time: clock.Clock, onCommand: (command: statement.Command) => void) {
+	constructor(path: Path, host: Host, connection: backend.Connection, onCommand: (command: statement.Command) => void) {
 		super();
 		this.#path = path;
+		this.#host = host;
 		this.#connection = connection;
-		this.#clock = time;
 		this.#onCommand = onCommand;
 	}
 
@@ -115,16 +118,18 @@
 	}
 
 	async #pass<T>(send: () => Promise<errors.Outcome<T>>, command: statement.Command, timeoutMs: number): Promise<errors.Outcome<T>> {
-		const sentAt = this.#clock.now();
+		const {clock: time} = this.#host;
+		const sentAt = time.now();
 		if (!this.#path.isCut) {
 			this.#onCommand(command);
 			const outcome = await send();
+			await this.#host.awaitRunning();
 			if (!this.#path.isCut) {
 				return outcome;
 			}
 		}
 
-		await this.#clock.sleep(sentAt + timeoutMs - this.#clock.now());
+		await time.sleep(sentAt + timeoutMs - time.now());
 		this.close();
 		return errors.fail('outcome-unknown', 'receive', this.server, 'no response');
 	}
@@ -146,9 +151,12 @@
 	}
 
 	override async ask(question: hosts.Question): Promise<hosts.Answers> {
-		const others = this.#fleet.hosts.filter(host => host !== this.#self());
+		const self = this.#self();
+		this.#fleet.reach(question.order === 'suspend' ? 'suspension' : undefined, self);
+		const others = this.#fleet.hosts.filter(host => host !== self);
 		const answers = await Promise.all(others.map(async host => this.#fleet.time.limit(this.#askOne(host, question), answerTimeoutMs)));
 		const reports = answers.flatMap(answer => answer ? [answer] : []);
+		await self.awaitRunning();
 		return {reports, isComplete: reports.length === others.length};
 	}
 
@@ -159,6 +167,7 @@
 			return this.#lose();
 		}
 
+		await host.awaitRunning();
 		const report = await host.reporter.answer({kind: 'leader-inquiry', id: 1, ...question});
 		await this.#fleet.time.sleep(linkDelayMs);
 		return isLost() || host.losesAnswers ? this.#lose() : report;
@@ -184,9 +193,41 @@
 	}
 }
 
+/** The clock of one host: nothing that the host waits for ends while its process is stopped. */
+class HostClock extends clock.Clock {
+	readonly #time: clock.Clock;
+	#stoppedUntil = 0;
+
+	constructor(time: clock.Clock) {
+		super();
+		this.#time = time;
+	}
+
+	override now(): number {
+		return this.#time.now();
+	}
+
+	override async sleep(ms: number, signal?: AbortSignal): Promise<void> {
+		await this.#time.sleep(ms, signal);
+		await this.awaitRunning();
+	}
+
+	/** Stops the process for `ms`. */
+	stop(ms: number): void {
+		this.#stoppedUntil = this.#time.now() + ms;
+	}
+
+	async awaitRunning(): Promise<void> {
+		while (this.#time.now() < this.#stoppedUntil) {
+			await this.#time.sleep(this.#stoppedUntil - this.#time.now());
+		}
+	}
+}
+
 /** One host of the fleet. */
 export class Host {
 	readonly name: string;
+	readonly clock: HostClock;
 	/** No message passes between this host and the others. */
 	isLinkCut = false;
 	/** This host neither sees the claims in the store nor makes any. */
@@ -205,8 +246,10 @@
 	readonly #decisions: decisions.Decisions;
 
 	constructor(fleet: Fleet, name: string, seed: number) {
-		const {time, store} = fleet;
+		const {store} = fleet;
+		const time = new HostClock(fleet.time);
 		this.name = name;
+		this.clock = time;
 		this.#fleet = fleet;
 		this.#decisions = new Journal(entry => {
 			fleet.journal.push(`${Math.round(time.now())} ${name} ${entry}`);
@@ -215,8 +258,8 @@
 			name: service, clock: time, decisions: this.#decisions, connect: ({id}) => this.paths.get(id)!, isIsolated: () => this.isStoreCut && this.isLinkCut,
 		});
 		for (const server of fleet.cluster.servers) {
-			this.paths.set(server.name, new Path(server, command => {
-				fleet.reach(command.kind === 'step-down' || command.kind === 'pause' ? 'fence' : undefined);
+			this.paths.set(server.name, new Path(server, this, command => {
+				fleet.reach(command.kind === 'step-down' || command.kind === 'pause' ? 'fence' : undefined, this);
 			}));
 		}
 
@@ -232,7 +275,7 @@
 		});
 		const claim = this.claims.claim.bind(this.claims);
 		this.claims.claim = async claimed => {
-			fleet.reach('claim');
+			fleet.reach('claim', this);
 			return this.isStoreCut ? errors.fail('store', 'store', service, 'no response') : claim(claimed);
 		};
 
@@ -250,6 +293,11 @@
 		this.#writer = new writes.Writer({clock: time, place: 'west', decisions: this.#decisions});
 	}
 
+	/** Waits while the process is stopped. */
+	async awaitRunning(): Promise<void> {
+		await this.clock.awaitRunning();
+	}
+
 	run(signal: AbortSignal): void {
 		this.group.resize({softLimit: 2, hardLimit: 2});
 		for (const {name} of this.#fleet.cluster.servers) {
@@ -264,7 +312,8 @@
 
 	/** Executes a write of a caller. Returns whether it was confirmed. */
 	async write(id: string): Promise<boolean> {
-		const {time} = this.#fleet;
+		const {clock: time} = this;
+		await time.awaitRunning();
 		const reply = await this.#writer.execute({
 			id,
 			route: {
@@ -285,11 +334,11 @@
 
 	/** Keeps the group active and follows the claims, as traffic and the store's followers do. */
 	async #followStore(signal: AbortSignal): Promise<void> {
-		const {store, time} = this.#fleet;
+		const {store} = this.#fleet;
 		while (!signal.aborted) {
 			this.group.touch();
 			const found = await store.read('claims', service);
-			await time.sleep(storeDelayMs, signal);
+			await this.clock.sleep(storeDelayMs, signal);
 			if (!this.isStoreCut && Either.isRight(found) && found.right) {
 				this.claims.update(service, found.right);
 			}
@@ -311,7 +360,7 @@
 	/** What the hosts have decided, for the message of a failed test. */
 	readonly journal: string[] = [];
 	/** Actions that a test has set for the first time that a failover reaches a step. */
-	readonly actions = new Map<Step, () => void>();
+	readonly actions = new Map<Step, (host: Host) => void>();
 	readonly #stopped = new AbortController();
 	#lastId = 0;
 	#leaderlessSince: number | undefined;
@@ -329,9 +378,10 @@
 
 		const order = this.authority.promote.bind(this.authority);
 		this.authority.promote = async (request: authority.Request) => {
-			this.reach('choice');
+			const holder = this.hosts.find(({name}) => name === request.holder)!;
+			this.reach('choice', holder);
 			const outcome = await order(request);
-			this.reach('order');
+			this.reach('order', holder);
 			return outcome;
 		};
 	}
@@ -366,12 +416,12 @@
 		void this.#write(host, `w${this.#lastId}`);
 	}
 
-	/** Runs the action that waits for a step. */
-	reach(step: Step | undefined): void {
+	/** Runs the action that waits for a step, which a host has reached. */
+	reach(step: Step | undefined, host: Host): void {
 		const action = step && this.actions.get(step);
 		if (action) {
 			this.actions.delete(step);
-			action();
+			action(host);
 		}
 	}
 
--- a/src/entry/tests/fencing.test.ts
+++ b/src/entry/tests/fencing.test.ts
@@ -138,6 +138,48 @@
 	assert.deepEqual(fleet.authority.requests.map(({server}) => server).slice(0, 1), ['a'], fleet.journal.join('\n'));
 });
 
+/** Time for which the order of a promotion is delayed: beyond the end of what the hosts withhold for the claim. */
+const orderDelayMs = 5000;
+
+// Guards against an order that is sent when the hosts already confirm again what the old primary acknowledges.
+for (const delay of ['the platform refuses it', 'its host is stopped'] as const) {
+	test.test(`no confirmed commit is lost by a late order: ${delay} for 5 s`, async () => {
+		const fleet = new fleets.Fleet();
+		await fleet.start();
+		await fleet.remove('b');
+		let claimant: fleets.Host | undefined;
+		fleet.actions.set('suspension', host => {
+			claimant = host;
+			if (delay === 'its host is stopped') {
+				host.clock.stop(orderDelayMs);
+			}
+		});
+		fleet.authority.isUnavailable = true;
+		limitReach(fleet, 'silent', 'nobody');
+		while (fleet.actions.size > 0) {
+			await fleet.time.advance(10);
+		}
+
+		// The primary answers the other two hosts before they may claim, and commits through a replica that they don't know.
+		await fleet.time.advance(3500);
+		for (const host of fleet.hosts) {
+			host.paths.get('a')!.isCut = host === claimant;
+		}
+
+		fleet.cluster.get('c').isReplicationCut = true;
+		fleet.restore('b', undefined);
+		for (let waitedMs = 3500; waitedMs < orderDelayMs + 3000; waitedMs += 50) {
+			fleet.write(fleet.hosts[(waitedMs / 50) % 3]);
+			fleet.authority.isUnavailable = waitedMs < orderDelayMs;
+			await fleet.time.advance(50);
+		}
+
+		assert.ok(fleet.confirmed.size > 0);
+		assert.deepEqual(fleet.violations, [], fleet.journal.join('\n'));
+		await fleet.stop();
+	});
+}
+
 /** Time without a registration after which all hosts have removed a server. */
 const removalMs = 2700;
 
