Log the sessions that a shutdown closes, and stalls of the event loop

Requests end without an answer while a host shuts down, and the log can't tell why: it shows the begin and the end of the shutdown, but neither which sessions were closed nor that a timer was late.

Each round of the shutdown that closes sessions now writes `sessions-closed`: how many after a reply and how many while they were idle, the shortest time since the last reply among the idle ones, how late the timer of the round was, and how many sessions are left. A task measures its own timer and writes `loop-stalled` when that was 100 ms late or more, at most once a second. The logic is unchanged.

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -32,6 +32,7 @@
 import * as retentions from './retention.js';
 import * as sessions from './session.js';
 import * as shutdowns from './shutdown.js';
+import * as stalls from './stall.js';
 import * as synchronizer from './synchronizer.js';
 import * as tasks from './task.js';
 
@@ -193,6 +194,8 @@
 			random: this.#options.random,
 			decisions: log,
 		});
+		const monitor = new stalls.Monitor({clock: this.#options.clock, decisions: log});
+		this.#tasks.keep('stall monitor', signal, async () => monitor.run(signal));
 		this.#tasks.keep('announcer', signal, async () => hostAnnouncer.run(signal));
 		await this.#serveHttp(listen.readiness, async () => [this.isReady ? 200 : 503, '']);
 		await this.#serveHttp(listen.metrics, async () => [200, await this.#options.metrics()]);
@@ -208,7 +211,7 @@
 		this.#isDraining = true;
 		log.record('draining', {sessions: this.#sessions.size, peers: this.#responders.size});
 		const shutdownTask = new shutdowns.Shutdown({
-			clock: time, graceMs: shutdown.graceS * 1000, sessions: this.#sessions, responders: this.#responders,
+			clock: time, decisions: log, graceMs: shutdown.graceS * 1000, sessions: this.#sessions, responders: this.#responders,
 		});
 		await shutdownTask.run();
 		this.#stop();
--- a/src/entry/session.ts
+++ b/src/entry/session.ts
@@ -20,6 +20,9 @@
 /** Position of the session's last commit in the log of a service. */
 type Commit = {readonly service: string; readonly position: statement.Position};
 
+/** What ended a session: its caller or a refusal, or this host, after a reply or while no request was in progress. */
+export type Ending = 'caller' | 'reply' | 'idle';
+
 /** Callers time out when a session takes 2 s to open. */
 const openTimeoutMs = 1700;
 
@@ -32,10 +35,24 @@
 	#transaction: executor.Transaction | undefined;
 	#lastCommit: Commit | undefined;
 	#isDraining = false;
+	/** Time of the last reply, or of the connection. */
+	#idleSince: number;
+	#ending: Ending | undefined;
 
 	constructor(accepted: caller.Caller, options: Options) {
 		this.#caller = accepted;
 		this.#options = options;
+		this.#idleSince = options.context.clock.now();
+	}
+
+	/** What ended the session; `undefined` while it is open. */
+	get ending(): Ending | undefined {
+		return this.#ending;
+	}
+
+	/** Time in ms since the last reply, or since the connection. */
+	get idleMs(): number {
+		return this.#options.context.clock.now() - this.#idleSince;
 	}
 
 	/** Whether no request or transaction is in progress. */
@@ -47,6 +64,7 @@
 	async run(): Promise<void> {
 		const opening = await this.#caller.open();
 		if (!opening || !await this.#admit(opening)) {
+			this.#ending = 'caller';
 			return;
 		}
 
@@ -54,12 +72,15 @@
 			const startedAt = this.#options.context.clock.now();
 			const reply = await this.#execute(request);
 			this.#caller.reply(reply);
-			this.#options.context.decisions.ended(this.#database, reply.refusal ?? 'answered', this.#options.context.clock.now() - startedAt);
+			this.#idleSince = this.#options.context.clock.now();
+			this.#options.context.decisions.ended(this.#database, reply.refusal ?? 'answered', this.#idleSince - startedAt);
 			if (this.#isDraining && this.isIdle) {
+				this.#ending = 'reply';
 				break;
 			}
 		}
 
+		this.#ending ??= 'caller';
 		this.#caller.close();
 		await this.#transaction?.rollback();
 	}
@@ -68,6 +89,7 @@
 	drain(): void {
 		this.#isDraining = true;
 		if (this.isIdle) {
+			this.#ending ??= 'idle';
 			this.#caller.close();
 		}
 	}
