Let an expired timer take effect only after the event loop has polled for input

Callers saw requests end without an answer up to the length of a stall after they had sent them. Node.js runs due timers before it reads sockets, so after a stall a timer decides on a state that unread input would change: the shutdown closes a session as idle whose next request waits in the buffer of its socket, and a call reports a timeout although its answer arrived in time.

It is now a rule of the system clock: after the timeout of `sleep` and `limit` the loop polls once more before the timer takes effect. An abort or an answer cancels both steps. `clock.startTimer` is the same for code without a clock: the calls of the HTTP client and of the MySQL client. mysql2's own connect timer is switched off, since the one beside it has the same length. The handshake of a link is limited through the clock in place of the timer of ws; a new test checks that a peer which accepts the connection and sends nothing is given up.

The test of the handshake fails (timed out after 5000 ms) if the limit is taken out.

--- a/src/core/clock.ts
+++ b/src/core/clock.ts
@@ -1,5 +1,9 @@
 /**
 Abstract clock, so that tasks run on the system clock in production and on a manual clock in tests.
+
+An expired timer of the system clock takes effect only after the event loop has polled for input once more. Node.js runs
+due timers before it reads sockets, so after a stall a timer would decide on a state that unread input changes: it would
+report a timeout although the answer has arrived, or find a connection idle whose next request has.
 */
 import * as timers from 'node:timers/promises';
 
@@ -20,6 +24,28 @@
 	return Math.max(to.monotonicMs - from.monotonicMs, to.wallMs - from.wallMs);
 }
 
+/**
+Calls `expire` after `ms`, once the event loop has polled for input. Returns a function that cancels the timer. Code that
+has a `Clock` uses its methods instead.
+
+@example
+```
+const cancel = clock.startTimer(timeoutMs, () => {
+	socket.destroy();
+});
+```
+*/
+export function startTimer(ms: number, expire: () => void): () => void {
+	let polled: NodeJS.Immediate | undefined;
+	const timer = setTimeout(() => {
+		polled = setImmediate(expire);
+	}, Math.max(0, ms));
+	return () => {
+		clearTimeout(timer);
+		clearImmediate(polled);
+	};
+}
+
 /** A monotonic clock. Times are in ms from an arbitrary start and can't be compared with those of other processes. */
 export abstract class Clock {
 	/** Reads both clocks. */
@@ -79,14 +105,16 @@
 	which took a fifth of the processor time of an entry host under load.
 	*/
 	override async limit<T>(promise: Promise<T>, ms: number): Promise<T | undefined> {
-		let timer: NodeJS.Timeout | undefined;
+		let cancel: (() => void) | undefined;
 		const expired = new Promise<undefined>(resolve => {
-			timer = setTimeout(resolve, Math.max(0, ms), undefined);
+			cancel = startTimer(ms, () => {
+				resolve(undefined);
+			});
 		});
 		try {
 			return await Promise.race([promise, expired]);
 		} finally {
-			clearTimeout(timer);
+			cancel?.();
 		}
 	}
 
@@ -97,12 +125,12 @@
 
 		await new Promise<void>(resolve => {
 			const end = (): void => {
-				clearTimeout(timer);
+				cancel();
 				signal?.removeEventListener('abort', end);
 				resolve();
 			};
 
-			const timer = setTimeout(end, Math.max(0, ms));
+			const cancel = startTimer(ms, end);
 			signal?.addEventListener('abort', end);
 		});
 	}
--- a/src/mysql/client.ts
+++ b/src/mysql/client.ts
@@ -4,6 +4,7 @@
 import * as mysql from 'mysql2';
 import * as Either from 'fp-ts/lib/Either.js';
 import * as backend from '../core/backend.js';
+import * as clock from '../core/clock.js';
 import * as errors from '../core/errors.js';
 import * as position from '../core/position.js';
 import * as messages from '../generated/messages.js';
@@ -42,17 +43,18 @@
 
 	override async connect(timeoutMs: number): Promise<errors.Outcome<backend.Connection>> {
 		const {name, host, port, user, password} = this.#target;
+		// The timer below replaces the one of mysql2, which would expire before unread input is read.
 		const driver = mysql.createConnection({
-			host, port, user, password, connectTimeout: timeoutMs, supportBigNumbers: true,
+			host, port, user, password, connectTimeout: 0, supportBigNumbers: true,
 		});
 		const connection = new Connection(name, driver);
 		return new Promise(resolve => {
-			const timer = setTimeout(() => {
+			const cancelTimer = clock.startTimer(timeoutMs, () => {
 				connection.close();
 				resolve(errors.fail('not-run', 'connect', name, `no connection within ${timeoutMs} ms`));
-			}, timeoutMs);
+			});
 			driver.connect(error => {
-				clearTimeout(timer);
+				cancelTimer();
 				if (error) {
 					connection.close();
 					// An error code from the server itself, such as too many connections, shows that the server is running.
@@ -95,7 +97,7 @@
 
 		return new Promise(resolve => {
 			const finish = (outcome: errors.Outcome<types.Answer>): void => {
-				clearTimeout(timer);
+				cancelTimer();
 				this.#closed.signal.removeEventListener('abort', fail);
 				resolve(outcome);
 			};
@@ -105,10 +107,10 @@
 				finish(errors.fail('outcome-unknown', 'receive', this.server, 'the connection was closed before the reply arrived'));
 			};
 
-			const timer = setTimeout(() => {
+			const cancelTimer = clock.startTimer(timeoutMs, () => {
 				finish(errors.fail('outcome-unknown', 'receive', this.server, `no complete reply within ${timeoutMs} ms`));
 				this.close();
-			}, timeoutMs);
+			});
 			this.#closed.signal.addEventListener('abort', fail);
 			this.#driver.query({sql, rowsAsArray: true, typeCast: decodeCell}, (error, content, fields) => {
 				finish(error ? this.#toFailure(error) : Either.right(this.#toAnswer(content, fields as unknown as Field[])));
@@ -147,12 +149,12 @@
 
 		// COM_RESET_CONNECTION rolls back the transaction and also drops locks, temporary tables and variables.
 		return new Promise(resolve => {
-			const timer = setTimeout(() => {
+			const cancelTimer = clock.startTimer(timeoutMs, () => {
 				this.close();
 				resolve(errors.fail('outcome-unknown', 'reset', this.server, `no reply within ${timeoutMs} ms`));
-			}, timeoutMs);
+			});
 			this.#driver.reset(error => {
-				clearTimeout(timer);
+				cancelTimer();
 				resolve(error ? this.#toFailure(error) : Either.right(undefined));
 			});
 		});
--- a/src/peer/socket.ts
+++ b/src/peer/socket.ts
@@ -217,7 +217,7 @@
 			return undefined;
 		}
 
-		return new Promise(resolve => {
+		const opening = new Promise<link.Link<M> | undefined>(resolve => {
 			socket.once('open', () => {
 				resolve(new Link(socket, this.#options));
 			});
@@ -225,6 +225,12 @@
 				resolve(undefined);
 			});
 		});
+		const opened = await this.#options.clock.limit(opening, this.#options.timeoutMs);
+		if (!opened) {
+			socket.terminate();
+		}
+
+		return opened;
 	}
 
 	override close(): void {
@@ -234,7 +240,7 @@
 	/** The constructor throws for an address that isn't a URL; addresses come from other hosts. */
 	#createSocket(target: string): ws.WebSocket | undefined {
 		try {
-			return new ws.WebSocket(`ws://${target}/`, {handshakeTimeout: this.#options.timeoutMs, perMessageDeflate: compressionOptions});
+			return new ws.WebSocket(`ws://${target}/`, {perMessageDeflate: compressionOptions});
 		} catch (error) {
 			this.#options.warn('link not opened', {reason: `${target}: ${String(error)}`});
 			return undefined;
--- a/src/peer/tests/link.test.ts
+++ b/src/peer/tests/link.test.ts
@@ -1,4 +1,6 @@
 import * as assert from 'node:assert/strict';
+import * as events from 'node:events';
+import * as net from 'node:net';
 import * as test from 'node:test';
 import * as Either from 'fp-ts/lib/Either.js';
 import * as msgpackr from 'msgpackr';
@@ -196,6 +198,24 @@
 	second.stop();
 });
 
+// Guards against a link that stays half open because nothing limits the time of its handshake.
+test.test('a link is not opened to a peer that accepts the connection and sends nothing', {timeout: 5000}, async context => {
+	const server = net.createServer();
+	const accepted = events.EventEmitter.once(server, 'connection') as Promise<[net.Socket]>;
+	server.listen(0, '127.0.0.1');
+	await events.EventEmitter.once(server, 'listening');
+	context.after(() => {
+		server.close();
+	});
+	const opened = open('first', new FakeHandler('first', 0));
+	const connecting = opened.connect({address: `127.0.0.1:${(server.address() as net.AddressInfo).port}`});
+	const [silent] = await accepted;
+	const closed = events.EventEmitter.once(silent.resume(), 'close');
+	assert.equal(await connecting, undefined);
+	await closed;
+	opened.stop();
+});
+
 /** Reports a configuration that is large enough to be compressed. */
 class LargeReportHandler extends FakeHandler {
 	override report(): {version: number; text: string} {
--- a/src/platform/http.ts
+++ b/src/platform/http.ts
@@ -5,6 +5,7 @@
 import * as http from 'node:http';
 import * as Either from 'fp-ts/lib/Either.js';
 import * as address from '../core/address.js';
+import * as clock from '../core/clock.js';
 import * as errors from '../core/errors.js';
 
 /** One call. `path` may include a query string. */
@@ -49,7 +50,7 @@
 		const text = body === undefined ? undefined : JSON.stringify(body);
 		return new Promise(resolve => {
 			const settle = (outcome: errors.Outcome<Response>): void => {
-				clearTimeout(timer);
+				cancelTimer();
 				for (const signal of signals) {
 					signal.removeEventListener('abort', abort);
 				}
@@ -87,9 +88,9 @@
 				});
 			});
 			// A connection that lost one response delivers no later ones, so it is destroyed rather than reused.
-			const timer = setTimeout(() => {
+			const cancelTimer = clock.startTimer(timeoutMs, () => {
 				request.destroy(new Error(`no response within ${timeoutMs} ms`));
-			}, timeoutMs);
+			});
 			const abort = (): void => {
 				request.destroy(new Error('the call was aborted'));
 			};
