Check in the soak that planned work ends no request without an answer

The check holds around SIGTERM and SIGHUP of the host of a request and around configurations, if the host, the store and the servers of the group had no other disturbance within the last 4 s. Faults now tell planned work from other disturbances. The plan `stalls` stops hosts for 100 to 600 ms while they shut down; `overload` gives them less processor time than they need.

--- a/src/soak/caller.ts
+++ b/src/soak/caller.ts
@@ -8,14 +8,21 @@
 import type * as random from '../core/random.js';
 import type * as types from '../generated/types.js';
 import type * as checkers from './checker.js';
+import type * as contacts from './contact.js';
+import type * as requests from './unanswered.js';
 
-/** A route and the consistency that it promises. */
-export type Route = {readonly database: string; readonly group: string; readonly kind: types.RouteKind; readonly maxAgeMs: number};
+/** A route, the consistency that it promises, and the least time that any configuration gives its statements. */
+export type Route = {readonly database: string; readonly group: string; readonly kind: types.RouteKind; readonly maxAgeMs: number; readonly timeoutMs: number};
 
 export type Options = {
 	readonly clock: clock.Clock;
 	readonly random: random.Source;
 	readonly checker: checkers.Checker;
+	readonly unanswered: requests.Unanswered;
+	/** Longest pause between two operations. */
+	readonly maxPauseMs: number;
+	/** What a request needs beside its host. */
+	readonly scopes: readonly contacts.Scope[];
 	readonly route: Route;
 	/** Addresses of the entry hosts' caller listeners. */
 	readonly hosts: readonly string[];
@@ -26,7 +33,8 @@
 /** Error codes that guarantee that the attempt had no effect. */
 const notAppliedCodes: ReadonlySet<string> = new Set(['BUSY', 'ABORTED', 'LAGGING', 'READONLY', 'WRONGNODE', 'CONNLIMIT']);
 const responseTimeoutMs = 6000;
-const maxPauseMs = 120;
+/** Longest pause between two sessions. */
+const maxOpenPauseMs = 120;
 const itemCount = 20;
 
 /** Runs one caller's sessions, one after another, and counts its operations. */
@@ -47,7 +55,7 @@
 	async run(signal: AbortSignal): Promise<void> {
 		const {clock: time, random: source, hosts} = this.#options;
 		while (!signal.aborted) {
-			const session = new Session(hosts[source.integer(0, hosts.length - 1)], this.#options);
+			const session = new Session(source.integer(0, hosts.length - 1), this.#options);
 			if (await session.open()) {
 				const end = time.now() + source.integer(200, 6000);
 				while (!signal.aborted && session.isOpen && time.now() < end) {
@@ -56,12 +64,12 @@
 						this.servedAt.push(time.now());
 					}
 
-					await time.sleep(source.integer(0, maxPauseMs));
+					await time.sleep(source.integer(0, this.#options.maxPauseMs));
 				}
 			}
 
 			session.close();
-			await time.sleep(source.integer(10, maxPauseMs));
+			await time.sleep(source.integer(10, maxOpenPauseMs));
 		}
 	}
 
@@ -137,24 +145,31 @@
 	readonly #ownWrites: string[] = [];
 	readonly #lines: string[] = [];
 	#onLine: (() => void) | undefined;
+	readonly #host: number;
 	#isOpen = true;
+	/** Clock time at which the host ended the connection. */
+	#endedAt: number | undefined;
 	/** The open transaction: the time of its `BEGIN`, and the ids of its writes. */
 	#transaction: {readonly sentAt: number; readonly writes: string[]} | undefined;
 
-	constructor(host: string, options: Options) {
+	constructor(host: number, options: Options) {
 		this.#options = options;
-		const [address, port] = host.split(':');
+		this.#host = host;
+		const [address, port] = options.hosts[host].split(':');
 		this.#socket = net.connect({host: address, port: Number(port), noDelay: true});
 		this.#socket.on('data', chunk => {
 			this.#lines.push(...this.#splitter.push(chunk) ?? []);
 			this.#onLine?.();
 		});
-		this.#socket.on('error', () => {
-			this.close();
-		});
-		this.#socket.on('close', () => {
-			this.close();
-		});
+		const end = (): void => {
+			if (this.#isOpen) {
+				this.#endedAt = this.#options.clock.now();
+				this.close();
+			}
+		};
+
+		this.#socket.on('error', end);
+		this.#socket.on('close', end);
 	}
 
 	get isOpen(): boolean {
@@ -282,6 +297,15 @@
 	}
 
 	async #query(id: string, text: string): Promise<Response | undefined> {
+		const {clock: time, unanswered, route, scopes} = this.#options;
+		const request = {
+			id, host: this.#host, sentAt: time.now(), timeoutMs: route.timeoutMs, scopes: [...scopes, `host ${this.#host}` as const],
+		};
+		const wasOpen = this.#isOpen;
+		if (wasOpen) {
+			unanswered.send(request);
+		}
+
 		this.#socket.write(`QUERY ${id} ${text}\r\n`);
 		const rows: string[] = [];
 		let signature = '';
@@ -303,6 +327,10 @@
 			}
 		}
 
+		if (wasOpen && this.#endedAt !== undefined) {
+			unanswered.end(request, this.#endedAt);
+		}
+
 		this.close();
 		return undefined;
 	}
--- a/src/soak/fault.ts
+++ b/src/soak/fault.ts
@@ -6,15 +6,22 @@
 import type * as contacts from './contact.js';
 import type * as platforms from './platform.js';
 import * as replicated from './replicated.js';
-import type * as sites from './site.js';
+import * as sites from './site.js';
 
 /** A fault that lasts for a limited time. */
 export abstract class Fault {
+	/** Longest time that a plan draws for the fault. */
+	readonly maxDurationMs: number = maxDurationMs;
 	/** Description for the report. */
 	abstract readonly text: string;
 	/** What the fault disturbs from its begin to its end, so that bounds of time don't hold there. */
 	abstract readonly scopes: readonly contacts.Scope[];
 
+	/** What the fault disturbs other than by planned work, during which hosts must still answer what they have read. */
+	get unplannedScopes(): readonly contacts.Scope[] {
+		return this.scopes;
+	}
+
 	/** Resolves when the fault has lasted long enough to end. */
 	async hold(site: sites.Site, durationMs: number): Promise<void> {
 		await site.time.sleep(durationMs);
@@ -27,7 +34,7 @@
 }
 
 /** Sends a signal to one entry host; a host stopped by SIGSTOP is continued at the end. */
-class Signal extends Fault {
+export class Signal extends Fault {
 	readonly text: string;
 	readonly scopes: readonly contacts.Scope[];
 	readonly #host: number;
@@ -41,7 +48,15 @@
 		this.scopes = signal === 'SIGHUP' ? [] : [`host ${host}`];
 	}
 
+	override get unplannedScopes(): readonly contacts.Scope[] {
+		return this.#signal === 'SIGTERM' ? [] : this.scopes;
+	}
+
 	override begin(site: sites.Site): void {
+		if (this.#signal === 'SIGTERM' || this.#signal === 'SIGHUP') {
+			site.unanswered.begin({kind: this.#signal, host: this.#host});
+		}
+
 		site.hosts[this.#host]?.child?.kill(this.#signal);
 	}
 
@@ -52,6 +67,37 @@
 	}
 }
 
+/**
+Stops some entry hosts for a moment, as a machine does that is short of processor time. Nothing records that as a
+disturbance, so every promise holds meanwhile.
+*/
+export class Stall extends Fault {
+	readonly text: string;
+	readonly scopes = [] as const;
+	override readonly maxDurationMs = maxStallMs;
+	readonly #hosts: readonly number[];
+	#stopped: ReadonlyArray<sites.Host['child']> = [];
+
+	constructor(hosts: readonly number[]) {
+		super();
+		this.#hosts = hosts;
+		this.text = `a stall of host ${hosts.join(', ')}`;
+	}
+
+	override begin(site: sites.Site): void {
+		this.#stopped = this.#hosts.map(host => site.hosts[host].child);
+		for (const child of this.#stopped) {
+			child?.kill('SIGSTOP');
+		}
+	}
+
+	override end(): void {
+		for (const child of this.#stopped) {
+			child?.kill('SIGCONT');
+		}
+	}
+}
+
 /** Kills all entry hosts at once. */
 class Outage extends Fault {
 	readonly text: string;
@@ -109,6 +155,7 @@
 export class Restoration extends Fault {
 	readonly text: string;
 	readonly scopes = ['store'] as const;
+	override readonly maxDurationMs = maxOutageMs;
 	readonly #state: platforms.State;
 	readonly #copyAgeMs: number;
 	#startedAt = 0;
@@ -174,6 +221,10 @@
 		this.text = `server ${index} is ${kind}`;
 	}
 
+	override get unplannedScopes(): readonly contacts.Scope[] {
+		return this.#kind === 'draining' ? [] : this.scopes;
+	}
+
 	override begin(site: sites.Site): void {
 		const backend = site.backends[this.#index];
 		switch (this.#kind) {
@@ -221,6 +272,10 @@
 		this.text = `the primary of group ${group} is dark`;
 	}
 
+	override get unplannedScopes(): readonly contacts.Scope[] {
+		return sites.serverScopes(this.#group);
+	}
+
 	override begin(site: sites.Site): void {
 		const {name} = site.groups[this.#group];
 		const primary = site.backends.find(({group, server}) => group.name === name && server.role === 'primary');
@@ -268,6 +323,10 @@
 		this.text = `commits of group ${group} stall until a dark replica returns ${returnMs} ms after the ${moment}`;
 	}
 
+	override get unplannedScopes(): readonly contacts.Scope[] {
+		return sites.serverScopes(this.#group);
+	}
+
 	override begin(site: sites.Site): void {
 		const {name} = site.groups[this.#group];
 		const [dark, deaf] = site.backends.filter(({group, server}) => group.name === name && server.role === 'replica');
@@ -284,7 +343,7 @@
 		}
 
 		deaf.server.isDeaf = true;
-		const deadline = site.time.now() + (this.#moment === 'order' ? maxStallMs : durationMs);
+		const deadline = site.time.now() + (this.#moment === 'order' ? maxStarvationMs : durationMs);
 		const {orderCount} = deaf.group;
 		while (site.time.now() < deadline && (this.#moment === 'stall' || deaf.group.orderCount === orderCount)) {
 			await site.time.sleep(orderPollMs);
@@ -374,10 +433,14 @@
 	return isAllowed;
 }
 
+const maxDurationMs = 4000;
+const maxOutageMs = 1500;
+/** Longer stalls are disturbances: a peer without a sign of life for 800 ms counts as silent. */
+const maxStallMs = 600;
 const replacementPollMs = 50;
 /** Time after which all hosts have removed a server without a registration, and the longest stall of commits. */
 const removalMs = 3200;
-const maxStallMs = 3000;
+const maxStarvationMs = 3000;
 const orderPollMs = 10;
 const signals = ['SIGKILL', 'SIGTERM', 'SIGSTOP', 'SIGHUP'] as const;
 const storeStates = ['refused', 'silent', 'slow', 'answers-lost'] as const;
--- a/src/soak/plan.ts
+++ b/src/soak/plan.ts
@@ -4,18 +4,19 @@
 import type * as random from '../core/random.js';
 import * as randoms from '../core/random.js';
 import * as faults from './fault.js';
+import type * as loads from './load.js';
 import type * as sites from './site.js';
 
 /** Name of a plan. */
-export type Kind = 'mixed' | 'restores' | 'returns';
+export type Kind = 'mixed' | 'restores' | 'returns' | 'stalls' | 'overload';
 
 /** A fault and its duration. */
 export type Step = {readonly fault: faults.Fault; readonly durationMs: number};
 
 const maxGapMs = 1500;
 const minDurationMs = 100;
-const maxDurationMs = 4000;
-const maxOutageMs = 1500;
+/** Longest time from the begin of one step of planned work to that of the next. */
+const maxWorkGapMs = 600;
 const minCopyAgeMs = 1000;
 const maxCopyAgeMs = 9000;
 /** Longest time from a stall of commits, or the order of a promotion, until a dark replica is back. */
@@ -31,7 +32,7 @@
 
 	next(): Step {
 		const fault = this.draw();
-		const durationMs = this.#source.integer(minDurationMs, fault instanceof faults.Restoration ? maxOutageMs : maxDurationMs);
+		const durationMs = this.#source.integer(minDurationMs, fault.maxDurationMs);
 		return {fault, durationMs};
 	}
 
@@ -120,6 +121,88 @@
 	}
 }
 
+/**
+Planned work: SIGTERM to one host after the other, each followed by further steps while the host shuts down. The draws come
+from a source of their own, like those of `Restores`.
+*/
+abstract class PlannedWork extends Plan {
+	protected readonly random: random.Source;
+	protected readonly size: sites.Size;
+	readonly #series: faults.Fault[] = [];
+	#next: number;
+
+	constructor(source: random.Source, size: sites.Size) {
+		super(source);
+		this.random = source;
+		this.size = size;
+		this.#next = source.integer(0, size.hosts - 1);
+	}
+
+	override drawGapMs(): number {
+		return this.random.integer(0, maxWorkGapMs);
+	}
+
+	protected override draw(): faults.Fault {
+		const next = this.#series.shift();
+		if (next) {
+			return next;
+		}
+
+		const host = this.#next;
+		this.#next = (host + 1) % this.size.hosts;
+		this.#series.push(...this.drawBeside(host));
+		return new faults.Signal(host, 'SIGTERM');
+	}
+
+	protected drawChange(): faults.Fault {
+		return this.random.integer(0, 1) === 0 ? new faults.Signal(this.random.integer(0, this.size.hosts - 1), 'SIGHUP') : new faults.StoreChange('configure');
+	}
+
+	/** Draws the steps between the SIGTERM of `host` and that of the next one. */
+	protected abstract drawBeside(host: number): readonly faults.Fault[];
+}
+
+/** Planned work with stalls of the host that shuts down, of another one, or of all. */
+class Stalls extends PlannedWork {
+	protected override drawBeside(host: number): readonly faults.Fault[] {
+		const all = Array.from({length: this.size.hosts}, (_, index) => index);
+		const drawStall = (): faults.Fault => {
+			const target = this.random.integer(0, 5);
+			const one = target === 0 ? this.random.integer(0, this.size.hosts - 1) : host;
+			return new faults.Stall(target === 1 ? all : [one]);
+		};
+
+		return [drawStall(), drawStall(), this.drawChange(), drawStall()];
+	}
+}
+
+/** Planned work on hosts that share their cores with more busy processes than there are cores. */
+class Overload extends PlannedWork {
+	protected override drawBeside(): readonly faults.Fault[] {
+		return Array.from({length: this.random.integer(1, 4)}, () => this.drawChange());
+	}
+}
+
+/**
+Gives plans of planned work quick callers, and more of them where connections allow: a stall meets only the sessions that a
+host is about to close.
+*/
+export function adapt(kind: Kind, size: sites.Size): sites.Size {
+	const factor = size.connections > size.hosts ? 2 : 1;
+	return kind === 'stalls' || kind === 'overload' ? {...size, callers: size.callers * factor, hasQuickCallers: true} : size;
+}
+
+/** Draws the cores of the hosts and the busy processes on them; `undefined` for plans that leave the hosts alone. */
+export function drawLoad(kind: Kind, seed: number): loads.Demand | undefined {
+	if (kind !== 'overload') {
+		return undefined;
+	}
+
+	const source = new randoms.Seeded(seed);
+	const cores = source.integer(1, 2);
+	return {cores, processes: cores + source.integer(1, 2)};
+}
+
 /** Creates a plan. `source` is the random source of the run with this seed. */
 export function create(kind: Kind, {seed, source, size}: {readonly seed: number; readonly source: random.Source; readonly size: sites.Size}): Plan {
 	switch (kind) {
@@ -134,5 +217,13 @@
 		case 'returns': {
 			return new Returns(new randoms.Seeded(seed), size);
 		}
+
+		case 'stalls': {
+			return new Stalls(new randoms.Seeded(seed), size);
+		}
+
+		case 'overload': {
+			return new Overload(new randoms.Seeded(seed), size);
+		}
 	}
 }
--- a/src/soak/server.ts
+++ b/src/soak/server.ts
@@ -10,8 +10,9 @@
 import type * as random from '../core/random.js';
 import type * as replicated from './replicated.js';
 import type * as checkers from './checker.js';
+import type * as requests from './unanswered.js';
 
-export type Options = {readonly clock: clock.Clock; readonly random: random.Source; readonly checker: checkers.Checker};
+export type Options = {readonly clock: clock.Clock; readonly random: random.Source; readonly checker: checkers.Checker; readonly unanswered: requests.Unanswered};
 
 /** Limits of one server. A statement takes a random time of up to `maxWorkMs`. */
 export type Limits = {readonly connections: number; readonly slots: number; readonly maxWorkMs: number};
@@ -127,7 +128,9 @@
 				this.#send(this.#readyLine());
 			}
 		} else if (word === 'QUERY') {
+			this.#options.unanswered.arrive(first ?? '');
 			const response = await this.#query(first ?? '', rest);
+			this.#options.unanswered.finish(first ?? '');
 			const isLost = first !== '-' && this.#options.random.integer(0, 999) < server.lossRate * 1000;
 			if (isLost || server.isUnresponsive) {
 				this.#socket.resetAndDestroy();
--- a/src/soak/site.ts
+++ b/src/soak/site.ts
@@ -19,13 +19,22 @@
 import * as contacts from './contact.js';
 import * as failovers from './failovers.js';
 import type * as faults from './fault.js';
+import type * as loads from './load.js';
 import * as platforms from './platform.js';
 import * as probes from './probe.js';
 import * as replicated from './replicated.js';
 import * as servers from './server.js';
-
-/** Numbers of entry hosts, groups and callers, and the connection limit of each backend server. */
-export type Size = {readonly hosts: number; readonly groups: number; readonly connections: number; readonly callers: number};
+import * as requests from './unanswered.js';
+
+/** Numbers of entry hosts, groups and callers, the pace of the callers, and the connection limit of each backend server. */
+export type Size = {
+	readonly hosts: number;
+	readonly groups: number;
+	readonly connections: number;
+	readonly callers: number;
+	/** Whether some callers send their requests without long pauses. */
+	readonly hasQuickCallers: boolean;
+};
 
 /** An entry host: its settings file, its addresses and its current process. */
 export type Host = {
@@ -45,13 +54,26 @@
 /** Program of the hosts: each module in a file of its own, or the bundle that is deployed. */
 export type Daemon = 'compiled' | 'bundled';
 
+export type Options = {
+	readonly daemon: Daemon;
+	/** Load beside the hosts; `undefined` if the hosts may use the whole machine. */
+	readonly load: loads.Load | undefined;
+};
+
 const root = path.join(path.dirname(url.fileURLToPath(import.meta.url)), '..');
 const daemonFiles: Readonly<Record<Daemon, string>> = {
 	compiled: path.join(root, 'cli', 'daemon.js'),
 	bundled: path.join(root, '..', 'target', 'cli', 'daemon.js'),
 };
 const graceS = 3;
+const serversPerGroup = 3;
+const maxPauseMs = 120;
+const maxQuickPauseMs = 10;
+const loopCheckIntervalMs = 10;
+/** Lateness of a timer of this process from which it counts as stalled. */
+const minStallMs = 10;
 const slots = 4;
+const minTimeoutMs = 1500;
 const maxWorkMs = 8;
 const failoverCheckIntervalMs = 50;
 const routeKinds = [
@@ -65,7 +87,10 @@
 	readonly time = new clock.System();
 	readonly checker = new checkers.Checker(this.time);
 	readonly contact = new contacts.Contact(this.time);
+	/** Disturbances other than planned work. */
+	readonly unplanned = new contacts.Contact(this.time);
 	readonly configurations = new configurations.Configurations(this.time, this.contact);
+	readonly unanswered = new requests.Unanswered({clock: this.time, unplanned: this.unplanned, graceMs: graceS * 1000});
 	readonly failovers: failovers.Failovers;
 	readonly groups: readonly replicated.Group[];
 	readonly hosts: Host[] = [];
@@ -81,13 +106,13 @@
 	readonly #stopped = new AbortController();
 	readonly #callersStopped = new AbortController();
 	readonly #tasks: Array<Promise<void>> = [];
-	readonly #daemon: Daemon;
+	readonly #options: Options;
 	#folder = '';
 	#preparedAt = 0;
 	#version = 1;
 
-	constructor(size: Size, source: random.Source, daemon: Daemon) {
-		this.#daemon = daemon;
+	constructor(size: Size, source: random.Source, options: Options) {
+		this.#options = options;
 		this.#size = size;
 		this.#random = source;
 		this.groups = Array.from({length: size.groups}, (_, index) => new replicated.Group(`ledgers${index}`, places, this.time, this.checker));
@@ -107,7 +132,7 @@
 
 	/** Violations found so far, those of all checks. */
 	get violations(): readonly string[] {
-		return [...this.checker.violations, ...this.configurations.violations, ...this.failovers.violations, ...this.unexpectedExits];
+		return [...this.checker.violations, ...this.configurations.violations, ...this.failovers.violations, ...this.unanswered.violations, ...this.unexpectedExits];
 	}
 
 	/** Starts the stand-ins, writes the configuration and starts the host processes, without waiting until they are ready. */
@@ -117,7 +142,9 @@
 			this.#tasks.push(group.run(this.#stopped.signal));
 			for (const server of group.servers) {
 				const limits = {connections: this.#size.connections, slots, maxWorkMs};
-				const listener = new servers.Listener({clock: this.time, random: this.#random, checker: this.checker}, limits, group, server);
+				const listener = new servers.Listener({
+					clock: this.time, random: this.#random, checker: this.checker, unanswered: this.unanswered,
+				}, limits, group, server);
 				this.backends.push({
 					group, server, listener, relay: await relay.Relay.start({host: '127.0.0.1', port: await listener.listen()}, 1),
 				});
@@ -130,7 +157,7 @@
 		}
 
 		this.#preparedAt = this.time.now();
-		this.#tasks.push(this.#publishRoles(), this.#watchFailovers());
+		this.#tasks.push(this.#publishRoles(), this.#watchFailovers(), this.#measureStalls());
 		for (let index = 0; index < this.#size.hosts; index++) {
 			this.hosts.push(await this.#prepareHost(index));
 		}
@@ -143,23 +170,30 @@
 	/** Injects a fault and ends it. */
 	async inject(fault: faults.Fault, durationMs: number): Promise<void> {
 		this.contact.begin(fault.scopes);
+		this.unplanned.begin(fault.unplannedScopes);
 		fault.begin(this);
 		await fault.hold(this, durationMs);
 		fault.end(this);
 		this.contact.end(fault.scopes);
+		this.unplanned.end(fault.unplannedScopes);
 	}
 
 	/** Starts the callers. */
 	startCallers(): void {
 		for (let index = 0; index < this.#size.callers; index++) {
 			const group = this.groups[index % this.groups.length];
-			const {kind, maxAgeMs} = routeKinds[Math.floor(index / this.groups.length) % routeKinds.length];
+			const row = Math.floor(index / this.groups.length);
+			const {kind, maxAgeMs} = routeKinds[row % routeKinds.length];
+			const isQuick = this.#size.hasQuickCallers && Math.floor(row / routeKinds.length) % 2 === 0;
 			const caller = new callers.Caller(`c${index}`, {
 				clock: this.time,
 				random: this.#random,
 				checker: this.checker,
+				unanswered: this.unanswered,
+				maxPauseMs: isQuick ? maxQuickPauseMs : maxPauseMs,
+				scopes: ['store', 'hosts', ...serverScopes(index % this.groups.length)],
 				route: {
-					database: `${group.name}-${kind}`, group: group.name, kind, maxAgeMs,
+					database: `${group.name}-${kind}`, group: group.name, kind, maxAgeMs, timeoutMs: minTimeoutMs,
 				},
 				hosts: this.hosts.map(({callerAddress}) => callerAddress),
 			});
@@ -184,6 +218,7 @@
 	configure(): void {
 		this.#version += this.#random.integer(1, 3);
 		const database = probes.databaseName(this.configurations.latest + 1);
+		this.unanswered.begin({kind: 'configuration'});
 		this.platform.put('config', 'main', {
 			version: this.#version,
 			routes: [
@@ -191,14 +226,14 @@
 					name: `${name}-${kind}`,
 					databaseName: `${name}-${kind}`,
 					type,
-					timeoutMs: 1500 + this.#random.integer(0, 100),
+					timeoutMs: minTimeoutMs + this.#random.integer(0, 100),
 					targetLatencyMs: 500,
 					priority: 1,
 					service: name,
 					...(maxAgeMs > 0 ? {maxStalenessMs: maxAgeMs} : {}),
 				}))),
 				{
-					name: database, databaseName: database, type: 'primary', timeoutMs: 1500, targetLatencyMs: 500, priority: 1, service: this.groups[0].name,
+					name: database, databaseName: database, type: 'primary', timeoutMs: minTimeoutMs, targetLatencyMs: 500, priority: 1, service: this.groups[0].name,
 				},
 			],
 			services: this.groups.map(({name}) => ({name, maxConnections: this.#size.connections, syncReplicas: 1})),
@@ -216,7 +251,9 @@
 
 	/** Starts a host's process and restarts it 50 to 400 ms after each exit. */
 	startHost(host: Host): void {
-		const child = childProcess.spawn(process.execPath, [daemonFiles[this.#daemon]], {env: {...process.env, SYCAMORERING_SETTINGS: host.settingsFile}, stdio: ['ignore', 'pipe', 'pipe']});
+		const {daemon, load} = this.#options;
+		const options: childProcess.SpawnOptions = {env: {...process.env, SYCAMORERING_SETTINGS: host.settingsFile}, stdio: ['ignore', 'pipe', 'pipe']};
+		const child = load?.spawn(process.execPath, [daemonFiles[daemon]], options) ?? childProcess.spawn(process.execPath, [daemonFiles[daemon]], options);
 		host.child = child;
 		host.isPaused = false;
 		const scopes = [`host ${this.hosts.indexOf(host)}`] as const;
@@ -228,15 +265,18 @@
 			this.logs.set(host.name, lines.slice(-400));
 		};
 
-		child.stdout.on('data', appendLog);
-		child.stderr.on('data', appendLog);
+		child.stdout?.on('data', appendLog);
+		child.stderr?.on('data', appendLog);
 		child.on('exit', (code, signal) => {
 			if (signal === null && code !== 0) {
 				this.unexpectedExits.push(`${host.name} exited unexpectedly with code ${code}`);
 			}
 
 			if (host.child === child && !this.#stopped.signal.aborted) {
+				const unplanned = signal === 'SIGTERM' || code === 0 ? [] : scopes;
+				this.unplanned.begin(unplanned);
 				setTimeout(() => {
+					this.unplanned.end(unplanned);
 					this.startHost(host);
 				}, this.#random.integer(50, 400));
 			}
@@ -253,6 +293,7 @@
 		}
 
 		this.#stopped.abort();
+		this.unplanned.begin(['hosts']);
 		for (const {child} of this.hosts) {
 			child?.kill('SIGKILL');
 		}
@@ -304,6 +345,17 @@
 		}
 	}
 
+	/** Measures how late this process runs its own timers: meanwhile its callers see no answer and no end of a connection. */
+	async #measureStalls(): Promise<void> {
+		while (!this.#stopped.signal.aborted) {
+			const dueAt = this.time.now() + loopCheckIntervalMs;
+			await this.time.sleep(loopCheckIntervalMs, this.#stopped.signal);
+			if (this.time.now() - dueAt > minStallMs) {
+				this.unanswered.stall(dueAt, this.time.now());
+			}
+		}
+	}
+
 	#findProcess(host: number): configurations.Process | undefined {
 		const pid = this.hosts[host].child?.pid;
 		return pid === undefined ? undefined : {host, pid};
@@ -341,6 +393,11 @@
 	}
 }
 
+/** The servers of a group. */
+export function serverScopes(group: number): contacts.Scope[] {
+	return Array.from({length: serversPerGroup}, (_, index) => `server ${(group * serversPerGroup) + index}` as const);
+}
+
 /** Bounds below the ephemeral port range, so that no outgoing connection takes a port before its host listens on it. */
 const lowestPort = 15_000;
 const highestPort = 31_000;
--- a/src/soak/soak.ts
+++ b/src/soak/soak.ts
@@ -4,6 +4,7 @@
 */
 import type * as random from '../core/random.js';
 import * as randoms from '../core/random.js';
+import * as loads from './load.js';
 import * as plans from './plan.js';
 import * as sites from './site.js';
 
@@ -22,6 +23,10 @@
 	readonly probes: number;
 	/** Number of those for which the bound of time held. */
 	readonly boundProbes: number;
+	/** Number of requests whose connection ended without an answer. */
+	readonly unanswered: number;
+	/** Number of those to which the promise about planned work applied. */
+	readonly boundUnanswered: number;
 	readonly logs: ReadonlyMap<string, readonly string[]>;
 };
 
@@ -43,13 +48,16 @@
 /** Runs one seed. */
 export async function run(seed: number, {faultsMs, plan: planKind = 'mixed', daemon = 'compiled'}: Options): Promise<Report> {
 	const source = new randoms.Seeded(seed);
-	const size = drawSize(source);
+	const size = plans.adapt(planKind, drawSize(source));
+	const demand = plans.drawLoad(planKind, seed);
+	const load = demand && new loads.Load(demand);
 	const plan = plans.create(planKind, {seed, source, size});
-	const site = new sites.Site(size, source, daemon);
+	const site = new sites.Site(size, source, {daemon, load});
 	const events: string[] = [];
 	await site.start();
 	await site.time.sleep(startupMs);
 	site.startCallers();
+	load?.start();
 	const startedAt = site.time.now();
 	const tasks: Array<Promise<void>> = [];
 	while (site.time.now() - startedAt < faultsMs) {
@@ -60,6 +68,7 @@
 	}
 
 	await Promise.all(tasks);
+	load?.stop();
 	await site.time.sleep(recoveryMs);
 	const unrecovered = findUnrecovered(site);
 	await site.stop();
@@ -74,6 +83,8 @@
 		executions: site.checker.executions,
 		probes: site.configurations.answers,
 		boundProbes: site.configurations.boundAnswers,
+		unanswered: site.unanswered.count,
+		boundUnanswered: site.unanswered.boundCount,
 		logs: site.logs,
 	};
 }
@@ -91,6 +102,6 @@
 function drawSize(source: random.Source): sites.Size {
 	const hosts = source.integer(3, 6);
 	return {
-		hosts, groups: source.integer(1, 2), connections: source.integer(0, 1) === 0 ? hosts : 24, callers: 18,
+		hosts, groups: source.integer(1, 2), connections: source.integer(0, 1) === 0 ? hosts : 24, callers: 18, hasQuickCallers: false,
 	};
 }
--- a/src/soak/tests/soak.test.ts
+++ b/src/soak/tests/soak.test.ts
@@ -45,3 +45,16 @@
 		assert.ok(report.boundProbes > 0);
 	});
 }
+
+const stallsMs = 8000;
+/** Seeds of the regression for sessions that were closed although a request had arrived during a stall of the host. */
+const stallSeeds = [6102, 6203];
+
+for (const seed of stallSeeds) {
+	test.test(`soak of seed ${seed} with stalls: hosts that shut down answer the requests that arrived while they did not run`, {timeout: testTimeoutMs}, async () => {
+		const report = await soak.run(seed, {faultsMs: stallsMs, plan: 'stalls'});
+		assert.deepEqual(report.violations, [], report.events.join('\n'));
+		assert.ok(report.served > 0);
+		assert.ok(report.boundUnanswered > 0);
+	});
+}
