--- a/scripts/mutate.js
+++ b/scripts/mutate.js
@@ -108,6 +108,8 @@
 	['apply changes of the time before a restoration', 'restored store', [objects], 'platform/objects.js', 'responseGeneration !== generation || ', ''],
 	['leave a watch waiting through a restoration', 'restored store', [objects], 'platform/objects.js', 'this.#restored.abort();', ''],
 	['list without a pause while the list is older', 'restored store', entry, 'entry/follower.js', 'listed < revision', 'false'],
+	['hold a connection to the store after leaving it', 'fleet start', entry, 'entry/follower.js', 'watchMs, signal)', 'watchMs, new AbortController().signal)'],
+	['require the observer\'s revision to be this host\'s own', 'fleet start', entry, 'entry/synchronizer.js', 'revisions.split(revision).generation !== revisions.split(notice.revision).generation', 'revision !== notice.revision'],
 	['replace a claim that the store has lost', 'restored store', entry, 'entry/claims.js', '{ ...entry, revision: undefined }', 'entry'],
 	['announce a host only once', 'restored store', entry, 'entry/announcer.js', '!listed || revisions.split(listed.revision).generation < revisions.split(listedAt).generation', '!listed'],
 	['take an older configuration from a restored store', 'restored store', entry, 'entry/retention.js', 'restored.value.version < value.version', 'false'],
--- a/src/soak/probe.ts
+++ b/src/soak/probe.ts
@@ -52,36 +52,41 @@
 		}
 
 		const record = checked.request(before, number);
-		const answer = parseAnswer(await this.#request(`STARTUP ${databaseName(number)} probe\r\n`));
+		const answer = await openSession(this.#options.clock, this.#options.address, databaseName(number));
 		if (answer && process()?.pid === before.pid) {
 			record(answer);
 		}
 	}
+}
+
+/** Opens a session for a database at a host; `undefined` if the host's answer says nothing about its configuration. */
+export async function openSession(time: clock.Clock, address: string, database: string): Promise<configurations.Answer | undefined> {
+	return parseAnswer(await request(time, address, `STARTUP ${database} probe\r\n`));
+}
 
-	/** Sends a line on a new connection and returns the first line of the response; `undefined` if there is none. */
-	async #request(text: string): Promise<string | undefined> {
-		const [host, port] = this.#options.address.split(':');
-		const socket = net.connect({host, port: Number(port), noDelay: true});
-		const splitter = new line.Splitter();
-		const response = new Promise<string | undefined>(resolve => {
-			socket.on('data', chunk => {
-				const [first] = splitter.push(chunk) ?? [];
-				if (first !== undefined) {
-					resolve(first);
-				}
-			});
-			socket.on('error', () => {
-				socket.destroy();
-			});
-			socket.on('close', () => {
-				resolve(undefined);
-			});
+/** Sends a line on a new connection and returns the first line of the response; `undefined` if there is none. */
+async function request(time: clock.Clock, address: string, text: string): Promise<string | undefined> {
+	const [host, port] = address.split(':');
+	const socket = net.connect({host, port: Number(port), noDelay: true});
+	const splitter = new line.Splitter();
+	const response = new Promise<string | undefined>(resolve => {
+		socket.on('data', chunk => {
+			const [first] = splitter.push(chunk) ?? [];
+			if (first !== undefined) {
+				resolve(first);
+			}
 		});
-		socket.write(text);
-		const first = await this.#options.clock.limit(response, responseTimeoutMs);
-		socket.destroy();
-		return first;
-	}
+		socket.on('error', () => {
+			socket.destroy();
+		});
+		socket.on('close', () => {
+			resolve(undefined);
+		});
+	});
+	socket.write(text);
+	const first = await time.limit(response, responseTimeoutMs);
+	socket.destroy();
+	return first;
 }
 
 /** Other responses, for example of a host that is about to exit, say nothing about the configuration. */
