--- a/src/bench/configuration.ts
+++ b/src/bench/configuration.ts
@@ -79,7 +79,7 @@
 			const isChecking = this.#served === fleet.version;
 			const number = Math.min(this.#served + 1, fleet.version);
 			const sentAt = fleet.time.now();
-			const answer = await probes.openSession(fleet.time, this.#host.callerAddress, fleets.databaseName(number));
+			const answer = await probes.openSession(fleet.time, this.#host.callerAddress, fleets.addedDatabase(number));
 			if (answer && this.#host.child?.pid === before) {
 				this.#record(number, answer, sentAt);
 			}
--- a/src/soak/site.ts
+++ b/src/soak/site.ts
@@ -20,6 +20,7 @@
 import * as failovers from './failovers.js';
 import type * as faults from './fault.js';
 import type * as loads from './load.js';
+import * as objects from './object.js';
 import * as platforms from './platform.js';
 import * as probes from './probe.js';
 import * as replicated from './replicated.js';
@@ -219,34 +220,27 @@
 		this.#version += this.#random.integer(1, 3);
 		const database = probes.databaseName(this.configurations.latest + 1);
 		this.unanswered.begin({kind: 'configuration'});
-		this.platform.put('config', 'main', {
+		this.platform.put('config', 'main', objects.formatConfiguration({
 			version: this.#version,
 			routes: [
 				...this.groups.flatMap(({name}) => routeKinds.map(({kind, type, maxAgeMs}) => ({
-					name: `${name}-${kind}`,
-					databaseName: `${name}-${kind}`,
-					type,
-					timeoutMs: minTimeoutMs + this.#random.integer(0, 100),
-					targetLatencyMs: 500,
-					priority: 1,
-					service: name,
-					...(maxAgeMs > 0 ? {maxStalenessMs: maxAgeMs} : {}),
+					database: `${name}-${kind}`, service: name, type, maxAgeMs, timeoutMs: minTimeoutMs + this.#random.integer(0, 100),
 				}))),
 				{
-					name: database, databaseName: database, type: 'primary', timeoutMs: minTimeoutMs, targetLatencyMs: 500, priority: 1, service: this.groups[0].name,
+					database, service: this.groups[0].name, type: 'primary', maxAgeMs: 0, timeoutMs: minTimeoutMs,
 				},
 			],
-			services: this.groups.map(({name}) => ({name, maxConnections: this.#size.connections, syncReplicas: 1})),
-			limits: {txIdleMs: 2000},
-		});
+			services: this.groups.map(({name}) => name),
+			connections: this.#size.connections,
+		}));
 		this.configurations.acknowledge();
 	}
 
 	/** Writes a server's registration. */
 	register({group, server, relay: {port}}: Backend, state: 'ready' | 'draining'): void {
-		this.platform.put('servers', server.id, {
-			service: group.name, address: `127.0.0.1:${port}`, zone: server.place, version: '1', slots, state, coldRemainingMs: 0, sequence: 1, dbRole: server.role, born: server.startedAt,
-		});
+		this.platform.put('servers', server.id, objects.formatRegistration({
+			service: group.name, address: `127.0.0.1:${port}`, place: server.place, slots, state, role: server.role, startedAt: server.startedAt,
+		}));
 	}
 
 	/** Starts a host's process and restarts it 50 to 400 ms after each exit. */
--- a/src/soak/soak.ts
+++ b/src/soak/soak.ts
@@ -27,6 +27,8 @@
 	readonly unanswered: number;
 	/** Number of those to which the promise about planned work applied. */
 	readonly boundUnanswered: number;
+	/** Number of requests that were sent to a host while it shut down. */
+	readonly sentAtShutdown: number;
 	readonly logs: ReadonlyMap<string, readonly string[]>;
 };
 
@@ -85,6 +87,7 @@
 		boundProbes: site.configurations.boundAnswers,
 		unanswered: site.unanswered.count,
 		boundUnanswered: site.unanswered.boundCount,
+		sentAtShutdown: site.unanswered.sentAtShutdown,
 		logs: site.logs,
 	};
 }
--- a/src/soak/unanswered.ts
+++ b/src/soak/unanswered.ts
@@ -53,6 +53,7 @@
 	/** Times in which the process of the callers did not run. */
 	readonly #stalls: Span[] = [];
 	readonly #rates = new Map<number, Rates>();
+	#sentAtShutdown = 0;
 
 	constructor(options: Options) {
 		this.#options = options;
@@ -63,7 +64,12 @@
 		return this.#cuts.length;
 	}
 
-	/** Number of those that ended around planned work and without a disturbance, so that they are held to the promise. */
+	/** Number of requests that were sent to a host while it shut down, without a disturbance. */
+	get sentAtShutdown(): number {
+		return this.#sentAtShutdown;
+	}
+
+	/** Number of requests without an answer that ended around planned work and without a disturbance, so that they are held to the promise. */
 	get boundCount(): number {
 		return this.#undisturbed.filter(cut => this.#findWork(cut)).length;
 	}
@@ -91,6 +97,7 @@
 	send(request: Request): void {
 		if (this.#isUndisturbed(request)) {
 			this.#count(request.host, request.sentAt).sent++;
+			this.#sentAtShutdown += this.#isShuttingDown(request) ? 1 : 0;
 		}
 	}
 
@@ -122,6 +129,10 @@
 		this.#stalls.push({from, to});
 	}
 
+	#isShuttingDown({host, sentAt}: Request): boolean {
+		return this.#works.some(work => work.kind === 'SIGTERM' && work.host === host && sentAt - work.at <= this.#options.graceMs);
+	}
+
 	#isUndisturbed({sentAt, scopes}: Request): boolean {
 		return this.#options.unplanned.quietSince(scopes) <= sentAt - configurations.contactMs;
 	}
