Close the sessions of a host that shuts down right after a reply

Due sessions were closed as soon as a round of the shutdown found them idle, so the close met the next request of a busy caller; and a process that was stopped between reading its sockets and the decision closed sessions whose requests were unread, which the rule of the clock alone doesn't prevent.

Sessions still become due over 2 s (at most 0.4 of the grace time), the longest idle first. A due session now closes in the same turn as its next reply, or once it has been idle for 500 ms (at most 0.1 of the grace time). Before sessions are closed as idle the loop polls until a turn takes 10 ms or less, up to five times; if none does, the decision waits for the next round. A reply that took longer to write than 5 ms, as after a stop of the process, doesn't close the session. What has no request at the end of the grace time is closed, so that no idle session keeps the process alive until it is killed, and a session whose opening message is on its way isn't closed at once.

--- a/scripts/mutate.js
+++ b/scripts/mutate.js
@@ -114,7 +114,7 @@
 	['announce a host only once', 'restored store', entry, 'entry/announcer.js', '!listed || revisions.split(listed.revision).generation < revisions.split(listedAt).generation', '!listed'],
 	['take an older configuration from a restored store', 'restored store', entry, 'entry/retention.js', 'restored.value.version < value.version', 'false'],
 	['leave replicas paused whose claim is lost', 'restored store', entry, 'entry/failover.js', 'resumeIntervalMs : unclaimedResumeMs', 'resumeIntervalMs : Number.POSITIVE_INFINITY'],
-	['read from the socket after the session was closed', 'shutdown', [callers], 'platform/caller.js', 'this.#socket.pause();\n        this.#socket.destroySoon();', 'this.#socket.end();'],
+	['read from the socket after the session was closed', 'shutdown', [callers], 'platform/caller.js', 'this.#socket.pause();', 'this.#socket.end();\n        this.#markEnded();\n        return;'],
 ];
 
 /** Leaves the code unchanged, so all tests must pass; otherwise a failure for another reason would count as a detection. */
--- a/src/core/clock.ts
+++ b/src/core/clock.ts
@@ -73,6 +73,9 @@
 	/** Monotonic time in ms. */
 	abstract now(): number;
 
+	/** Resolves once the event loop has polled for input. */
+	abstract poll(): Promise<void>;
+
 	/**
 	Resolves after `ms`, or when `signal` aborts. Never rejects.
 
@@ -100,6 +103,12 @@
 		return performance.now();
 	}
 
+	/** Waits for two turns: an immediate that is set while input is handled runs before the next poll. */
+	override async poll(): Promise<void> {
+		await timers.setImmediate();
+		await timers.setImmediate();
+	}
+
 	/**
 	Overrides the base class with a plain timer. Aborting a sleep creates an `AbortError` with a stack trace for each call,
 	which took a fifth of the processor time of an entry host under load.
@@ -151,6 +160,11 @@
 		return this.#now;
 	}
 
+	/** Resolves at once: what a test sends has arrived. */
+	override async poll(): Promise<void> {
+		await Promise.resolve();
+	}
+
 	override async sleep(ms: number, signal?: AbortSignal): Promise<void> {
 		if (signal?.aborted) {
 			return;
--- a/src/core/tests/fake-group.ts
+++ b/src/core/tests/fake-group.ts
@@ -173,6 +173,10 @@
 		await this.#resumed;
 	}
 
+	override async poll(): Promise<void> {
+		await this.base.poll();
+	}
+
 	override now(): number {
 		return this.base.now();
 	}
--- a/src/entry/session.ts
+++ b/src/entry/session.ts
@@ -23,6 +23,12 @@
 /** What ended a session: its caller or a refusal, or this host, after a reply or while no request was in progress. */
 export type Ending = 'caller' | 'reply' | 'idle';
 
+/**
+Longest time from the start of a reply to the close that follows it. After a longer one, such as a stop of the process,
+the caller may have sent its next request, so the session closes after the reply to that one.
+*/
+const maxCloseDelayMs = 5;
+
 /** Callers time out when a session takes 2 s to open. */
 const openTimeoutMs = 1700;
 
@@ -35,7 +41,9 @@
 	#transaction: executor.Transaction | undefined;
 	#lastCommit: Commit | undefined;
 	#isDraining = false;
-	/** Time of the last reply, or of the connection. */
+	/** Whether the opening message has arrived and isn't answered. */
+	#isOpening = false;
+	/** Time of the last reply, of the acceptance, or of the connection. */
 	#idleSince: number;
 	#ending: Ending | undefined;
 
@@ -50,14 +58,14 @@
 		return this.#ending;
 	}
 
-	/** Time in ms since the last reply, or since the connection. */
+	/** Time in ms since the last reply, since the session was accepted, or since the connection; 0 unless it is idle. */
 	get idleMs(): number {
-		return this.#options.context.clock.now() - this.#idleSince;
+		return this.isIdle ? this.#options.context.clock.now() - this.#idleSince : 0;
 	}
 
 	/** Whether no request or transaction is in progress. */
 	get isIdle(): boolean {
-		return this.#transaction === undefined && !this.#caller.hasPendingRequest;
+		return !this.#isOpening && this.#transaction === undefined && !this.#caller.hasPendingRequest;
 	}
 
 	/** Serves the caller until the connection ends. */
@@ -71,10 +79,10 @@
 		for (let request = await this.#next(); request; request = await this.#next()) {
 			const startedAt = this.#options.context.clock.now();
 			const reply = await this.#execute(request);
-			this.#caller.reply(reply);
 			this.#idleSince = this.#options.context.clock.now();
 			this.#options.context.decisions.ended(this.#database, reply.refusal ?? 'answered', this.#idleSince - startedAt);
-			if (this.#isDraining && this.isIdle) {
+			this.#caller.reply(reply);
+			if (this.#isDraining && this.isIdle && this.idleMs <= maxCloseDelayMs) {
 				this.#ending = 'reply';
 				break;
 			}
@@ -85,10 +93,17 @@
 		await this.#transaction?.rollback();
 	}
 
-	/** Closes the session now if it is idle, otherwise after the current request or transaction. */
+	/**
+	Closes the session after its next reply that leaves no transaction open. A caller rarely has a request on its way just
+	after a reply, whereas one that is closed between two requests often has.
+	*/
 	drain(): void {
 		this.#isDraining = true;
-		if (this.isIdle) {
+	}
+
+	/** Closes the session now, unless a request is in progress. */
+	close(): void {
+		if (!this.#isOpening && !this.#caller.hasPendingRequest) {
 			this.#ending ??= 'idle';
 			this.#caller.close();
 		}
@@ -101,6 +116,14 @@
 
 	async #admit({database}: caller.Opening): Promise<boolean> {
 		this.#database = database;
+		this.#isOpening = true;
+		const isAdmitted = await this.#accept(database);
+		this.#isOpening = false;
+		this.#idleSince = this.#options.context.clock.now();
+		return isAdmitted;
+	}
+
+	async #accept(database: string): Promise<boolean> {
 		if (!await this.#options.deployment.awaitFirst(openTimeoutMs)) {
 			this.#caller.reject('busy', 'not run: this host has no configuration yet');
 			return false;
--- a/src/entry/shutdown.ts
+++ b/src/entry/shutdown.ts
@@ -1,5 +1,6 @@
 /**
-Graceful shutdown of an entry host: closes idle sessions gradually, and busy ones after their requests and transactions.
+Graceful shutdown of an entry host. Sessions become due gradually, so that their callers don't all open new ones at once.
+A due session closes right after its next reply, or once it has been idle for some time.
 */
 import type * as clock from '../core/clock.js';
 import type * as decisions from './decisions.js';
@@ -20,17 +21,29 @@
 const transactionRatio = 0.5;
 /** Part of the grace time reserved for the exit of the process. */
 const exitReserveMs = 500;
-/** Time over which idle sessions are closed. The platform needs 2 s to detect that a host is not ready. */
+/** Time over which sessions become due. The platform needs 2 s to detect that a host is not ready. */
 const closeSpreadMs = 2000;
+/** Largest part of the grace time for the spread, which leaves time for the last sessions to become idle. */
+const closeSpreadRatio = 0.4;
+/** Shortest time since the last reply after which a due session without a request closes. */
+const minIdleMs = 500;
+/** Largest part of the grace time for `minIdleMs`. */
+const minIdleRatio = 0.1;
 const pollMs = 50;
 /** Time for the notice that this host is draining to reach its peers, which then send no new requests. */
 const noticeDelayMs = 300;
+/** Longest turn of the event loop after which what it has read still counts as current. */
+const maxTurnMs = 10;
+/** Attempts to have such a turn, on a machine that is short of processor time. */
+const maxPolls = 5;
 
 /** Ends the sessions of callers and the requests of other hosts. */
 export class Shutdown {
 	readonly #options: Options;
-	/** Sessions that were told to close and whose end has not been recorded. */
-	readonly #draining = new Set<sessions.Session>();
+	/** Sessions that are to close and whose end has not been recorded. */
+	readonly #due = new Set<sessions.Session>();
+	/** Number of sessions that have become due, with those that have ended. */
+	#dueCount = 0;
 
 	constructor(options: Options) {
 		this.#options = options;
@@ -44,21 +57,20 @@
 			responder.drain();
 		}
 
-		let closedCount = 0;
-		const total = openSessions.size;
 		let roundDueAt = startedAt;
-		for (let elapsedMs = 0; !this.#isDone(elapsedMs) && elapsedMs < graceMs - exitReserveMs; elapsedMs = time.now() - startedAt) {
+		for (let elapsedMs = 0; elapsedMs < graceMs - exitReserveMs; elapsedMs = time.now() - startedAt) {
 			const lateMs = time.now() - roundDueAt;
-			const dueCount = Math.ceil(total * Math.min(1, elapsedMs / closeSpreadMs)) - closedCount;
-			const idle = [...openSessions].filter(session => session.isIdle).slice(0, Math.max(0, dueCount));
-			closedCount += idle.length;
-			for (const session of elapsedMs > closeSpreadMs ? [...openSessions] : idle) {
-				this.#draining.add(session);
-				session.drain();
+			const isCurrent = await this.#pollInput();
+			if (isCurrent && this.#isDone(elapsedMs)) {
+				break;
 			}
 
-			this.#recordClosed(lateMs);
+			this.#markDue(elapsedMs);
+			if (isCurrent) {
+				this.#closeIdle();
+			}
 
+			this.#recordClosed(lateMs);
 			if (elapsedMs >= graceMs * transactionRatio) {
 				await Promise.all([...openSessions, ...openResponders].map(async served => served.abort()));
 			}
@@ -67,14 +79,72 @@
 			await time.sleep(pollMs);
 		}
 
+		await this.#closeRemaining();
+	}
+
+	/** Makes the share of the sessions due that belongs to the elapsed time, the longest idle ones first. */
+	#markDue(elapsedMs: number): void {
+		const spreadMs = Math.min(closeSpreadMs, this.#options.graceMs * closeSpreadRatio);
+		const remaining = [...this.#options.sessions].filter(session => !this.#due.has(session));
+		const total = this.#dueCount + remaining.length;
+		const addedCount = Math.max(0, Math.ceil(total * Math.min(1, elapsedMs / spreadMs)) - this.#dueCount);
+		const byIdleTime = remaining.toSorted((one, other) => other.idleMs - one.idleMs);
+		for (const session of byIdleTime.slice(0, addedCount)) {
+			this.#dueCount++;
+			this.#due.add(session);
+			session.drain();
+		}
+	}
+
+	#closeIdle(): void {
+		const idleMs = Math.min(minIdleMs, this.#options.graceMs * minIdleRatio);
+		for (const session of this.#due) {
+			if (session.isIdle && session.idleMs >= idleMs) {
+				session.close();
+			}
+		}
+	}
+
+	/** Closes every session that has no request in progress; the others close after their replies. */
+	async #closeRemaining(): Promise<void> {
+		await this.#pollInput();
+		for (const session of this.#options.sessions) {
+			this.#due.add(session);
+			session.drain();
+			session.close();
+		}
+
 		this.#recordClosed(0);
 	}
 
+	/**
+	Lets the event loop read what has arrived, and returns whether that is current. It isn't if the turn took long, since
+	the process may have been stopped between reading and now.
+	*/
+	async #pollInput(): Promise<boolean> {
+		const {clock: time} = this.#options;
+		for (let polls = 0; polls < maxPolls; polls++) {
+			const startedAt = time.now();
+			await time.poll();
+			if (time.now() - startedAt <= maxTurnMs) {
+				return true;
+			}
+		}
+
+		return false;
+	}
+
+	/** Whether all sessions and requests have ended, and the draining notice has had time to reach the peers. */
+	#isDone(elapsedMs: number): boolean {
+		const {sessions: openSessions, responders: openResponders} = this.#options;
+		return openSessions.size === 0 && (openResponders.size === 0 || elapsedMs > noticeDelayMs) && [...openResponders].every(({isIdle}) => isIdle);
+	}
+
 	/** Records how many sessions this host has closed since the last record, and how late the timer of the round was. */
 	#recordClosed(lateMs: number): void {
-		const ended = [...this.#draining].filter(({ending}) => ending !== undefined);
+		const ended = [...this.#due].filter(({ending}) => ending !== undefined);
 		for (const session of ended) {
-			this.#draining.delete(session);
+			this.#due.delete(session);
 		}
 
 		const idle = ended.filter(({ending}) => ending === 'idle');
@@ -89,10 +159,4 @@
 			});
 		}
 	}
-
-	/** Whether all sessions and requests have ended, and the draining notice has had time to reach the peers. */
-	#isDone(elapsedMs: number): boolean {
-		const {sessions: openSessions, responders: openResponders} = this.#options;
-		return openSessions.size === 0 && (openResponders.size === 0 || elapsedMs > noticeDelayMs) && [...openResponders].every(({isIdle}) => isIdle);
-	}
 }
--- a/src/entry/tests/fake-fleet.ts
+++ b/src/entry/tests/fake-fleet.ts
@@ -212,6 +212,11 @@
 		await this.awaitRunning();
 	}
 
+	override async poll(): Promise<void> {
+		await this.#time.poll();
+		await this.awaitRunning();
+	}
+
 	/** Stops the process for `ms`. */
 	stop(ms: number): void {
 		this.#stoppedUntil = this.#time.now() + ms;
--- a/src/platform/caller.ts
+++ b/src/platform/caller.ts
@@ -95,7 +95,13 @@
 	*/
 	override close(): void {
 		this.#socket.pause();
-		this.#socket.destroySoon();
+		if (this.#socket.writableLength === 0) {
+			// Closing in this turn leaves the caller the least time to send a request between the reply and the close.
+			this.#socket.destroy();
+		} else {
+			this.#socket.destroySoon();
+		}
+
 		this.#markEnded();
 	}
 
--- a/src/platform/tests/caller.test.ts
+++ b/src/platform/tests/caller.test.ts
@@ -1,4 +1,5 @@
 import * as assert from 'node:assert/strict';
+import * as buffer from 'node:buffer';
 import * as events from 'node:events';
 import * as net from 'node:net';
 import * as test from 'node:test';
@@ -92,6 +93,46 @@
 	assert.equal(sockets[0].bytesRead, startup.length);
 });
 
+// Guards against a caller that sends its next request between a reply and the close that follows it.
+test.test('a close right after a reply takes effect in the same turn of the event loop', {timeout: testTimeoutMs}, async context => {
+	const {accepted, socket} = await connect(context);
+	socket.write('STARTUP lepu270 u3f1\r\nQUERY 5c0e READ 1a4\r\n');
+	await accepted.open();
+	accepted.accept();
+	await accepted.next();
+	const chunks: Uint8Array[] = [];
+	socket.on('data', (chunk: Uint8Array) => {
+		chunks.push(chunk);
+	});
+	const ended = events.EventEmitter.once(socket, 'end');
+	accepted.reply(statement.success('none'));
+	accepted.close();
+	// A closed socket has no remote address.
+	assert.equal(accepted.address, '');
+	await ended;
+	assert.match(new TextDecoder().decode(buffer.Buffer.concat(chunks)), /COMPLETE .*\r\nREADY I -\r\n$/v);
+});
+
+// Guards against a close that cuts a reply which the operating system has not taken yet.
+test.test('a reply larger than the buffers of the connection is complete before the close', {timeout: testTimeoutMs}, async context => {
+	const {accepted, socket} = await connect(context);
+	socket.write('STARTUP lepu270 u3f1\r\nQUERY 5c0e READ 1a4\r\n');
+	await accepted.open();
+	accepted.accept();
+	await accepted.next();
+	const rowBytes = 16 * 1024 * 1024;
+	accepted.reply({...statement.success('none'), rows: ['a'.repeat(rowBytes)], signature: '7.1'});
+	accepted.close();
+	let received = '';
+	socket.setEncoding('latin1');
+	socket.on('data', (chunk: string) => {
+		received += chunk;
+	});
+	await events.EventEmitter.once(socket, 'end');
+	assert.ok(received.length > rowBytes);
+	assert.ok(received.endsWith('COMPLETE 7.1\r\nREADY I -\r\n'));
+});
+
 test.test('a first line other than STARTUP is rejected with one error', {timeout: testTimeoutMs}, async context => {
 	const {accepted, socket} = await connect(context);
 	socket.write('GET / HTTP/1.1\r\n');
