Close a session whose request outlasts the shutdown with its reply

What was still in progress at the end of the shutdown was never told to end.

A session that is closed while a request is in progress now ends with the reply to it, whatever time the reply takes. The new test fails without that; the test of a reply that takes long to write fails without its limit.

--- a/src/entry/session.ts
+++ b/src/entry/session.ts
@@ -41,6 +41,8 @@
 	#transaction: executor.Transaction | undefined;
 	#lastCommit: Commit | undefined;
 	#isDraining = false;
+	/** Whether the session ends with the request in progress. */
+	#isClosing = false;
 	/** Whether the opening message has arrived and isn't answered. */
 	#isOpening = false;
 	/** Time of the last reply, of the acceptance, or of the connection. */
@@ -82,7 +84,7 @@
 			this.#idleSince = this.#options.context.clock.now();
 			this.#options.context.decisions.ended(this.#database, reply.refusal ?? 'answered', this.#idleSince - startedAt);
 			this.#caller.reply(reply);
-			if (this.#isDraining && this.isIdle && this.idleMs <= maxCloseDelayMs) {
+			if (this.#isClosing || (this.#isDraining && this.isIdle && this.idleMs <= maxCloseDelayMs)) {
 				this.#ending = 'reply';
 				break;
 			}
@@ -101,8 +103,9 @@
 		this.#isDraining = true;
 	}
 
-	/** Closes the session now, unless a request is in progress. */
+	/** Closes the session now, or after the reply to the request in progress. */
 	close(): void {
+		this.#isClosing = true;
 		if (!this.#isOpening && !this.#caller.hasPendingRequest) {
 			this.#ending ??= 'idle';
 			this.#caller.close();
--- a/src/entry/tests/shutdown.test.ts
+++ b/src/entry/tests/shutdown.test.ts
@@ -23,6 +23,11 @@
 		return super.now() + this.#pollMs;
 	}
 
+	/** Lets time pass without any task, as when the process is stopped. */
+	stall(ms: number): void {
+		this.#pollMs += ms;
+	}
+
 	override async poll(): Promise<void> {
 		this.#pollMs += this.turnMs;
 		this.onPoll?.();
@@ -32,6 +37,8 @@
 /** A caller whose messages a test submits. A request that meets a closed connection is counted as unanswered. */
 class Caller extends callers.Caller {
 	override readonly address = 'test';
+	/** Time for which the process is stopped while it writes a reply. */
+	replyMs = 0;
 	replies = 0;
 	unanswered = 0;
 	isClosed = false;
@@ -43,9 +50,9 @@
 	#isExecuting = false;
 	#wake: (() => void) | undefined;
 
-	readonly #clock: clock.Clock;
+	readonly #clock: Polling;
 
-	constructor(time: clock.Clock, isOpened: boolean) {
+	constructor(time: Polling, isOpened: boolean) {
 		super();
 		this.#clock = time;
 		this.#isOpened = isOpened;
@@ -91,6 +98,7 @@
 
 	override reply(): void {
 		this.replies++;
+		this.#clock.stall(this.replyMs);
 		this.#repliedAt = this.#clock.now();
 		this.#isExecuting = false;
 	}
@@ -280,3 +288,37 @@
 	await host.time.advance(graceMs - 500);
 	assert.deepEqual([connected.isClosed, host.isStopped], [true, true]);
 });
+
+// Guards against a close that meets the next request, which was sent while the process was stopped after a reply.
+test.test('a reply that takes long to write does not close the session, the next one does', async () => {
+	const host = new Host();
+	const connected = host.connect();
+	await host.time.advance(1000);
+	connected.submit();
+	await host.time.advance(10);
+	void host.drain();
+	await host.time.advance(100);
+	connected.replyMs = 20;
+	connected.submit();
+	await host.time.advance(100);
+	assert.deepEqual([connected.replies, connected.isClosed], [2, false]);
+	connected.replyMs = 0;
+	connected.submit();
+	await host.time.advance(10);
+	assert.deepEqual([connected.replies, connected.isClosed], [3, true]);
+});
+
+// Guards against a session that stays open after the end of the shutdown, so that the process is killed with a request.
+test.test('a session whose request outlasts the shutdown closes with the reply', async () => {
+	const host = new Host();
+	const connected = host.connect();
+	await host.time.advance(1000);
+	host.executor.durationMs = graceMs;
+	connected.replyMs = 20;
+	connected.submit();
+	void host.drain();
+	await host.time.advance(graceMs - 100);
+	assert.deepEqual([host.isStopped, connected.isClosed], [true, false]);
+	await host.time.advance(200);
+	assert.deepEqual([connected.replies, connected.isClosed], [1, true]);
+});
