Read what has arrived before a drain closes idle connections of the MySQL front end

Callers of the product's own front end could see ECONNRESET for a request that had arrived at a draining host: the drain closed every connection without a request in progress inside the signal's callback, before the sockets were read.

The drain now polls for input once before it closes idle connections. The new test sends a query in the same turn as the drain begins; without the poll it fails with read ECONNRESET.

--- a/src/host/callers.ts
+++ b/src/host/callers.ts
@@ -63,9 +63,13 @@
 		}
 	}
 
-	/** Closes idle connections, and the others as soon as they are idle outside a transaction. */
-	drain(): void {
+	/**
+	Closes idle connections, and the others as soon as they are idle outside a transaction. What has arrived is read first,
+	so that no connection closes with a request unread.
+	*/
+	async drain(): Promise<void> {
 		this.#isDraining = true;
+		await this.#options.clock.poll();
 		for (const connection of this.#idle) {
 			connection.close();
 		}
--- a/src/host/host.ts
+++ b/src/host/host.ts
@@ -193,7 +193,7 @@
 		this.#members.markLeaving();
 		this.#reconcile();
 		this.#listener.close();
-		this.#callers.drain();
+		await this.#callers.drain();
 		for (const member of affected) {
 			// The hello message that opens a new link carries the `leaving` flag.
 			void this.#links.connect(member);
--- a/src/host/tests/peers.test.ts
+++ b/src/host/tests/peers.test.ts
@@ -137,6 +137,24 @@
 	});
 }
 
+// Guards against the end of a connection whose request has arrived but has not been read, as after a stall of the process.
+test.test('a drain answers a request that has arrived before it but has not been read', {timeout: 30_000}, async () => {
+	const {site, nearOwner} = await start();
+	const connection = await site.connect(nearOwner);
+	try {
+		await connection.query('SELECT cents FROM ledger');
+		// The query is written to the socket at once, and the host can't read it before it drains.
+		const answered = connection.query('SELECT cents FROM ledger');
+		const drained = site.entries[nearOwner].host.drain();
+		const [rows] = await answered;
+		assert.deepEqual(rows, []);
+		await drained;
+	} finally {
+		connection.destroy();
+		await site.stop();
+	}
+});
+
 test.test('an owner without access to the store receives leaving servers and new configurations from peers (guards against new requests to a leaving server)', async () => {
 	const {site, nearOwner} = await start();
 	site.entries[nearOwner].store.disconnect();
