Don't send a call to the platform after its timeout

Found in review. With the rule of the clock the timer of a call took effect after the loop had polled. A call that still waits for its connection when the process is stopped was therefore written once it ran again, however late: an order of a promotion reached the platform 5 s after its timeout of 400 ms, when hosts confirm the old primary's commits again.

The timer of the HTTP client takes effect before the poll again. A response that waits unread is then lost, which costs a repeated call. The new test blocks the loop past the timeout; it fails on the code before.

--- a/src/platform/http.ts
+++ b/src/platform/http.ts
@@ -5,7 +5,6 @@
 import * as http from 'node:http';
 import * as Either from 'fp-ts/lib/Either.js';
 import * as address from '../core/address.js';
-import * as clock from '../core/clock.js';
 import * as errors from '../core/errors.js';
 
 /** One call. `path` may include a query string. */
@@ -50,7 +49,7 @@
 		const text = body === undefined ? undefined : JSON.stringify(body);
 		return new Promise(resolve => {
 			const settle = (outcome: errors.Outcome<Response>): void => {
-				cancelTimer();
+				clearTimeout(timer);
 				for (const signal of signals) {
 					signal.removeEventListener('abort', abort);
 				}
@@ -87,10 +86,11 @@
 					settle(Either.right({status: response.statusCode ?? 0, headers: response.headers, body: parse(buffer.Buffer.concat(chunks).toString())}));
 				});
 			});
-			// A connection that lost one response delivers no later ones, so it is destroyed rather than reused.
-			const cancelTimer = clock.startTimer(timeoutMs, () => {
+			// A connection that lost one response delivers no later ones, so it is destroyed rather than reused. The timer takes
+			// effect before the loop polls: a poll would send a call that waits for its connection, however late it is.
+			const timer = setTimeout(() => {
 				request.destroy(new Error(`no response within ${timeoutMs} ms`));
-			});
+			}, timeoutMs);
 			const abort = (): void => {
 				request.destroy(new Error('the call was aborted'));
 			};
--- a/src/platform/tests/http.test.ts
+++ b/src/platform/tests/http.test.ts
@@ -1,7 +1,9 @@
 import * as assert from 'node:assert/strict';
 import * as http from 'node:http';
 import type * as net from 'node:net';
+import process from 'node:process';
 import * as test from 'node:test';
+import * as timers from 'node:timers/promises';
 import * as Either from 'fp-ts/lib/Either.js';
 import * as authorities from '../authority.js';
 import * as clients from '../http.js';
@@ -313,3 +315,21 @@
 	assert.ok(Either.isLeft(outcome) && outcome.left.kind === 'store');
 	assert.equal(calls.length, 2);
 });
+
+test.test('guards against an order that is sent after its timeout, when a process that was stopped runs again', {timeout: testTimeoutMs}, async context => {
+	const {client, calls} = await serve(context, () => ({status: 200}));
+	const called = client.call({
+		method: 'POST', path: '/promotion', body: {}, timeoutMs: 50,
+	});
+	await new Promise(resolve => {
+		process.nextTick(resolve);
+	});
+	const end = performance.now() + 300;
+	while (performance.now() < end) {
+		// A blocked loop is what the test needs.
+	}
+
+	assert.ok(Either.isLeft(await called));
+	await timers.setTimeout(100);
+	assert.deepEqual(calls, []);
+});
