Bound the age of an order after a step-down as well

Found in review. An old primary that stepped down leads again if it restarts before another server is promoted. The host that carries out the failover watches it for that, but not while its process is stopped, and the order that it sends afterwards rests on the answer from before.

The limit of 2.5 s from the claim now holds for both kinds of fence. The new test fails without it.

--- a/src/entry/fence.ts
+++ b/src/entry/fence.ts
@@ -38,7 +38,8 @@
 const renewalIntervalMs = 100;
 /**
 Time from the claim after which no order is sent any more. The hosts withhold commits for 4 s after they have heard of the
-claim, and a promotion takes effect up to 1 s after its order.
+claim, and a promotion takes effect up to 1 s after its order. An old leader that stepped down leads again if it restarts
+while this host is stopped and doesn't watch it.
 */
 const maxOrderAgeMs = 2500;
 /** Time for the target to receive a commit that another server has received. */
@@ -69,8 +70,10 @@
 		return this.#breach;
 	}
 
-	/** Whether nothing can be acknowledged until a promotion that is ordered now has taken effect. */
-	abstract get isCurrent(): boolean;
+	/** Whether nothing can be confirmed that the target lacks until a promotion that is ordered now has taken effect. */
+	get isCurrent(): boolean {
+		return clock.between(this.choice.claimedAt, this.context.clock.mark()) < maxOrderAgeMs;
+	}
 
 	/** Renews the fence until `signal` aborts. */
 	abstract maintain(signal: AbortSignal): Promise<void>;
@@ -112,11 +115,6 @@
 
 /** The old leader has confirmed that it stepped down. */
 export class SteppedDown extends Fence {
-	/** Holds until a server is promoted. */
-	override get isCurrent(): boolean {
-		return true;
-	}
-
 	override async maintain(signal: AbortSignal): Promise<void> {
 		void this.watchLeader(signal);
 	}
@@ -138,10 +136,6 @@
 		this.#held = new Set(paused);
 	}
 
-	override get isCurrent(): boolean {
-		return clock.between(this.choice.claimedAt, this.context.clock.mark()) < maxOrderAgeMs;
-	}
-
 	override async maintain(signal: AbortSignal): Promise<void> {
 		void this.watchLeader(signal);
 		await this.#renewPauses(signal);
--- a/src/entry/tests/fencing.test.ts
+++ b/src/entry/tests/fencing.test.ts
@@ -180,6 +180,46 @@
 	});
 }
 
+// Guards against an order that rests on a step-down from before the stop of its host: the old primary has restarted since.
+test.test('no confirmed commit is lost by a late order after a primary that stepped down leads again', async () => {
+	const fleet = new fleets.Fleet();
+	await fleet.start();
+	const [one, two, three] = fleet.hosts;
+	const [a, , c] = fleet.cluster.servers;
+	const stopMs = 3500;
+	await fleet.remove('b');
+	for (const host of [one, two]) {
+		host.paths.get('a')!.isCut = true;
+	}
+
+	let hasStepped = false;
+	fleet.actions.set('fence', () => {
+		hasStepped = true;
+		one.clock.stop(stopMs);
+		two.clock.stop(stopMs);
+	});
+	for (let elapsedMs = 0; elapsedMs < 9000; elapsedMs += 50) {
+		if (hasStepped && a.role === 'replica' && !fleet.primary && fleet.authority.requests.length === 0) {
+			hasStepped = false;
+			await fleet.time.advance(300);
+			a.role = 'primary';
+			for (const host of [one, two]) {
+				host.paths.get('a')!.isCut = false;
+			}
+
+			c.isReplicationCut = true;
+			fleet.restore('b', undefined);
+		}
+
+		fleet.write(three);
+		await fleet.time.advance(50);
+	}
+
+	assert.ok(fleet.confirmed.size > 0);
+	assert.deepEqual(fleet.violations, [], fleet.journal.join('\n'));
+	await fleet.stop();
+});
+
 /** Time without a registration after which all hosts have removed a server. */
 const removalMs = 2700;
 
