Leave a commit in doubt whose reply is read after its timeout

Found in review. Since an expired timer lets the loop poll first, a host whose process was stopped reads a commit's reply even if the timeout has passed. A failover may have begun meanwhile whose announcement is unread, so the commit was confirmed though the next primary may lack it.

A commit is confirmed only while time is left. The new test fails without that.

--- a/src/entry/confirmation.ts
+++ b/src/entry/confirmation.ts
@@ -94,7 +94,8 @@
 
 	/**
 	Whether the caller may be told that a commit was made whose reply carried `logEnd`. Waits for up to `timeoutMs` while
-	the commit has to be withheld; false if its outcome is then unknown.
+	the commit has to be withheld; false if its outcome is then unknown. Without any time left the reply was read late, after
+	a stop of this process, in which a failover may have begun whose announcement is unread.
 
 	@example
 	```
@@ -105,7 +106,7 @@
 		const {clock: time} = this.#options;
 		const receivedAt = time.now();
 		this.#acknowledgedAt = receivedAt;
-		let verdict = this.#judge(logEnd, receivedAt);
+		let verdict = timeoutMs > 0 ? this.#judge(logEnd, receivedAt) : 'discarded';
 		if (verdict === 'withheld') {
 			this.#withheld++;
 		}
--- a/src/entry/tests/confirmation.test.ts
+++ b/src/entry/tests/confirmation.test.ts
@@ -17,6 +17,12 @@
 	assert.equal(await confirmations.confirm({term: 1, index: 5}, waitMs), true);
 });
 
+// Guards against the loss of a commit whose reply a stopped process reads together with, or before, news of a failover.
+test.test('a commit whose reply is read after its timeout is in doubt', async () => {
+	const {confirmations} = make();
+	assert.equal(await confirmations.confirm({term: 1, index: 5}, 0), false);
+});
+
 // Guards against the loss of commits that a leader acknowledges while its successor is chosen, seen by hosts through the
 // claim in the store, through a message of the claimant, or through neither.
 for (const [name, begin, end, isConfirmed] of [
