Don't count a stop of the process after a poll as idle time

The log shows four sessions closed as idle for 543 ms by a timer that was on time: the host was stopped for 488 ms after its poll had been found current, on a machine on which a process often waits for a processor, and the idle time was read after the stop.

A due session closes as idle only while the poll is current, which is checked for each session after its idle time is read. The new test stops the process at that point; it fails on the code before.

--- a/src/entry/shutdown.ts
+++ b/src/entry/shutdown.ts
@@ -32,9 +32,9 @@
 const pollMs = 50;
 /** Time for the notice that this host is draining to reach its peers, which then send no new requests. */
 const noticeDelayMs = 300;
-/** Longest turn of the event loop after which what it has read still counts as current. */
+/** Longest time from the begin of a poll for which what it has read counts as current. */
 const maxTurnMs = 10;
-/** Attempts to have such a turn, on a machine that is short of processor time. */
+/** Polls until one is short enough for that, on a machine that is short of processor time. */
 const maxPolls = 5;
 
 /** Ends the sessions of callers and the requests of other hosts. */
@@ -60,15 +60,13 @@
 		let roundDueAt = startedAt;
 		for (let elapsedMs = 0; elapsedMs < graceMs - exitReserveMs; elapsedMs = time.now() - startedAt) {
 			const lateMs = time.now() - roundDueAt;
-			const isCurrent = await this.#pollInput();
-			if (isCurrent && this.#isDone(elapsedMs)) {
+			const polledAt = await this.#pollInput();
+			if (this.#isCurrent(polledAt) && this.#isDone(elapsedMs)) {
 				break;
 			}
 
 			this.#markDue(elapsedMs);
-			if (isCurrent) {
-				this.#closeIdle();
-			}
+			this.#closeIdle(polledAt);
 
 			this.#recordClosed(lateMs);
 			if (elapsedMs >= graceMs * transactionRatio) {
@@ -96,15 +94,21 @@
 		}
 	}
 
-	#closeIdle(): void {
+	/** Closes sessions that were idle when the loop polled, unless the process was stopped since: the time of a stop is no idle time. */
+	#closeIdle(polledAt: number): void {
 		const idleMs = Math.min(minIdleMs, this.#options.graceMs * minIdleRatio);
 		for (const session of this.#due) {
-			if (session.isIdle && session.idleMs >= idleMs) {
+			if (session.isIdle && session.idleMs >= idleMs && this.#isCurrent(polledAt)) {
 				session.close();
 			}
 		}
 	}
 
+	/** Whether what was read by a poll that began at `polledAt` is still current. */
+	#isCurrent(polledAt: number): boolean {
+		return this.#options.clock.now() - polledAt <= maxTurnMs;
+	}
+
 	/** Closes every session that has no request in progress; the others close after their replies. */
 	async #closeRemaining(): Promise<void> {
 		await this.#pollInput();
@@ -118,20 +122,18 @@
 	}
 
 	/**
-	Lets the event loop read what has arrived, and returns whether that is current. It isn't if the turn took long, since
-	the process may have been stopped between reading and now.
+	Lets the event loop read what has arrived, and returns the clock time at which the last poll began. Polls again after a
+	turn that took long, since the process may have been stopped between reading and the end of the turn.
 	*/
-	async #pollInput(): Promise<boolean> {
+	async #pollInput(): Promise<number> {
 		const {clock: time} = this.#options;
-		for (let polls = 0; polls < maxPolls; polls++) {
-			const startedAt = time.now();
+		let polledAt = Number.NEGATIVE_INFINITY;
+		for (let polls = 0; polls < maxPolls && !this.#isCurrent(polledAt); polls++) {
+			polledAt = time.now();
 			await time.poll();
-			if (time.now() - startedAt <= maxTurnMs) {
-				return true;
-			}
 		}
 
-		return false;
+		return polledAt;
 	}
 
 	/** Whether all sessions and requests have ended, and the draining notice has had time to reach the peers. */
--- a/src/entry/tests/shutdown.test.ts
+++ b/src/entry/tests/shutdown.test.ts
@@ -16,10 +16,19 @@
 /** A clock whose polls take `turnMs`, and call `onPoll` with what arrives meanwhile. */
 class Polling extends clock.Manual {
 	turnMs = 0;
+	/** Length of a stop of the process just after a poll has been found current. */
+	stopAfterPollMs = 0;
 	onPoll: (() => void) | undefined;
 	#pollMs = 0;
+	#readings = 0;
 
 	override now(): number {
+		this.#readings++;
+		// The first reading after a poll is that of its length.
+		if (this.#readings === 2) {
+			this.#pollMs += this.stopAfterPollMs;
+		}
+
 		return super.now() + this.#pollMs;
 	}
 
@@ -30,6 +39,7 @@
 
 	override async poll(): Promise<void> {
 		this.#pollMs += this.turnMs;
+		this.#readings = 0;
 		this.onPoll?.();
 	}
 }
@@ -322,3 +332,20 @@
 	await host.time.advance(200);
 	assert.deepEqual([connected.replies, connected.isClosed], [1, true]);
 });
+
+// Guards against a session that counts as idle for the length of a stop between a poll and the decision to close it.
+test.test('a stop of the process after a poll is no idle time', async () => {
+	const host = new Host();
+	const connected = host.connect();
+	await host.time.advance(1000);
+	connected.submit();
+	await host.time.advance(10);
+	host.time.stopAfterPollMs = 600;
+	void host.drain();
+	await host.time.advance(120);
+	host.time.stopAfterPollMs = 0;
+	assert.equal(connected.isClosed, false);
+	connected.submit();
+	await host.time.advance(10);
+	assert.deepEqual([connected.replies, connected.isClosed], [2, true]);
+});
