--- a/src/entry/tests/fake-cluster.ts
+++ b/src/entry/tests/fake-cluster.ts
@@ -356,7 +356,7 @@
 	isReplicated(primary: Server, index: number): boolean {
 		const replicas = this.servers.filter(server => server !== primary);
 		for (const server of replicas) {
-			if (!server.isReplicationCut && !server.isUnresponsive && server.heldTerm <= server.term) {
+			if (!server.isReplicationCut && !server.isUnresponsive && server.heldTerm <= primary.term) {
 				server.index = primary.index;
 				server.term = primary.term;
 				server.log = primary.log;
