--- a/src/core/position.ts
+++ b/src/core/position.ts
@@ -44,6 +44,23 @@
 	return compare(left, right) >= 0 ? left : right;
 }
 
+/**
+Returns the latest of some positions; null if none is known.
+
+@example
+```
+const confirmed = position.latestOf(reports.map(report => report.acknowledged));
+```
+*/
+export function latestOf(positions: ReadonlyArray<Position | null>): Position | null {
+	let result: Position | null = null;
+	for (const position of positions) {
+		result = latest(result, position);
+	}
+
+	return result;
+}
+
 /**
 Returns the relation of a log to a position: the log contains the entry, may still receive it, or has lost it because a
 later term began at or before its index.
--- a/src/entry/confirmation.ts
+++ b/src/entry/confirmation.ts
@@ -55,6 +55,11 @@
 		return this.#withheld;
 	}
 
+	/** Highest term of a leader that this host has found, 0 before the first. */
+	get leaderTerm(): number {
+		return this.#leaderTerm;
+	}
+
 	/** Withholds the commits of all terms below `term`. An older token than that of the last suspension is ignored. */
 	suspend(term: number, token: number): void {
 		if (token < (this.#suspension?.token ?? 0)) {
--- a/src/entry/failover.ts
+++ b/src/entry/failover.ts
@@ -15,6 +15,7 @@
 import type * as hosts from './hosts.js';
 import type * as member from './member.js';
 import * as orders from './orders.js';
+import type * as statement from './statement.js';
 import * as successions from './succession.js';
 
 export type Options = {
@@ -28,8 +29,16 @@
 	readonly decisions: decisions.Decisions;
 };
 
-/** How the other hosts see the leader: how many it responds to, and whether another leader would help. */
-type Views = {readonly responding: number; readonly mayReplace: boolean; readonly leader: member.Member | undefined};
+/**
+How the other hosts see the leader: how many it responds to, whether another leader would help, and the latest position that
+they know to be confirmed.
+*/
+type Views = {
+	readonly responding: number;
+	readonly mayReplace: boolean;
+	readonly leader: member.Member | undefined;
+	readonly confirmed: statement.Position | null;
+};
 
 const tickMs = 100;
 const idleTickMs = 500;
@@ -185,7 +194,7 @@
 		}
 
 		const fence = await this.#succession.prepare({
-			reason, leader: leader ?? views?.leader, found: found.right, isSeenByOthers: (views?.responding ?? 0) > 0, claim: claimed.right, claimedAt,
+			reason, leader: leader ?? views?.leader, found: found.right, isSeenByOthers: (views?.responding ?? 0) > 0, confirmed: views?.confirmed ?? null, claim: claimed.right, claimedAt,
 		});
 		return Either.isLeft(fence) ? fence : this.#promoteWithin(fence.right, claimed.right);
 	}
@@ -210,6 +219,7 @@
 			responding: responding.length,
 			mayReplace,
 			leader: leader ?? members.find(({id}) => responding.some(report => report.leader === id)),
+			confirmed: position.latestOf(reports.map(({acknowledged}) => acknowledged)),
 		};
 	}
 
--- a/src/entry/succession.ts
+++ b/src/entry/succession.ts
@@ -43,6 +43,8 @@
 	readonly found: readonly candidates.Candidate[];
 	/** Whether the leader responds to another host, as these reported before the claim. */
 	readonly isSeenByOthers: boolean;
+	/** The latest position that another host reported as confirmed before the claim. */
+	readonly confirmed: statement.Position | null;
 	readonly claim: claims.Claim;
 	/** Time before the claim: no host has heard of it earlier. */
 	readonly claimedAt: clock.Mark;
@@ -94,9 +96,7 @@
 
 	/** Fences the leader and chooses the server that can be promoted without losing an acknowledged commit. */
 	async prepare(attempt: Attempt): Promise<errors.Outcome<fences.Fence>> {
-		// The primary starts the next term, which ends a pause. Pausing with a higher term would outlast the promotion.
-		const term = Math.max(...attempt.found.map(({status}) => status.term)) + 1;
-		const dated = {...attempt, term};
+		const dated = {...attempt, term: this.#nextTerm(attempt)};
 		const {leader, reason} = attempt;
 		if (!leader) {
 			return this.#fenceAtHosts(dated);
@@ -127,6 +127,17 @@
 		});
 	}
 
+	/**
+	The term of the next leader. A new leader's replicas show the term before until they receive from it, and orders to a leader
+	have no effect in its own term, so what this host and the others know of leaders counts as well. The primary starts the next
+	term, which ends a pause. Pausing with a higher term would outlast the promotion.
+	*/
+	#nextTerm({found, leader, confirmed}: Attempt): number {
+		const {group: {acknowledged, confirmations}} = this.#options;
+		const terms = found.map(({status}) => status.term);
+		return Math.max(...terms, confirmations.leaderTerm, leader?.position?.term ?? 0, acknowledged?.term ?? 0, confirmed?.term ?? 0) + 1;
+	}
+
 	async #replaceLeaving(attempt: Dated, leader: member.Member): Promise<errors.Outcome<fences.Fence>> {
 		// Without a replica that receives, the leader would step down only to lead again.
 		const target = candidates.mostAdvanced(attempt.found);
@@ -206,7 +217,9 @@
 	async #stepDown(attempt: Dated, leader: member.Member): Promise<errors.Outcome<candidates.Candidate>> {
 		const outcome = await this.#options.orders.stepDown(leader, attempt.term);
 		if (Either.isRight(outcome)) {
-			return outcome;
+			const {role, term} = outcome.right.status;
+			// A leader of the attempt's term ignores the order.
+			return role === 'primary' && term >= attempt.term ? this.#options.orders.stepDown(leader, term + 1) : outcome;
 		}
 
 		const status = await this.#delegateStepDown(attempt, leader);
@@ -342,12 +355,7 @@
 
 	/** The latest position that this host or one of the reports knows to be confirmed. */
 	#confirmed(reports: readonly types.LeaderReport[]): statement.Position | null {
-		let confirmed = this.#options.group.acknowledged;
-		for (const {acknowledged} of reports) {
-			confirmed = acknowledged ? position.latest(confirmed, acknowledged) : confirmed;
-		}
-
-		return confirmed;
+		return position.latestOf([this.#options.group.acknowledged, ...reports.map(({acknowledged}) => acknowledged)]);
 	}
 
 	/** Ends an attempt in which nothing was ordered, so the leader leads on. */
