--- a/src/entry/tests/fake-cluster.ts
+++ b/src/entry/tests/fake-cluster.ts
@@ -21,7 +21,7 @@
 
 const oneWayLatencyMs = 4;
 const executionMs = 3;
-const promotionMs = 300;
+const defaultPromotionMs = 300;
 /** Interval at which a commit that waits for a replica looks for one. */
 const replicationPollMs = 5;
 
@@ -43,6 +43,8 @@
 	isIgnoringStepDown = false;
 	/** The server receives no log entries from the primary. */
 	isReplicationCut = false;
+	/** Time from the acknowledgement of a commit until its reply is written. */
+	commitReplyDelayMs = 0;
 	responseMode: ResponseMode = 'usual';
 	readonly cluster: Cluster;
 	readonly connections = new Set<Connection>();
@@ -147,7 +149,14 @@
 			this.close();
 		}
 
-		await time.sleep(command.kind === 'forward' || command.kind === 'execute' ? executionMs + oneWayLatencyMs : oneWayLatencyMs);
+		if (this.#isCommit(command)) {
+			await time.sleep(this.#server.commitReplyDelayMs);
+		}
+
+		await time.sleep(command.kind === 'forward' || command.kind === 'execute' ? executionMs : 0);
+		// A reply carries the end of the log at the time at which it is written: that of the next term once the lead is lost.
+		const logEnd = this.#server.end;
+		await time.sleep(oneWayLatencyMs);
 		if (this.#server.responseMode === 'answer-lost' && (command.kind === 'forward' || command.kind === 'execute')) {
 			await new Promise(() => {
 				// The response never arrives.
@@ -155,7 +164,7 @@
 		}
 
 		await this.#hangIfUnresponsive();
-		return reply;
+		return {...reply, position: logEnd};
 	}
 
 	#isCommit(command: statement.Command): boolean {
@@ -386,6 +395,11 @@
 	lostResponses = 0;
 	/** Requests fail and are not carried out. */
 	isUnavailable = false;
+	/** Requests get no response and wait in `held` until a test has them carried out, maybe after newer ones. */
+	isHolding = false;
+	readonly held: authority.Request[] = [];
+	/** Time from the acceptance of a request until the server leads. */
+	promotionMs = defaultPromotionMs;
 	readonly #cluster: Cluster;
 	#highestToken = 0;
 
@@ -400,22 +414,33 @@
 			return errors.fail('store', 'store', request.service, 'unavailable');
 		}
 
-		if (request.token < this.#highestToken) {
-			return Either.right('refused');
+		if (this.isHolding) {
+			this.held.push(request);
+			return errors.fail('store', 'store', request.service, 'no response');
 		}
 
-		this.#highestToken = request.token;
-		void this.#promoteServer(request.server);
+		const result = this.carryOut(request);
 		if (this.lostResponses > 0) {
 			this.lostResponses--;
 			return errors.fail('store', 'store', request.service, 'no response');
 		}
 
-		return Either.right('accepted');
+		return Either.right(result);
+	}
+
+	/** Carries out a request unless one with a higher token has been received before. */
+	carryOut(request: authority.Request, afterMs = this.promotionMs): authority.Result {
+		if (request.token < this.#highestToken) {
+			return 'refused';
+		}
+
+		this.#highestToken = request.token;
+		void this.#promoteServer(request.server, afterMs);
+		return 'accepted';
 	}
 
-	async #promoteServer(server: string): Promise<void> {
-		await this.#cluster.clock.sleep(promotionMs);
+	async #promoteServer(server: string, afterMs: number): Promise<void> {
+		await this.#cluster.clock.sleep(afterMs);
 		if (this.#cluster.get(server).role === 'replica') {
 			this.#cluster.promote(server);
 		}
--- a/src/entry/tests/fake-fleet.ts
+++ b/src/entry/tests/fake-fleet.ts
@@ -32,10 +32,10 @@
 /** Time after the last registration from which failovers are possible, and after which a missing server is removed. */
 const settleMs = 2700;
 const answerTimeoutMs = 250;
+/** Number of lost commits that a violation lists. */
+const maxListed = 5;
 /** Time for which a primary answers nobody. */
 const silenceMs = 900;
-/** Time in which a caller waits for the reply to a write. */
-const writeTimeoutMs = 800;
 
 /** How a host reaches one server. */
 class Path extends backend.Server {
@@ -322,13 +322,13 @@
 		const reply = await this.#writer.execute({
 			id,
 			route: {
-				name: 'r', database: 'd', kind: 'primary', maximumAgeMs: 0, statementTimeoutMs: writeTimeoutMs, targetMs: 300, priority: 1, service,
+				name: 'r', database: 'd', kind: 'primary', maximumAgeMs: 0, statementTimeoutMs: this.#fleet.writeTimeoutMs, targetMs: 300, priority: 1, service,
 			},
 			group: this.group,
 			state: new states.State(),
 			sessionPosition: null,
 			arrivedAt: time.mark(),
-			deadline: time.now() + writeTimeoutMs,
+			deadline: time.now() + this.#fleet.writeTimeoutMs,
 			spentMs: 0,
 			work: {
 				id, mode: 'write', text: `WRITE ${id}`, prepared: undefined, parameters: '',
@@ -358,6 +358,8 @@
 	readonly store = new cluster.Objects();
 	readonly authority = new cluster.Authority(this.cluster);
 	readonly hosts: readonly Host[];
+	/** Time in which a caller waits for the reply to a write. */
+	writeTimeoutMs = 800;
 	/** Ids of the writes that were confirmed to their callers. */
 	readonly confirmed = new Set<string>();
 	/** Writes that were confirmed though a primary lacks them. */
@@ -412,7 +414,7 @@
 
 	async stop(): Promise<void> {
 		this.#stopped.abort();
-		await this.time.advance(writeTimeoutMs);
+		await this.time.advance(this.writeTimeoutMs);
 	}
 
 	/** Starts a write at a host. */
@@ -486,7 +488,7 @@
 		const log = new Set(this.primary?.log);
 		const lost = [...this.confirmed].filter(id => this.primary && !log.has(id));
 		if (lost.length > 0) {
-			this.violations.push(`${event}: ${this.primary?.name ?? ''} lacks ${lost.join(', ')}`);
+			this.violations.push(`${event}: ${this.primary?.name ?? ''} lacks ${lost.length} commits, ${lost.slice(0, maxListed).join(', ')}`);
 		}
 	}
 
