--- a/src/entry/fence.ts
+++ b/src/entry/fence.ts
@@ -91,21 +91,33 @@
 	}
 
 	/**
-	Tells the old leader to step down whenever it claims to lead: it may have been silent, or have restarted. Nobody waits for
-	the end of this task, since a silent leader lets a query take seconds.
+	Watches the servers other than the target for one that leads, each by a task of its own. Nobody waits for their end, since a
+	silent server lets a query take seconds.
 	*/
-	protected async watchLeader(signal: AbortSignal): Promise<void> {
-		const {group: serviceGroup, clock: time, orders: sent, decisions: log} = this.context;
-		const {leader, term} = this.choice;
-		if (!leader) {
-			return;
+	protected watchLeaders(signal: AbortSignal): void {
+		for (const server of this.context.group.members) {
+			if (server !== this.target) {
+				void this.#watch(server, signal);
+			}
 		}
+	}
 
-		while (serviceGroup.members.includes(leader) && !signal.aborted) {
-			const [current] = await sent.status([leader]);
-			if (!signal.aborted && current?.status.role === 'primary' && current.status.term < term) {
-				log.record('leader-returned', {service: serviceGroup.name, server: leader.id, term: current.status.term});
-				await sent.stepDown(leader, term);
+	/**
+	Tells the old leader to step down whenever it claims to lead: it may have been silent, or have restarted. Another server
+	leads by an order of an earlier attempt that was carried out late, or by a newer one.
+	*/
+	async #watch(server: member.Member, signal: AbortSignal): Promise<void> {
+		const {group: serviceGroup, clock: time, orders: sent, decisions: log} = this.context;
+		const {leader, term} = this.choice;
+		while (serviceGroup.members.includes(server) && !signal.aborted) {
+			const [current] = await sent.status([server]);
+			if (!signal.aborted && current?.status.role === 'primary') {
+				if (server === leader && current.status.term < term) {
+					log.record('leader-returned', {service: serviceGroup.name, server: server.id, term: current.status.term});
+					await sent.stepDown(server, term);
+				} else {
+					this.recordBreach(server, `leads term ${current.status.term}`);
+				}
 			}
 
 			await time.sleep(renewalIntervalMs, signal);
@@ -116,7 +128,7 @@
 /** The old leader has confirmed that it stepped down. */
 export class SteppedDown extends Fence {
 	override async maintain(signal: AbortSignal): Promise<void> {
-		void this.watchLeader(signal);
+		this.watchLeaders(signal);
 	}
 
 	override async lift(): Promise<void> {
@@ -137,7 +149,7 @@
 	}
 
 	override async maintain(signal: AbortSignal): Promise<void> {
-		void this.watchLeader(signal);
+		this.watchLeaders(signal);
 		await this.#renewPauses(signal);
 	}
 
--- a/src/entry/group.ts
+++ b/src/entry/group.ts
@@ -525,7 +525,7 @@
 		this.#leader = server;
 		this.#removedLeader = undefined;
 		this.#leaderEpoch++;
-		this.confirmations.recordLeader(term);
+		this.confirmations.recordLeader(server.id, term);
 		this.#readIndexes = [];
 		this.#options.decisions.record('leader-found', {
 			service: this.name, server: server.id, replaced: replaced?.id ?? '', leaderlessMs: replaced ? 0 : Math.round(this.#options.clock.now() - this.#leaderlessSince),
--- a/src/entry/reporter.ts
+++ b/src/entry/reporter.ts
@@ -39,7 +39,9 @@
 		}
 
 		const leader = server === '' ? group.leader : group.members.find(other => other.id === server);
-		const status = await this.#carryOut({order, term, token}, group, leader);
+		const status = await this.#carryOut({
+			order, server, term, token,
+		}, group, leader);
 		const {confirmations, acknowledged} = group;
 		const agoMs = this.#options.clock.now() - confirmations.acknowledgedAt;
 		return {
@@ -55,7 +57,7 @@
 	}
 
 	/** Carries out an order. Returns the leader's answer to the order to step down, null without one. */
-	async #carryOut({order, term, token}: Pick<types.LeaderInquiry, 'order' | 'term' | 'token'>, group: groups.Group, leader: member.Member | undefined): Promise<types.ServerStatus | null> {
+	async #carryOut({order, server, term, token}: Pick<types.LeaderInquiry, 'order' | 'server' | 'term' | 'token'>, group: groups.Group, leader: member.Member | undefined): Promise<types.ServerStatus | null> {
 		switch (order) {
 			case 'report': {
 				return null;
@@ -63,18 +65,22 @@
 
 			case 'suspend': {
 				this.#options.decisions.record('confirmations-suspended', {service: group.name, term, token});
-				group.confirmations.suspend(term, token);
+				group.confirmations.suspend(token, term);
 				return null;
 			}
 
 			case 'keep':
 			case 'discard': {
-				group.confirmations.end(token, order === 'keep' ? 'kept' : 'discarded');
+				announce(group, {
+					order, server, term, token,
+				});
 				return null;
 			}
 
 			case 'step-down': {
-				const outcome = leader && await this.#options.clock.limit(new orders.Orders({...this.#options, group}).stepDown(leader, term), stepDownTimeoutMs);
+				// A server that another one has replaced confirms a step-down that didn't take place.
+				const isReplaced = group.leader !== undefined && group.leader !== leader;
+				const outcome = leader && !isReplaced && await this.#options.clock.limit(new orders.Orders({...this.#options, group}).stepDown(leader, term), stepDownTimeoutMs);
 				return outcome && Either.isRight(outcome) ? outcome.right.status : null;
 			}
 		}
@@ -100,3 +106,14 @@
 		return server.lastResponseAt >= askedAt || server.pool.wasRefused ? 'responding' : 'silent';
 	}
 }
+
+/** Passes on what becomes of the commits that a claim withholds. Without a server, nothing was ordered, or the claimant doesn't say what. */
+function announce({confirmations}: groups.Group, {order, server, term, token}: {readonly order: 'keep' | 'discard'} & Pick<types.LeaderInquiry, 'server' | 'term' | 'token'>): void {
+	if (server !== '') {
+		confirmations.order(token, {server, term, fate: order === 'keep' ? 'kept' : 'discarded'});
+	} else if (order === 'keep') {
+		confirmations.release(token);
+	} else {
+		confirmations.discard(token);
+	}
+}
--- a/src/entry/transaction.ts
+++ b/src/entry/transaction.ts
@@ -88,7 +88,8 @@
 		member.recordPosition(position);
 		if (isCommit && refusal === null && position) {
 			this.#group.confirmLeader(member, sentAt, position);
-			if (!await this.#group.confirmations.confirm(position, sentAt.monotonicMs + timeoutMs - this.#context.clock.now())) {
+			const remainingMs = sentAt.monotonicMs + timeoutMs - this.#context.clock.now();
+			if (!await this.#group.confirmations.confirm({server: member.id, logEnd: position}, remainingMs)) {
 				return this.#failCommit(id, errors.failure('outcome-unknown', 'receive', member.id, 'a failover is in progress, and the next primary may lack the commit'));
 			}
 
--- a/src/entry/write.ts
+++ b/src/entry/write.ts
@@ -51,7 +51,7 @@
 			const {refusal, position} = outcome.right;
 			if (refusal === null && position) {
 				job.group.confirmLeader(lease.member, sentAt, position);
-				if (!await job.group.confirmations.confirm(position, jobs.remainingMs(this.#context, job))) {
+				if (!await job.group.confirmations.confirm({server: lease.member.id, logEnd: position}, jobs.remainingMs(this.#context, job))) {
 					return this.#doubt(job, lease, sentAt, 'a failover is in progress, and the next primary may lack the write');
 				}
 
