--- a/src/soak/checker.ts
+++ b/src/soak/checker.ts
@@ -32,6 +32,8 @@
 export class Checker {
 	/** Violated guarantees, each with the ids of the requests concerned. */
 	readonly violations: string[] = [];
+	/** Promotions that took effect, with their clock times. */
+	readonly promotions: Array<{readonly at: number; readonly text: string}> = [];
 	readonly #clock: clock.Clock;
 	readonly #requests = new Map<string, Request>();
 	readonly #signatures = new Map<string, Set<string>>();
@@ -110,8 +112,13 @@
 	}
 
 	/** Checks that the log of a promoted server holds all acknowledged writes of its group. */
-	promoted(group: string, log: readonly replicated.Entry[]): void {
-		this.#checkLoss(group, log, 'the promoted log');
+	promoted({group, target, former, servers, order}: replicated.Promotion): void {
+		const describe = ({id, log, heldTerm}: replicated.Server): string => `${id} (term ${log.at(-1)?.term ?? 0}, ${log.length} entries${heldTerm > 0 ? `, held ${heldTerm}` : ''})`;
+		this.promotions.push({at: this.#clock.now(), text: `${describe(target)} leads ${group} in term ${target.term} after ${former?.id ?? 'none'} by ${order}`});
+		this.#checkLoss(group, target.log, 'the promoted log', id => {
+			const holders = servers.filter(({log, isUnresponsive}) => !isUnresponsive && log.some(({writes}) => writes.some(write => write.id === id)));
+			return `, promoted ${describe(target)} after ${former?.id ?? 'none'} by ${order}, held by ${holders.map(server => describe(server)).join(', ') || 'no running server'}`;
+		});
 	}
 
 	/** Compares the final log of a group with the outcomes that callers received. */
@@ -133,10 +140,10 @@
 		}
 	}
 
-	#checkLoss(group: string, log: readonly replicated.Entry[], where: string): void {
+	#checkLoss(group: string, log: readonly replicated.Entry[], where: string, explain: (id: string) => string = () => ''): void {
 		const logIds = new Set(log.flatMap(({writes}) => writes.map(({id}) => id)));
-		for (const {id} of this.#acknowledged.filter(write => write.group === group && !logIds.has(write.id))) {
-			this.violations.push(`lost: ${id} was acknowledged and is not in ${where} of ${group}`);
+		for (const {id, at} of this.#acknowledged.filter(write => write.group === group && !logIds.has(write.id))) {
+			this.violations.push(`lost: ${id} was acknowledged ${Math.round(this.#clock.now() - at)} ms before and is not in ${where} of ${group}${explain(id)}`);
 		}
 	}
 
--- a/src/soak/fault.ts
+++ b/src/soak/fault.ts
@@ -294,7 +294,7 @@
 	override end(site: sites.Site): void {
 		if (this.#lost) {
 			this.#lost.server.isUnresponsive = false;
-			site.register(this.#lost, 'ready');
+			site.register(this.#lost);
 		}
 	}
 }
--- a/src/soak/plan.ts
+++ b/src/soak/plan.ts
@@ -4,11 +4,12 @@
 import type * as random from '../core/random.js';
 import * as randoms from '../core/random.js';
 import * as faults from './fault.js';
+import * as promotions from './promotions.js';
 import type * as loads from './load.js';
 import type * as sites from './site.js';
 
 /** Name of a plan. */
-export type Kind = 'mixed' | 'restores' | 'returns' | 'stalls' | 'overload';
+export type Kind = 'mixed' | 'restores' | 'returns' | 'stalls' | 'overload' | 'promotions';
 
 /** A fault and its duration. */
 export type Step = {readonly fault: faults.Fault; readonly durationMs: number};
@@ -183,11 +184,33 @@
 	}
 }
 
+/** Promotions in a row. The draws come from a source of their own, like those of `Restores`. */
+class Promotions extends Plan {
+	readonly #random: random.Source;
+	readonly #size: sites.Size;
+
+	constructor(source: random.Source, size: sites.Size) {
+		super(source);
+		this.#random = source;
+		this.#size = size;
+	}
+
+	protected override draw(): faults.Fault {
+		return promotions.draw(this.#random, this.#size);
+	}
+}
+
 /**
 Gives plans of planned work quick callers, and more of them where connections allow: a stall meets only the sessions that a
-host is about to close.
+host is about to close. The plan of promotions saturates the servers.
 */
 export function adapt(kind: Kind, size: sites.Size): sites.Size {
+	if (kind === 'promotions') {
+		return {
+			hosts: 7, groups: 3, connections: 24, callers: 54, hasQuickCallers: true, slots: 2,
+		};
+	}
+
 	const factor = size.connections > size.hosts ? 2 : 1;
 	return kind === 'stalls' || kind === 'overload' ? {...size, callers: size.callers * factor, hasQuickCallers: true} : size;
 }
@@ -225,5 +248,9 @@
 		case 'overload': {
 			return new Overload(new randoms.Seeded(seed), size);
 		}
+
+		case 'promotions': {
+			return new Promotions(new randoms.Seeded(seed), size);
+		}
 	}
 }
--- a/src/soak/platform.ts
+++ b/src/soak/platform.ts
@@ -24,11 +24,22 @@
 const minRewriteDelayMs = 20;
 const maxRewriteDelayMs = 400;
 
-/** Starts a promotion; returns false if the server isn't running. */
-export type Promote = (service: string, server: string) => boolean;
+/**
+How the authority for promotions treats orders: carried out, refused, or left without a response and carried out some
+time later if the fencing token is still the highest one then.
+*/
+export type Promotions = 'well' | 'refused' | 'unanswered';
+
+/** Starts a promotion; returns false if the server isn't running. `order` describes who ordered it. */
+export type Promote = (service: string, server: string, order: string) => boolean;
 
 export class Platform {
 	state: State = 'well';
+	promotions: Promotions = 'well';
+	/** Time after which an order without a response is carried out. */
+	orderDelayMs = 0;
+	/** Called with the name of the host and the kind of the object after each write of a host. */
+	onWrite: ((host: string, kind: string) => void) | undefined;
 	/** Names of entry hosts whose requests the store refuses; each host has a store address of its own, which identifies it. */
 	readonly refusedHosts = new Set<string>();
 	/** Relay addresses by the peer addresses that hosts announce; announcements are rewritten to the relay. */
@@ -139,7 +150,7 @@
 		}
 
 		await this.#clock.sleep(state === 'slow' ? slowResponseMs : 1);
-		const result = await this.#handle(request, text === '' ? undefined : JSON.parse(text));
+		const result = await this.#handle(name, request, text === '' ? undefined : JSON.parse(text));
 		const isLost = state === 'answers-lost' && request.method !== 'GET' && this.#random.integer(0, 1) === 0;
 		if (!result || isLost) {
 			response.destroy();
@@ -156,15 +167,20 @@
 	}
 
 	/** Returns `undefined` for a watch that was cut. */
-	async #handle(request: http.IncomingMessage, body: unknown): Promise<Response | undefined> {
+	async #handle(host: string, request: http.IncomingMessage, body: unknown): Promise<Response | undefined> {
 		const url = new URL(request.url ?? '/', 'http://store');
 		const [, root, kind = '', name] = url.pathname.split('/');
 		if (root === 'promotion') {
-			return this.#handlePromotion(body as {service: string; id: string}, Number(request.headers['x-fencing-token']));
+			return this.#handlePromotion(body as {service: string; id: string}, Number(request.headers['x-fencing-token']), host);
 		}
 
 		if (request.method !== 'GET') {
-			return this.#write(request.method === 'POST', kind, body as {meta: history.Meta; spec: unknown});
+			const written = this.#write(request.method === 'POST', kind, body as {meta: history.Meta; spec: unknown});
+			if (written.status < 300) {
+				this.onWrite?.(host, kind);
+			}
+
+			return written;
 		}
 
 		if (name !== undefined) {
@@ -178,13 +194,27 @@
 			: this.#watch(kind, Number(revision), Number(url.searchParams.get('waitMs')));
 	}
 
-	#handlePromotion({service, id}: {service: string; id: string}, token: number): Response {
+	/** Returns `undefined` for an order that gets no response. */
+	async #handlePromotion({service, id}: {service: string; id: string}, token: number, host: string): Promise<Response | undefined> {
+		if (this.promotions === 'refused') {
+			return {status: 503, body: {}};
+		}
+
+		const isUnanswered = this.promotions === 'unanswered';
+		const calledAt = this.#clock.now();
+		await this.#clock.sleep(isUnanswered ? this.orderDelayMs : 0);
+		const lateness = isUnanswered ? ` ${Math.round(this.#clock.now() - calledAt)} ms before` : '';
+		const response = this.#order(service, id, token, `order of ${host}${lateness} with token ${token}`);
+		return isUnanswered ? undefined : response;
+	}
+
+	#order(service: string, id: string, token: number, order: string): Response {
 		if (token < (this.#fencingTokens.get(service) ?? 0)) {
 			return {status: 409, body: {error: 'a higher fence was seen'}};
 		}
 
 		this.#fencingTokens.set(service, token);
-		return this.#promote(service, id) ? {status: 200, body: {}} : {status: 409, body: {error: 'not running'}};
+		return this.#promote(service, id, order) ? {status: 200, body: {}} : {status: 409, body: {error: 'not running'}};
 	}
 
 	#write(isNew: boolean, kind: string, {meta, spec}: {meta: history.Meta; spec: unknown}): Response {
--- a/src/soak/server.ts
+++ b/src/soak/server.ts
@@ -24,7 +24,7 @@
 	readonly #options: Options;
 	readonly #limits: Limits;
 	readonly #group: replicated.Group;
-	readonly #server: replicated.Server;
+	#server: replicated.Server;
 	readonly #slots: semaphore.Semaphore;
 	readonly #sockets = new Set<net.Socket>();
 	readonly #listener = net.createServer({noDelay: true}, socket => {
@@ -54,6 +54,12 @@
 		}
 	}
 
+	/** Serves for another server at the same address from now on. */
+	replace(server: replicated.Server): void {
+		this.crash();
+		this.#server = server;
+	}
+
 	close(): void {
 		this.crash();
 		this.#listener.close();
@@ -220,27 +226,50 @@
 		}
 	}
 
-	#control(word: string, term: number): Response {
-		const {server} = this.#context;
+	async #control(word: string, term: number): Promise<Response> {
+		const {server, group} = this.#context;
+		const release = await this.#acquireSlot();
+		if (!release) {
+			return {error: `BUSY ${server.id}`};
+		}
+
+		release();
 		if (word === 'PAUSE' && server.role === 'replica') {
 			server.heldTerm = Math.max(server.heldTerm, term);
 		} else if (word === 'RESUME') {
 			server.heldTerm = 0;
-		} else if (word === 'STEPDOWN' && term > server.term) {
-			server.role = 'replica';
+		} else if (word === 'STEPDOWN' && server.role === 'primary' && term > server.term) {
+			group.stepDown(server);
 		}
 
 		const {end, role, heldTerm} = server;
 		return {rows: [`${role} ${server.term} ${end.term}.${end.index} ${heldTerm} ${server.lagMs} 0 1`]};
 	}
 
+	/** Waits for a slot, and for the end of a rollback. Returns the function that releases the slot; `undefined` if the wait is too long. */
+	async #acquireSlot(): Promise<(() => void) | undefined> {
+		const {server, slots} = this.#context;
+		const startedAt = this.#options.clock.now();
+		const release = await slots.acquire(maxSlotWaitMs);
+		const remainingMs = server.rollsBackUntil - this.#options.clock.now();
+		if (release && remainingMs > 0) {
+			await this.#options.clock.sleep(Math.min(remainingMs, startedAt + maxSlotWaitMs - this.#options.clock.now()));
+			if (server.rollsBackUntil > this.#options.clock.now()) {
+				release();
+				return undefined;
+			}
+		}
+
+		return release;
+	}
+
 	async #executeStatement(id: string, text: string): Promise<Response> {
-		const {server, slots, maxWorkMs} = this.#context;
+		const {server, maxWorkMs} = this.#context;
 		if (this.#transaction?.hasFailed) {
 			return {error: 'MALFORMED the transaction has failed'};
 		}
 
-		const release = await slots.acquire(maxSlotWaitMs);
+		const release = await this.#acquireSlot();
 		if (!release) {
 			return {error: `BUSY ${server.id}`};
 		}
--- a/src/soak/site.ts
+++ b/src/soak/site.ts
@@ -35,6 +35,8 @@
 	readonly callers: number;
 	/** Whether some callers send their requests without long pauses. */
 	readonly hasQuickCallers: boolean;
+	/** Number of statements that each server executes at the same time. */
+	readonly slots: number;
 };
 
 /** An entry host: its settings file, its addresses and its current process. */
@@ -44,6 +46,8 @@
 	readonly callerAddress: string;
 	/** Relay in front of the host's peer address. */
 	readonly peerRelay: relay.Relay;
+	/** Relay in front of the host's address of the store. */
+	readonly storeRelay: relay.Relay;
 	child: childProcess.ChildProcess | undefined;
 	isPaused: boolean;
 };
@@ -68,12 +72,12 @@
 };
 const graceS = 3;
 const serversPerGroup = 3;
+const maxLogLines = 10_000;
 const maxPauseMs = 120;
 const maxQuickPauseMs = 10;
 const loopCheckIntervalMs = 10;
 /** Lateness of a timer of this process from which it counts as stalled. */
 const minStallMs = 10;
-const slots = 4;
 const minTimeoutMs = 1500;
 const maxWorkMs = 8;
 const failoverCheckIntervalMs = 50;
@@ -98,7 +102,7 @@
 	readonly backends: Backend[] = [];
 	readonly callers: callers.Caller[] = [];
 	readonly platform: platforms.Platform;
-	/** The last 400 log lines of each host. */
+	/** The last log lines of each host. */
 	readonly logs = new Map<string, string[]>();
 	/** Unexpected exits of host processes: without a signal and with an exit code other than 0. */
 	readonly unexpectedExits: string[] = [];
@@ -117,7 +121,7 @@
 		this.#size = size;
 		this.#random = source;
 		this.groups = Array.from({length: size.groups}, (_, index) => new replicated.Group(`ledgers${index}`, places, this.time, this.checker));
-		this.platform = new platforms.Platform(this.time, source, (service, server) => this.groups.find(({name}) => name === service)?.promote(server) ?? false);
+		this.platform = new platforms.Platform(this.time, source, (service, server, order) => this.groups.find(({name}) => name === service)?.promote(server, order) ?? false);
 		this.failovers = new failovers.Failovers({clock: this.time, contact: this.contact, lastAcknowledgedAt: group => this.checker.lastAcknowledgedAt(group)});
 	}
 
@@ -142,7 +146,7 @@
 		for (const group of this.groups) {
 			this.#tasks.push(group.run(this.#stopped.signal));
 			for (const server of group.servers) {
-				const limits = {connections: this.#size.connections, slots, maxWorkMs};
+				const limits = {connections: this.#size.connections, slots: this.#size.slots, maxWorkMs};
 				const listener = new servers.Listener({
 					clock: this.time, random: this.#random, checker: this.checker, unanswered: this.unanswered,
 				}, limits, group, server);
@@ -236,10 +240,19 @@
 		this.configurations.acknowledge();
 	}
 
+	/** Ends a server and starts a new one at its address, with its log. */
+	replace(index: number): void {
+		const backend = this.backends[index];
+		this.platform.remove('servers', backend.server.id);
+		const server = backend.group.replace(backend.server);
+		backend.listener.replace(server);
+		this.backends[index] = {...backend, server};
+	}
+
 	/** Writes a server's registration. */
-	register({group, server, relay: {port}}: Backend, state: 'ready' | 'draining'): void {
+	register({group, server, relay: {port}}: Backend, state: 'ready' | 'draining' = server.isDraining ? 'draining' : 'ready'): void {
 		this.platform.put('servers', server.id, objects.formatRegistration({
-			service: group.name, address: `127.0.0.1:${port}`, place: server.place, slots, state, role: server.role, startedAt: server.startedAt,
+			service: group.name, address: `127.0.0.1:${port}`, place: server.place, slots: this.#size.slots, state, role: server.role, startedAt: server.startedAt,
 		}));
 	}
 
@@ -256,7 +269,7 @@
 		const appendLog = (chunk: Uint8Array): void => {
 			const lines = this.logs.get(host.name) ?? [];
 			lines.push(...new TextDecoder().decode(chunk).split('\n').filter(text => text !== ''));
-			this.logs.set(host.name, lines.slice(-400));
+			this.logs.set(host.name, lines.length > 2 * maxLogLines ? lines.slice(-maxLogLines) : lines);
 		};
 
 		child.stdout?.on('data', appendLog);
@@ -282,8 +295,11 @@
 		this.#callersStopped.abort();
 		await this.time.sleep(2500);
 		for (const group of this.groups) {
-			const primary = group.servers.find(({role}) => role === 'primary');
-			this.checker.checkFinalLog(group.name, primary?.log ?? []);
+			if (group.primary) {
+				this.checker.checkFinalLog(group.name, group.primary.log);
+			} else {
+				this.checker.violations.push(`leaderless: ${group.name} has no primary at the end`);
+			}
 		}
 
 		this.#stopped.abort();
@@ -297,8 +313,9 @@
 			listener.close();
 		}
 
-		for (const {peerRelay} of this.hosts) {
+		for (const {peerRelay, storeRelay} of this.hosts) {
 			peerRelay.stop();
+			storeRelay.stop();
 		}
 
 		this.platform.close();
@@ -318,7 +335,7 @@
 					if (state === '') {
 						this.platform.remove('servers', server.id);
 					} else {
-						this.register(backend, 'ready');
+						this.register(backend);
 					}
 				}
 			}
@@ -358,7 +375,10 @@
 	async #prepareHost(index: number): Promise<Host> {
 		const name = `entry-${index}`;
 		const [caller, peer, readiness, metrics] = await Promise.all([findFreePort(), findFreePort(), findFreePort(), findFreePort()]);
-		const store = await this.platform.listen(name);
+		const address = await this.platform.listen(name);
+		const [storeHost, storePort] = address.split(':');
+		const storeRelay = await relay.Relay.start({host: storeHost, port: Number(storePort)});
+		const store = `127.0.0.1:${storeRelay.port}`;
 		const peerRelay = await relay.Relay.start({host: '127.0.0.1', port: peer}, 1);
 		const seeds = this.hosts.slice(0, 2).map(host => `127.0.0.1:${host.peerRelay.port}`).join(',');
 		const file = path.join(this.#folder, `${name}.ini`);
@@ -382,7 +402,7 @@
 		].join('\n'));
 		this.platform.peerRelays.set(`127.0.0.1:${peer}`, `127.0.0.1:${peerRelay.port}`);
 		return {
-			name, settingsFile: file, callerAddress: `127.0.0.1:${caller}`, peerRelay, child: undefined, isPaused: false,
+			name, settingsFile: file, callerAddress: `127.0.0.1:${caller}`, peerRelay, storeRelay, child: undefined, isPaused: false,
 		};
 	}
 }
--- a/src/soak/soak.ts
+++ b/src/soak/soak.ts
@@ -74,10 +74,11 @@
 	await site.time.sleep(recoveryMs);
 	const unrecovered = findUnrecovered(site);
 	await site.stop();
+	const promotions = site.checker.promotions.map(({at, text}) => `${((at - startedAt) / 1000).toFixed(2)} ${text}`);
 	return {
 		seed,
 		size,
-		events,
+		events: [...events, ...promotions].toSorted((one, other) => Number.parseFloat(one) - Number.parseFloat(other)),
 		violations: [...site.violations, ...unrecovered],
 		served: site.servedSince(startedAt),
 		attempts: site.callers.reduce((sum, {attempts}) => sum + attempts, 0),
@@ -105,6 +106,6 @@
 function drawSize(source: random.Source): sites.Size {
 	const hosts = source.integer(3, 6);
 	return {
-		hosts, groups: source.integer(1, 2), connections: source.integer(0, 1) === 0 ? hosts : 24, callers: 18, hasQuickCallers: false,
+		hosts, groups: source.integer(1, 2), connections: source.integer(0, 1) === 0 ? hosts : 24, callers: 18, hasQuickCallers: false, slots: 4,
 	};
 }
--- a/src/standin/relay.ts
+++ b/src/standin/relay.ts
@@ -16,16 +16,18 @@
 export type Direction = 'toFar' | 'toNear';
 
 /**
-Settings that can change while the relay runs. `delayMs` is the one-way delay. Data in a silent direction is dropped; a
-connection that has lost data in a direction never forwards data in that direction again.
+Settings that can change while the relay runs. `delayMs` is the one-way delay. Data in a silent direction is dropped, and all
+data of clients for whose port `isDropped` returns true; a connection that has lost data in a direction never forwards data
+in that direction again.
 */
-export type Faults = {delayMs: number; isRefusing: boolean; silentDirections: readonly Direction[]};
+export type Faults = {delayMs: number; isRefusing: boolean; silentDirections: readonly Direction[]; isDropped: (clientPort: number) => boolean};
 
 export const directions: readonly Direction[] = ['toFar', 'toNear'];
 
 type Connection = {
 	readonly client: net.Socket;
 	readonly server: net.Socket;
+	readonly clientPort: number;
 	isSilent: boolean;
 	/** Directions in which data was dropped. */
 	readonly lossyDirections: Set<Direction>;
@@ -63,7 +65,9 @@
 
 	private constructor(target: Target, delayMs: number) {
 		this.#target = target;
-		this.#faults = {delayMs, isRefusing: false, silentDirections: []};
+		this.#faults = {
+			delayMs, isRefusing: false, silentDirections: [], isDropped: () => false,
+		};
 	}
 
 	/** The port on which the relay listens. */
@@ -116,7 +120,7 @@
 
 		const server = net.connect(this.#target);
 		const connection: Connection = {
-			client, server, isSilent: false, lossyDirections: new Set(), remainingBytes: {toFar: Number.POSITIVE_INFINITY, toNear: Number.POSITIVE_INFINITY},
+			client, server, clientPort: client.remotePort ?? 0, isSilent: false, lossyDirections: new Set(), remainingBytes: {toFar: Number.POSITIVE_INFINITY, toNear: Number.POSITIVE_INFINITY},
 		};
 		this.#connections.add(connection);
 		void this.#updateMaxOpen();
@@ -142,7 +146,7 @@
 		from.on('error', ignore);
 		from.on('data', chunk => {
 			enqueue(() => {
-				if (this.#faults.silentDirections.includes(direction)) {
+				if (this.#faults.silentDirections.includes(direction) || this.#faults.isDropped(connection.clientPort)) {
 					connection.lossyDirections.add(direction);
 				}
 
