--- a/src/soak/plan.ts
+++ b/src/soak/plan.ts
@@ -186,17 +186,15 @@
 
 /** Promotions in a row. The draws come from a source of their own, like those of `Restores`. */
 class Promotions extends Plan {
-	readonly #random: random.Source;
-	readonly #size: sites.Size;
+	readonly #draw: promotions.Draw;
 
 	constructor(source: random.Source, size: sites.Size) {
 		super(source);
-		this.#random = source;
-		this.#size = size;
+		this.#draw = new promotions.Draw(source, size);
 	}
 
 	protected override draw(): faults.Fault {
-		return promotions.draw(this.#random, this.#size);
+		return this.#draw.draw();
 	}
 }
 
@@ -207,7 +205,7 @@
 export function adapt(kind: Kind, size: sites.Size): sites.Size {
 	if (kind === 'promotions') {
 		return {
-			hosts: 7, groups: 3, connections: 24, callers: 54, hasQuickCallers: true, slots: 2,
+			hosts: 7, groups: 3, connections: 24, callers: 45, hasQuickCallers: true, slots: 1, maxWorkMs: 16,
 		};
 	}
 
--- a/src/soak/promotions.ts
+++ b/src/soak/promotions.ts
@@ -12,6 +12,8 @@
 import type * as sites from './site.js';
 
 const drainMs = 5000;
+/** Time for which a server that drains goes on if it still leads. */
+const maxOvertimeMs = 10_000;
 const maxStartMs = 1500;
 const pollMs = 10;
 const maxLagMs = 700;
@@ -40,18 +42,24 @@
 	readonly #group: number;
 	readonly #count: number;
 	readonly #startMs: number;
+	readonly #lagsMs: readonly number[];
 
-	constructor(group: number, count: number, startMs: number) {
+	constructor(group: number, count: number, startMs: number, lagsMs: readonly number[]) {
 		super();
 		this.#group = group;
 		this.#count = count;
 		this.#startMs = startMs;
-		this.text = `${count} primaries of group ${group} drain in a row, each replaced ${startMs} ms after its end`;
+		this.#lagsMs = lagsMs;
+		this.text = `${count} primaries of group ${group} drain in a row, each replaced ${startMs} ms after its end, with lags of ${lagsMs.join(', ')} ms`;
 	}
 
 	override async hold(site: sites.Site): Promise<void> {
 		const group = site.groups[this.#group];
 		const replacements: Array<Promise<void>> = [];
+		for (const [index, server] of group.servers.entries()) {
+			server.lagMs = this.#lagsMs[index];
+		}
+
 		for (let count = 0; count < this.#count; count++) {
 			const deadline = site.time.now() + maxPromotionMs;
 			while (site.time.now() < deadline && (!group.primary || group.primary.isDraining || group.primary.isUnresponsive)) {
@@ -64,6 +72,9 @@
 		}
 
 		await Promise.all(replacements);
+		for (const server of group.servers) {
+			server.lagMs = replicated.defaultLagMs;
+		}
 	}
 
 	override begin(): void {
@@ -80,7 +91,8 @@
 		server.isDraining = true;
 		site.register(backend, 'draining');
 		await site.time.sleep(drainMs);
-		while (!isWhole(backend.group)) {
+		const deadline = site.time.now() + maxOvertimeMs;
+		while (!isWhole(backend.group) || (server.role === 'primary' && site.time.now() < deadline)) {
 			await site.time.sleep(pollMs);
 		}
 
@@ -305,39 +317,81 @@
 const lostParts = ['primary', 'primary', 'peers', 'store', 'all'] as const;
 const orderKinds = ['refused', 'unanswered', 'unanswered', 'late', 'late'] as const;
 
-/** Draws a fault around promotions. The draws and their order define what a seed means. */
-export function draw(source: random.Source, size: sites.Size): faults.Fault {
-	const pick = <T>(all: readonly T[]): T => all[source.integer(0, all.length - 1)];
-	const group = source.integer(0, size.groups - 1);
-	const host = source.integer(0, size.hosts - 1);
-	const kind = source.integer(0, 15);
-	if (kind < 4) {
-		return new Drains(group, source.integer(1, maxDrains), source.integer(0, maxStartMs));
-	}
+/** Kinds of faults, each as often as it is drawn. */
+const kinds = ['drains', 'drains', 'drains', 'orders', 'orders', 'replication', 'replication', 'partition', 'partition', 'link', 'claimant', 'stop', 'loss'] as const;
 
-	if (kind < 7) {
-		return new OrderFault(pick(orderKinds), source.integer(0, maxOrderDelayMs));
-	}
+type FaultKind = typeof kinds[number];
+
+/** Draws faults of some kinds, which differ from seed to seed: a fault that hides the effects of others is not in every run. */
+export class Draw {
+	readonly #random: random.Source;
+	readonly #size: sites.Size;
+	readonly #kinds: readonly FaultKind[];
 
-	if (kind < 9) {
-		const lagsMs = Array.from({length: 3}, () => source.integer(replicated.defaultLagMs, maxLagMs));
-		return new ReplicationFault(group, lagsMs, pick([undefined, source.integer(0, 2)]));
+	constructor(source: random.Source, size: sites.Size) {
+		this.#random = source;
+		this.#size = size;
+		const others = new Set(kinds.filter(() => source.integer(0, 1) === 0));
+		this.#kinds = kinds.filter(kind => kind === 'drains' || others.has(kind));
 	}
 
-	if (kind < 12) {
-		const hosts = new Set(Array.from({length: source.integer(1, size.hosts)}, () => source.integer(0, size.hosts - 1)));
-		const lost = pick(lostParts);
-		return new Partition(group, lost === 'primary' ? (source.integer(0, 2) === 0 ? new Set(Array.from({length: size.hosts}, (_, index) => index)) : hosts) : new Set([host]), lost);
+	/** Draws a fault around promotions. The draws and their order define what a seed means. */
+	draw(): faults.Fault {
+		const source = this.#random;
+		const group = source.integer(0, this.#size.groups - 1);
+		const host = source.integer(0, this.#size.hosts - 1);
+		switch (this.#pick(this.#kinds)) {
+			case 'drains': {
+				return new Drains(group, source.integer(1, maxDrains), source.integer(0, maxStartMs), this.#drawLags());
+			}
+
+			case 'orders': {
+				return new OrderFault(this.#pick(orderKinds), source.integer(0, maxOrderDelayMs));
+			}
+
+			case 'replication': {
+				return new ReplicationFault(group, this.#drawLags(), this.#pick([undefined, source.integer(0, 2)]));
+			}
+
+			case 'partition': {
+				return this.#drawPartition(group, host);
+			}
+
+			case 'link': {
+				const target = this.#pick(linkTargets);
+				return new LinkFault(target, target === 'server' ? source.integer(0, (this.#size.groups * 3) - 1) : host, this.#pick(linkKinds));
+			}
+
+			case 'claimant': {
+				return new ClaimantStop(source.integer(0, maxClaimStopMs));
+			}
+
+			case 'stop': {
+				return new faults.Signal(host, 'SIGSTOP');
+			}
+
+			case 'loss': {
+				return new faults.PrimaryLoss(group);
+			}
+		}
 	}
 
-	if (kind === 12) {
-		const target = pick(linkTargets);
-		return new LinkFault(target, target === 'server' ? source.integer(0, (size.groups * 3) - 1) : host, pick(linkKinds));
+	#drawPartition(group: number, host: number): faults.Fault {
+		const lost = this.#pick(lostParts);
+		const all = Array.from({length: this.#size.hosts}, (_, index) => index);
+		if (lost !== 'primary') {
+			return new Partition(group, new Set([host]), lost);
+		}
+
+		const isSilent = this.#random.integer(0, 2) === 0;
+		return new Partition(group, new Set(isSilent ? all : all.filter(() => this.#random.integer(0, 1) === 0)), lost);
 	}
 
-	if (kind === 13) {
-		return new ClaimantStop(source.integer(0, maxClaimStopMs));
+	#drawLags(): number[] {
+		return Array.from({length: 3}, () => this.#random.integer(replicated.defaultLagMs, maxLagMs));
 	}
 
-	return kind === 14 ? new faults.Signal(host, 'SIGSTOP') : new faults.PrimaryLoss(group);
+	#pick<T>(all: readonly T[]): T {
+		return all[this.#random.integer(0, all.length - 1)];
+	}
 }
--- a/src/soak/site.ts
+++ b/src/soak/site.ts
@@ -37,6 +37,8 @@
 	readonly hasQuickCallers: boolean;
 	/** Number of statements that each server executes at the same time. */
 	readonly slots: number;
+	/** Longest execution of a statement. */
+	readonly maxWorkMs: number;
 };
 
 /** An entry host: its settings file, its addresses and its current process. */
@@ -79,7 +81,7 @@
 /** Lateness of a timer of this process from which it counts as stalled. */
 const minStallMs = 10;
 const minTimeoutMs = 1500;
-const maxWorkMs = 8;
+const rolePollMs = 20;
 const failoverCheckIntervalMs = 50;
 const routeKinds = [
 	{kind: 'primary', type: 'primary', maxAgeMs: 0},
@@ -146,7 +148,7 @@
 		for (const group of this.groups) {
 			this.#tasks.push(group.run(this.#stopped.signal));
 			for (const server of group.servers) {
-				const limits = {connections: this.#size.connections, slots: this.#size.slots, maxWorkMs};
+				const limits = {connections: this.#size.connections, slots: this.#size.slots, maxWorkMs: this.#size.maxWorkMs};
 				const listener = new servers.Listener({
 					clock: this.time, random: this.#random, checker: this.checker, unanswered: this.unanswered,
 				}, limits, group, server);
@@ -340,7 +342,7 @@
 				}
 			}
 
-			await this.time.sleep(200, this.#stopped.signal);
+			await this.time.sleep(rolePollMs, this.#stopped.signal);
 		}
 	}
 
@@ -379,7 +381,7 @@
 		const [storeHost, storePort] = address.split(':');
 		const storeRelay = await relay.Relay.start({host: storeHost, port: Number(storePort)});
 		const store = `127.0.0.1:${storeRelay.port}`;
-		const peerRelay = await relay.Relay.start({host: '127.0.0.1', port: peer}, 1);
+		const peerRelay = await relay.Relay.start({host: hostAddress, port: peer}, 1);
 		const seeds = this.hosts.slice(0, 2).map(host => `127.0.0.1:${host.peerRelay.port}`).join(',');
 		const file = path.join(this.#folder, `${name}.ini`);
 		await fs.writeFile(file, [
@@ -388,10 +390,10 @@
 			`place = ${places[index % places.length]}`,
 			'region = all',
 			'[listen]',
-			`caller = 127.0.0.1:${caller}`,
-			`peer = 127.0.0.1:${peer}`,
-			`readiness = 127.0.0.1:${readiness}`,
-			`metrics = 127.0.0.1:${metrics}`,
+			`caller = ${hostAddress}:${caller}`,
+			`peer = ${hostAddress}:${peer}`,
+			`readiness = ${hostAddress}:${readiness}`,
+			`metrics = ${hostAddress}:${metrics}`,
 			'[endpoints]',
 			`store = ${store}`,
 			`authority = ${store}`,
@@ -400,9 +402,9 @@
 			'[peers]',
 			`seeds = ${seeds}`,
 		].join('\n'));
-		this.platform.peerRelays.set(`127.0.0.1:${peer}`, `127.0.0.1:${peerRelay.port}`);
+		this.platform.peerRelays.set(`${hostAddress}:${peer}`, `127.0.0.1:${peerRelay.port}`);
 		return {
-			name, settingsFile: file, callerAddress: `127.0.0.1:${caller}`, peerRelay, storeRelay, child: undefined, isPaused: false,
+			name, settingsFile: file, callerAddress: `${hostAddress}:${caller}`, peerRelay, storeRelay, child: undefined, isPaused: false,
 		};
 	}
 }
@@ -412,6 +414,9 @@
 	return Array.from({length: serversPerGroup}, (_, index) => `server ${(group * serversPerGroup) + index}` as const);
 }
 
+const addressBase = 250;
+/** Address of the hosts' listeners, which differs between soak tests at the same time: a host that restarts needs its ports again. */
+const hostAddress = `127.${[addressBase ** 2, addressBase, 1].map(unit => 1 + (Math.floor(process.pid / unit) % addressBase)).join('.')}`;
 /** Bounds below the ephemeral port range, so that no outgoing connection takes a port before its host listens on it. */
 const lowestPort = 15_000;
 const highestPort = 31_000;
@@ -426,7 +431,7 @@
 			server.once('error', () => {
 				resolve(false);
 			});
-			server.listen(port, '127.0.0.1', () => {
+			server.listen(port, hostAddress, () => {
 				resolve(true);
 			});
 		});
