--- a/src/entry/hosts.ts
+++ b/src/entry/hosts.ts
@@ -11,8 +11,8 @@
 /** A question to all other hosts, with the order that they carry out first. */
 export type Question = Omit<types.LeaderInquiry, 'kind' | 'id'>;
 
-/** The reports of the hosts that answered in time. */
-export type Answers = {readonly reports: readonly types.LeaderReport[]; readonly isComplete: boolean};
+/** The reports of the hosts that answered in time, and the number of hosts that were asked. */
+export type Answers = {readonly reports: readonly types.LeaderReport[]; readonly isComplete: boolean; readonly asked: number};
 
 /** Asks the other hosts. */
 export abstract class Hosts {
@@ -71,7 +71,7 @@
 
 			void this.#resolveAfter(asked.map(async peer => add(peer)), resolve);
 		});
-		return {reports: [...reports], isComplete: reports.length === asked.length};
+		return {reports: [...reports], isComplete: reports.length === asked.length, asked: asked.length};
 	}
 
 	async #resolveAfter(tasks: ReadonlyArray<Promise<void>>, resolve: () => void): Promise<void> {
--- a/src/entry/tests/fake-fleet.ts
+++ b/src/entry/tests/fake-fleet.ts
@@ -157,7 +157,7 @@
 		const answers = await Promise.all(others.map(async host => this.#fleet.time.limit(this.#askOne(host, question), answerTimeoutMs)));
 		const reports = answers.flatMap(answer => answer ? [answer] : []);
 		await self.awaitRunning();
-		return {reports, isComplete: reports.length === others.length};
+		return {reports, isComplete: reports.length === others.length, asked: others.length};
 	}
 
 	async #askOne(host: Host, question: hosts.Question): Promise<types.LeaderReport | undefined> {
--- a/src/entry/tests/fixture.ts
+++ b/src/entry/tests/fixture.ts
@@ -20,7 +20,7 @@
 	}
 
 	override async ask(): Promise<hosts.Answers> {
-		return {reports: [], isComplete: true};
+		return {reports: [], isComplete: true, asked: 0};
 	}
 }
 
