--- a/src/entry/claims.ts
+++ b/src/entry/claims.ts
@@ -21,8 +21,8 @@
 	readonly onClaim?: (service: string, token: number) => void;
 };
 
-/** A claim held by this host, with its fencing token. */
-export type Claim = {readonly service: string; readonly token: number};
+/** A claim held by this host, with its fencing token and how it came to be held, for the log. */
+export type Claim = {readonly service: string; readonly token: number; readonly how: string};
 
 /** The last claim in a service; without `revision`, the store no longer has it. `nonces` are those of recent claims. */
 type Entry = {
@@ -140,6 +140,6 @@
 
 	#grant(service: string, token: number, how: string): errors.Outcome<Claim> {
 		this.#options.decisions.record('promotion-claimed', {service, token, how});
-		return Either.right({service, token});
+		return Either.right({service, token, how});
 	}
 }
--- a/src/entry/failover.ts
+++ b/src/entry/failover.ts
@@ -7,6 +7,7 @@
 import * as errors from '../core/errors.js';
 import * as position from '../core/position.js';
 import type * as random from '../core/random.js';
+import * as attempts from './attempt.js';
 import type * as authority from './authority.js';
 import type * as claims from './claims.js';
 import type * as decisions from './decisions.js';
@@ -78,11 +79,14 @@
 	readonly #options: Options;
 	readonly #orders: orders.Orders;
 	readonly #succession: successions.Succession;
+	readonly #trace: attempts.Trace;
 
 	constructor(options: Options) {
-		this.#options = options;
-		this.#orders = new orders.Orders(options);
-		this.#succession = new successions.Succession({...options, orders: this.#orders});
+		const trace = new attempts.Trace({service: options.group.name, clock: options.clock});
+		this.#trace = trace;
+		this.#options = {...options, hosts: new attempts.TracedHosts(options.hosts, trace)};
+		this.#orders = new orders.Orders({...options, trace});
+		this.#succession = new successions.Succession({...this.#options, orders: this.#orders, trace});
 	}
 
 	/** Runs until `signal` aborts. */
@@ -153,7 +157,7 @@
 		record.record('failover-started', {
 			service: name, reason, leader: leader?.id ?? '', silentMs: Math.round(leader?.failingSince === undefined ? 0 : startedAt - leader.failingSince),
 		});
-		const outcome = await this.#attempt(reason, leader);
+		const outcome = await this.#traceAttempt(reason, leader);
 		record.record('failover-ended', {
 			service: name,
 			result: Either.isRight(outcome) ? 'promoted' : 'given up',
@@ -166,6 +170,21 @@
 		}
 	}
 
+	/** Makes an attempt and records all that it found on one line, also if an unexpected error ends it. */
+	async #traceAttempt(reason: successions.Reason, leader: member.Member | undefined): Promise<errors.Outcome<member.Member>> {
+		let result: attempts.Result = 'failed';
+		let failure = '';
+		this.#trace.begin(reason, leader);
+		try {
+			const outcome = await this.#attempt(reason, leader);
+			result = Either.isRight(outcome) ? 'promoted' : 'given up';
+			failure = Either.isLeft(outcome) ? errors.describe(outcome.left) : '';
+			return outcome;
+		} finally {
+			this.#options.decisions.record('failover-decided', this.#trace.end(result, failure, this.#options.group.leader));
+		}
+	}
+
 	async #attempt(reason: successions.Reason, leader: member.Member | undefined): Promise<errors.Outcome<member.Member>> {
 		const {group: {name, members: known}, claims: promotionClaims} = this.#options;
 		const isUnseen = reason === 'silent' || reason === 'leaderless';
@@ -174,6 +193,8 @@
 			return errors.fail('not-run', 'observe', name, `the leader responds to ${views.responding} other hosts`);
 		}
 
+		this.#trace.replaces(leader ?? views?.leader);
+		this.#trace.reached('found');
 		if (Either.isLeft(found)) {
 			return found;
 		}
@@ -188,6 +209,7 @@
 			return claimed;
 		}
 
+		this.#trace.claimed(claimed.right.token, claimed.right.how);
 		if (this.#hasNewServer(known)) {
 			await this.#succession.announce(claimed.right, 'keep');
 			return errors.fail('not-run', 'observe', name, 'a server registered meanwhile, which may hold acknowledged commits');
@@ -230,6 +252,8 @@
 
 	/** Has the fence's target promoted while the fence is renewed. */
 	async #promoteWithin(fence: fences.Fence, claim: claims.Claim): Promise<errors.Outcome<member.Member>> {
+		this.#trace.fenced(fence instanceof fences.Paused ? 'replicas paused' : 'stepped down');
+		this.#trace.chose(fence.target.id, fence.required);
 		const renewal = new AbortController();
 		const renewed = fence.maintain(renewal.signal);
 		const outcome = await this.#promote(fence, claim);
@@ -270,8 +294,10 @@
 			outcome = await this.#options.authority.promote({
 				service, server: target.id, holder: this.#options.host, token,
 			});
+			const answer = Either.isRight(outcome) ? outcome.right : errors.describe(outcome.left);
+			this.#trace.ordered(answer);
 			this.#options.decisions.record('promotion-ordered', {
-				service, server: target.id, token, answer: Either.isRight(outcome) ? outcome.right : errors.describe(outcome.left),
+				service, server: target.id, token, answer,
 			});
 			if (Either.isRight(outcome)) {
 				break;
--- a/src/entry/orders.ts
+++ b/src/entry/orders.ts
@@ -5,6 +5,7 @@
 import type * as clock from '../core/clock.js';
 import * as errors from '../core/errors.js';
 import * as position from '../core/position.js';
+import type * as attempt from './attempt.js';
 import type * as candidate from './candidate.js';
 import type * as decisions from './decisions.js';
 import type * as group from './group.js';
@@ -15,6 +16,8 @@
 	readonly group: group.Group;
 	readonly clock: clock.Clock;
 	readonly decisions: decisions.Decisions;
+	/** Records the answers; without it, the orders are none of this host's own attempts. */
+	readonly trace?: attempt.Trace;
 };
 
 /** Timeout of one request to a server, and the number of attempts. */
@@ -66,6 +69,14 @@
 	}
 
 	async #send(server: member.Member, command: statement.Command, attempts = maxAttempts): Promise<errors.Outcome<candidate.Candidate>> {
+		const outcome = await this.#request(server, command, attempts);
+		this.#options.trace?.answered({
+			server: server.id, order: command.kind, outcome: Either.map(({status}: candidate.Candidate) => status)(outcome), isSynchronized: server.isSynchronized,
+		});
+		return outcome;
+	}
+
+	async #request(server: member.Member, command: statement.Command, attempts: number): Promise<errors.Outcome<candidate.Candidate>> {
 		let outcome: errors.Outcome<candidate.Candidate> = errors.fail('not-run', 'send', server.id, 'no request was sent');
 		for (let attempt = 0; attempt < attempts; attempt++) {
 			const sentAt = this.#options.clock.now();
--- a/src/entry/succession.ts
+++ b/src/entry/succession.ts
@@ -14,6 +14,7 @@
 import type * as clock from '../core/clock.js';
 import * as errors from '../core/errors.js';
 import * as position from '../core/position.js';
+import type * as attempts from './attempt.js';
 import * as candidates from './candidate.js';
 import type * as claims from './claims.js';
 import type * as decisions from './decisions.js';
@@ -33,6 +34,7 @@
 	readonly decisions: decisions.Decisions;
 	readonly hosts: hosts.Hosts;
 	readonly orders: orders.Orders;
+	readonly trace: attempts.Trace;
 };
 
 /** One attempt to replace a leader, under a claim. */
@@ -97,6 +99,8 @@
 	/** Fences the leader and chooses the server that can be promoted without losing an acknowledged commit. */
 	async prepare(attempt: Attempt): Promise<errors.Outcome<fences.Fence>> {
 		const dated = {...attempt, term: this.#nextTerm(attempt)};
+		this.#options.trace.dated(dated.term);
+		this.#options.trace.confirmed(this.#options.group.acknowledged);
 		const {leader, reason} = attempt;
 		if (!leader) {
 			return this.#fenceAtHosts(dated);
@@ -270,6 +274,7 @@
 	async #awaitComplete({member: leader, status}: candidates.Candidate, timeoutMs: number): Promise<candidates.Candidate | undefined> {
 		const {group: serviceGroup, clock: time, orders: sent} = this.#options;
 		const deadline = time.now() + timeoutMs;
+		this.#options.trace.requires(status.position);
 		for (;;) {
 			const replicas = await sent.urgentStatus(serviceGroup.members.filter(server => server !== leader));
 			const complete = replicas.filter(replica => has(replica, status.position));
@@ -297,6 +302,7 @@
 		const servers = found.map(({member: server}) => server);
 		const target = await this.#chooseAmongPaused(attempt);
 		const confirmed = this.#confirmed(reports);
+		this.#options.trace.confirmed(confirmed);
 		if (Either.isLeft(target) || !has(target.right, confirmed)) {
 			await this.#options.orders.resume(servers);
 			return this.#giveUp(attempt, Either.isLeft(target) ? target : errors.fail('not-run', 'observe', target.right.member.id, `another host has confirmed ${confirmed ? position.format(confirmed) : ''}`));
@@ -322,6 +328,7 @@
 		}
 
 		const required = candidates.mostAdvanced(paused.right)?.status.position ?? target.status.position;
+		this.#options.trace.requires(required);
 		const caughtUp = await this.#catchUp(target, required, reason);
 		if (caughtUp) {
 			return Either.right(caughtUp);
--- a/src/entry/tests/claims.test.ts
+++ b/src/entry/tests/claims.test.ts
@@ -41,7 +41,8 @@
 	const claimed = await one.claim('ledgers');
 	other.update('ledgers', store.put('claims', 'spare', {holder: 'entry-1', nonce: 'y'}));
 	store.state = 'down';
-	assert.deepEqual(await one.claim('ledgers'), claimed);
+	assert.ok(Either.isRight(claimed));
+	assert.deepEqual(await one.claim('ledgers'), Either.right({...claimed.right, how: 'kept from an earlier claim, store unavailable'}));
 	assert.ok(Either.isLeft(await other.claim('ledgers')));
 });
 
