--- a/src/entry/fence.ts
+++ b/src/entry/fence.ts
@@ -75,6 +75,9 @@
 		return clock.between(this.choice.claimedAt, this.context.clock.mark()) < maxOrderAgeMs;
 	}
 
+	/** How commits of the old leader are kept from being confirmed, for the log. */
+	abstract readonly kind: 'stepped down' | 'replicas paused';
+
 	/** Renews the fence until `signal` aborts. */
 	abstract maintain(signal: AbortSignal): Promise<void>;
 
@@ -127,6 +130,8 @@
 
 /** The old leader has confirmed that it stepped down. */
 export class SteppedDown extends Fence {
+	override readonly kind = 'stepped down';
+
 	override async maintain(signal: AbortSignal): Promise<void> {
 		this.watchLeaders(signal);
 	}
@@ -138,6 +143,7 @@
 
 /** Replication is paused on all servers but the target. */
 export class Paused extends Fence {
+	override readonly kind = 'replicas paused';
 	readonly #known: readonly member.Member[];
 	readonly #held: Set<member.Member>;
 
--- a/src/entry/succession.ts
+++ b/src/entry/succession.ts
@@ -16,6 +16,7 @@
 import type * as clock from '../core/clock.js';
 import * as errors from '../core/errors.js';
 import * as position from '../core/position.js';
+import type * as attempts from './attempt.js';
 import * as candidates from './candidate.js';
 import type * as claims from './claims.js';
 import type * as confirmation from './confirmation.js';
@@ -36,6 +37,7 @@
 	readonly decisions: decisions.Decisions;
 	readonly hosts: hosts.Hosts;
 	readonly orders: orders.Orders;
+	readonly trace: attempts.Trace;
 };
 
 /** One attempt to replace a leader, under a claim. */
@@ -100,6 +102,8 @@
 	/** Fences the leader and chooses the server that can be promoted without losing an acknowledged commit. */
 	async prepare(attempt: Attempt): Promise<errors.Outcome<fences.Fence>> {
 		const dated = {...attempt, term: this.#nextTerm(attempt)};
+		this.#options.trace.dated(dated.term);
+		this.#options.trace.confirmed(this.#options.group.acknowledged);
 		const {leader, reason} = attempt;
 		const {group: {name, leader: current}} = this.#options;
 		if (current && current !== leader) {
@@ -306,6 +310,7 @@
 	async #awaitComplete({member: leader, status}: candidates.Candidate, timeoutMs: number): Promise<errors.Outcome<candidates.Candidate | undefined>> {
 		const {group: serviceGroup, clock: time, orders: sent} = this.#options;
 		const deadline = time.now() + timeoutMs;
+		this.#options.trace.requires(status.position);
 		for (;;) {
 			const replicas = await sent.urgentStatus(serviceGroup.members.filter(server => server !== leader));
 			const other = replicas.find(({status: {role}}) => role === 'primary');
@@ -339,6 +344,7 @@
 		const servers = found.map(({member: server}) => server);
 		const target = await this.#chooseAmongPaused(attempt);
 		const confirmed = this.#confirmed(reports);
+		this.#options.trace.confirmed(confirmed);
 		if (Either.isLeft(target) || !has(target.right, confirmed)) {
 			await this.#options.orders.resume(servers);
 			return this.#giveUp(attempt, Either.isLeft(target) ? target : errors.fail('not-run', 'observe', target.right.member.id, `another host has confirmed ${confirmed ? position.format(confirmed) : ''}`));
@@ -373,6 +379,7 @@
 		}
 
 		const required = candidates.mostAdvanced(paused.right)?.status.position ?? current.status.position;
+		this.#options.trace.requires(required);
 		const caughtUp = await this.#catchUp(current, required, reason);
 		if (caughtUp) {
 			return Either.right(caughtUp);
