--- a/src/entry/group.ts
+++ b/src/entry/group.ts
@@ -86,6 +86,8 @@
 	readonly #inSync: insync.InSync;
 	/** Id of a removed server that led, or may have; `undefined` once it or another leader is back. */
 	#removedLeader: string | undefined;
+	/** Whether the log of a server was lost that led, or may have: its commits may be in the log of the next leader only. */
+	#isLeaderLogLost = false;
 	/** Clock time at which this host last received the confirmation of a leader. */
 	#confirmedAt = Number.NEGATIVE_INFINITY;
 	#leaderEpoch = 0;
@@ -487,6 +489,7 @@
 
 			if (this.#leader === server || this.mayHaveLeader) {
 				this.#removedLeader = server.id;
+				this.#isLeaderLogLost = true;
 			} else {
 				this.#recordLostLog(server, Math.max(server.missingSince, server.lastResponseAt));
 			}
@@ -498,12 +501,17 @@
 	/** Records that the log of a replica was lost at clock time `lostAt`, so the others have to be compared with the leader since. */
 	#recordLostLog(server: member.Member, lostAt: number): void {
 		if (this.#leader === server || this.mayHaveLeader) {
-			return;
+			this.#isLeaderLogLost = true;
+		} else {
+			this.#requireComparison(server, lostAt);
 		}
+	}
 
+	/** Requires that all logs but that of one server are compared with the leader's at clock time `since` or later. */
+	#requireComparison(except: member.Member, since: number): void {
 		for (const other of this.#members.values()) {
-			if (other !== server) {
-				other.recordLostLog(lostAt);
+			if (other !== except) {
+				other.recordLostLog(since);
 			}
 		}
 	}
@@ -525,6 +533,11 @@
 		this.#leader = server;
 		this.#removedLeader = undefined;
 		this.#leaderEpoch++;
+		if (this.#isLeaderLogLost) {
+			this.#isLeaderLogLost = false;
+			this.#requireComparison(server, this.#options.clock.now());
+		}
+
 		this.confirmations.recordLeader(term);
 		this.#readIndexes = [];
 		this.#options.decisions.record('leader-found', {
