--- a/src/entry/fence.ts
+++ b/src/entry/fence.ts
@@ -47,6 +47,8 @@
 
 /** A fence around one choice. */
 export abstract class Fence {
+	/** How commits of the old leader are kept from being confirmed, for the log. */
+	abstract readonly kind: 'stepped down' | 'replicas paused';
 	protected readonly context: Context;
 	protected readonly choice: Choice;
 	#breach = '';
@@ -75,9 +77,6 @@
 		return clock.between(this.choice.claimedAt, this.context.clock.mark()) < maxOrderAgeMs;
 	}
 
-	/** How commits of the old leader are kept from being confirmed, for the log. */
-	abstract readonly kind: 'stepped down' | 'replicas paused';
-
 	/** Renews the fence until `signal` aborts. */
 	abstract maintain(signal: AbortSignal): Promise<void>;
 
