--- a/src/entry/failover.ts
+++ b/src/entry/failover.ts
@@ -249,6 +249,12 @@
 	*/
 	async #settle(leader: member.Member): Promise<errors.Outcome<member.Member>> {
 		const {group: {name, confirmations}, claims: promotionClaims, authority: orderer, host, clock: time} = this.#options;
+		const [current] = await this.#orders.status([leader]);
+		if (current?.status.role !== 'primary') {
+			this.#options.group.probe(leader);
+			return errors.fail('not-run', 'observe', leader.id, 'the server does not respond or no longer leads');
+		}
+
 		const claimed = await promotionClaims.claim(name);
 		if (Either.isLeft(claimed)) {
 			return claimed;
