--- a/src/entry/group.ts
+++ b/src/entry/group.ts
@@ -86,8 +86,8 @@
 	readonly #inSync: insync.InSync;
 	/** Id of a removed server that led, or may have; `undefined` once it or another leader is back. */
 	#removedLeader: string | undefined;
-	/** Whether the log of a server was lost that led, or may have: its commits may be in the log of the next leader only. */
-	#isLeaderLogLost = false;
+	/** Ids of servers that led, or may have, and whose logs were lost: their commits may be in the log of the next leader only. */
+	readonly #lostLeaderLogs = new Set<string>();
 	/** Clock time at which this host last received the confirmation of a leader. */
 	#confirmedAt = Number.NEGATIVE_INFINITY;
 	#leaderEpoch = 0;
@@ -489,7 +489,7 @@
 
 			if (this.#leader === server || this.mayHaveLeader) {
 				this.#removedLeader = server.id;
-				this.#isLeaderLogLost = true;
+				this.#lostLeaderLogs.add(server.id);
 			} else {
 				this.#recordLostLog(server, Math.max(server.missingSince, server.lastResponseAt));
 			}
@@ -501,7 +501,7 @@
 	/** Records that the log of a replica was lost at clock time `lostAt`, so the others have to be compared with the leader since. */
 	#recordLostLog(server: member.Member, lostAt: number): void {
 		if (this.#leader === server || this.mayHaveLeader) {
-			this.#isLeaderLogLost = true;
+			this.#lostLeaderLogs.add(server.id);
 		} else {
 			this.#requireComparison(server, lostAt);
 		}
@@ -533,8 +533,10 @@
 		this.#leader = server;
 		this.#removedLeader = undefined;
 		this.#leaderEpoch++;
-		if (this.#isLeaderLogLost) {
-			this.#isLeaderLogLost = false;
+		// A leader that comes back as leader has its log.
+		this.#lostLeaderLogs.delete(server.id);
+		if (this.#lostLeaderLogs.size > 0) {
+			this.#lostLeaderLogs.clear();
 			this.#requireComparison(server, this.#options.clock.now());
 		}
 
--- a/src/entry/tests/leaderless.test.ts
+++ b/src/entry/tests/leaderless.test.ts
@@ -33,3 +33,20 @@
 	assert.equal(setup.group.leader?.id, 'c');
 	await setup.stop();
 });
+
+// Guards against a leader that can't be replaced since a replica that receives nothing has to be compared with it again.
+test.test('a leader that restarts and leads on with its log has lost nothing', async () => {
+	const setup = new fixture.Fixture();
+	await setup.start();
+	await setup.startFailover();
+	const [a, , c] = setup.cluster.servers;
+	c.isReplicationCut = true;
+	setup.cluster.commit(a);
+	setup.group.register(setup.cluster.registration('a', {startedAt: 60_000}));
+	await setup.time.advance(4000);
+	assert.equal(setup.group.leader?.id, 'a');
+	a.isUnresponsive = true;
+	await setup.time.advance(3000);
+	assert.equal(setup.group.leader?.id, 'b');
+	await setup.stop();
+});
