--- a/src/entry/group.ts
+++ b/src/entry/group.ts
@@ -13,6 +13,7 @@
 import * as notifier from '../core/notifier.js';
 import * as position from '../core/position.js';
 import type * as backend from './backend.js';
+import type * as completeness from './completeness.js';
 import * as confirmations from './confirmation.js';
 import type * as decisions from './decisions.js';
 import * as insync from './insync.js';
@@ -83,6 +84,8 @@
 	#leader: member.Member | undefined;
 	/** Ids of servers that were removed though they had not announced that they leave. */
 	readonly #absent = new Set<string>();
+	/** Servers that were removed since a leader last responded, by id: one of them may have led last. */
+	readonly #departures = new Map<string, completeness.Departure & {readonly removedAt: number}>();
 	readonly #inSync: insync.InSync;
 	/** Id of a removed server that led, or may have; `undefined` once it or another leader is back. */
 	#removedLeader: string | undefined;
@@ -126,6 +129,16 @@
 		return [...this.#absent];
 	}
 
+	/** Servers that are not registered any more and that may have been the last leader. */
+	get departures(): readonly completeness.Departure[] {
+		return [...this.#departures.values()];
+	}
+
+	/** Whether this host knows which servers the group had: it has a stored in-sync set, or has seen a leader. */
+	get isMembershipKnown(): boolean {
+		return this.#inSync.isStored || this.#leaderEpoch > 0;
+	}
+
 	/** Whether this host knows the in-sync set of the store, without which it can't tell which logs are complete. */
 	get isInSyncLoaded(): boolean {
 		return this.#inSync.isLoaded;
@@ -244,6 +257,7 @@
 		this.#members.set(id, new member.Member(registration, server, this.#options.clock, {connectionLimit: this.#quota.hardLimit, isSynchronized: this.#inSync.isAssumedComplete(registration, this.members)}));
 		this.#lastAddedAt = this.#options.clock.now();
 		this.#absent.delete(id);
+		this.#departures.delete(id);
 		this.#inSync.recordArrival(registration);
 		this.#removedLeader = this.#removedLeader === id ? undefined : this.#removedLeader;
 		this.#options.decisions.record('server-added', {
@@ -288,6 +302,12 @@
 			return;
 		}
 
+		for (const {id, removedAt} of this.#departures.values()) {
+			if (sentAt.monotonicMs > removedAt) {
+				this.#departures.delete(id);
+			}
+		}
+
 		// A reply to an earlier request may come from a leader that has since been replaced.
 		const isNewer = sentAt.monotonicMs > this.#confirmedAt;
 		this.#confirmedAt = this.#options.clock.now();
@@ -483,6 +503,9 @@
 			}
 
 			this.#members.delete(server.id);
+			this.#departures.set(server.id, {
+				id: server.id, address: server.registration.address, isPlanned: !server.isReady, position: server.position, removedAt: this.#options.clock.now(),
+			});
 			if (server.isReady) {
 				this.#absent.add(server.id);
 			}
--- a/src/entry/insync.ts
+++ b/src/entry/insync.ts
@@ -33,6 +33,11 @@
 		return this.#isLoaded;
 	}
 
+	/** Whether the store has a set. */
+	get isStored(): boolean {
+		return this.#stored !== undefined;
+	}
+
 	/** Takes over the set read from the store; the first one also tells which servers have a complete log. */
 	adopt(stored: readonly types.Incarnation[] | undefined, members: readonly member.Member[]): void {
 		if (!this.#isLoaded && stored) {
--- a/src/entry/succession.ts
+++ b/src/entry/succession.ts
@@ -16,6 +16,7 @@
 import * as position from '../core/position.js';
 import * as candidates from './candidate.js';
 import type * as claims from './claims.js';
+import * as completeness from './completeness.js';
 import type * as decisions from './decisions.js';
 import * as fences from './fence.js';
 import type * as group from './group.js';
@@ -72,18 +73,22 @@
 	}
 
 	/**
-	The servers other than the leader and their status, if together they hold every acknowledged commit. A commit is on the
-	leader and at least one replica, so all servers but the leader must respond, and none of these may have lost its log since
-	the commit, or be behind a replica that has been removed since.
+	The servers other than the leader and their status, if together they hold every acknowledged commit, as `completeness.ts`
+	decides.
 	*/
 	async findCandidates(leader: member.Member | undefined): Promise<errors.Outcome<candidates.Candidate[]>> {
-		const {group: {name, members, acknowledged, mayHaveLeader, missing}, orders: sent} = this.#options;
+		const {group: {name, members, acknowledged, mayHaveLeader, missing, departures, isMembershipKnown}, orders: sent} = this.#options;
 		const replicas = members.filter(server => server !== leader);
 		const responding = await sent.status(replicas);
-		const synchronized = responding.filter(({member: server}) => server.isSynchronized);
-		if (synchronized.length < replicas.length + missing.length - (!leader && mayHaveLeader ? 1 : 0)) {
-			const lacking = [...replicas.filter(server => !synchronized.some(entry => entry.member === server)).map(({id}) => id), ...missing];
-			return errors.fail('not-run', 'observe', name, `${lacking.join(', ')} may hold acknowledged commits but did not respond, or lost its log`);
+		const servers = replicas.map(server => ({
+			id: server.id, address: server.registration.address, isCompared: server.isSynchronized, answer: responding.find(entry => entry.member === server)?.status,
+		}));
+		const leaderView = mayHaveLeader ? 'unknown' : 'removed';
+		const gaps = completeness.findGaps({
+			leader: leader ? 'known' : leaderView, servers, missing, departures, isMembershipKnown,
+		});
+		if (gaps.length > 0) {
+			return errors.fail('not-run', 'observe', name, completeness.describe(gaps));
 		}
 
 		const target = candidates.mostAdvanced(responding);
--- a/src/entry/tests/fake-cluster.ts
+++ b/src/entry/tests/fake-cluster.ts
@@ -309,7 +309,7 @@
 export class Cluster {
 	readonly clock: clock.Clock;
 	readonly executions: Execution[] = [];
-	readonly servers: readonly Server[];
+	servers: readonly Server[];
 	/** Whether a commit gets its response only once a replica has received it. */
 	requiresReplica = false;
 
@@ -331,6 +331,15 @@
 		return found;
 	}
 
+	/** Removes a server and starts another one, as a replica with the log of the first. */
+	replace(name: string, successor: string): Server {
+		const {place, term, index, log} = this.get(name);
+		const added = new Server(this, successor, place, 'replica');
+		Object.assign(added, {term, index, log});
+		this.servers = [...this.servers.filter(server => server.name !== name), added];
+		return added;
+	}
+
 	registration(name: string, change: Partial<types.Registration> = {}): types.Registration {
 		const {place, role} = this.get(name);
 		return {
