--- a/src/entry/tests/fake-cluster.ts
+++ b/src/entry/tests/fake-cluster.ts
@@ -409,9 +409,9 @@
 	}
 
 	/** Lets a server leave, whose log goes to a new server at its address. */
-	replace(server: Server): void {
+	replace(server: Server, name?: string): Server {
 		this.#replacements++;
-		const successor = new Server(this, `${server.name[0]}${this.#replacements}`, server.place, 'replica');
+		const successor = new Server(this, name ?? `${server.name[0]}${this.#replacements}`, server.place, 'replica');
 		successor.startedAt = this.clock.now();
 		successor.term = server.term;
 		successor.index = server.index;
@@ -420,6 +420,7 @@
 		server.isGone = true;
 		server.role = 'replica';
 		this.#servers = this.#servers.map(other => other === server ? successor : other);
+		return successor;
 	}
 
 	get(name: string): Server {
