--- a/src/soak/main.ts
+++ b/src/soak/main.ts
@@ -26,7 +26,7 @@
 	const {size, served, attempts, acknowledged, executions, violations, events} = report;
 	const probes = `${report.probes} probes (${report.boundProbes} with a bound)`;
 	const unanswered = `${report.unanswered} without an answer (${report.boundUnanswered} around planned work)`;
-	const counts = `served ${served} of ${attempts}, ${acknowledged} writes, ${executions} statements, ${probes}, ${unanswered}`;
+	const counts = `served ${served} of ${attempts}, ${report.promotions} promotions, ${acknowledged} writes, ${executions} statements, ${probes}, ${unanswered}`;
 	console.log(`seed ${next}: ${size.hosts} hosts, ${size.groups} groups, ${size.connections} connections; ${counts}; ${violations.length === 0 ? 'held' : `BROKEN ${violations.length}`}`);
 	if (violations.length > 0) {
 		process.exitCode = 1;
--- a/src/soak/plan.ts
+++ b/src/soak/plan.ts
@@ -205,7 +205,7 @@
 export function adapt(kind: Kind, size: sites.Size): sites.Size {
 	if (kind === 'promotions') {
 		return {
-			hosts: 7, groups: 3, connections: 24, callers: 45, hasQuickCallers: true, slots: 1, maxWorkMs: 16,
+			hosts: 7, groups: 3, connections: 24, callers: 36, hasQuickCallers: true, slots: 1, maxWorkMs: 12,
 		};
 	}
 
--- a/src/soak/promotions.ts
+++ b/src/soak/promotions.ts
@@ -17,6 +17,7 @@
 const maxStartMs = 1500;
 const pollMs = 10;
 const maxLagMs = 700;
+const maxReconnectMs = 1500;
 const maxOrderDelayMs = 4000;
 const maxPromotionMs = 3000;
 const maxClaimStopMs = 60;
@@ -33,6 +34,15 @@
 	readonly scopes: readonly contacts.Scope[] = ['hosts', 'store'];
 }
 
+type DrainOptions = {
+	readonly count: number;
+	/** Time from the end of a server to the start of the one in its place. */
+	readonly startMs: number;
+	readonly lagsMs: readonly number[];
+	/** Times from a promotion until each server receives from the new primary. */
+	readonly reconnectsMs: readonly number[];
+};
+
 /**
 The primary drains, and each new primary drains right after its promotion. Each server leaves some time later, and a new one
 takes its address and its log.
@@ -43,14 +53,16 @@
 	readonly #count: number;
 	readonly #startMs: number;
 	readonly #lagsMs: readonly number[];
+	readonly #reconnectsMs: readonly number[];
 
-	constructor(group: number, count: number, startMs: number, lagsMs: readonly number[]) {
+	constructor(group: number, {count, startMs, lagsMs, reconnectsMs}: DrainOptions) {
 		super();
+		this.#reconnectsMs = reconnectsMs;
 		this.#group = group;
 		this.#count = count;
 		this.#startMs = startMs;
 		this.#lagsMs = lagsMs;
-		this.text = `${count} primaries of group ${group} drain in a row, each replaced ${startMs} ms after its end, with lags of ${lagsMs.join(', ')} ms`;
+		this.text = `${count} primaries of group ${group} drain in a row, each replaced after ${startMs} ms; lags ${lagsMs.join(', ')} ms, reconnects ${reconnectsMs.join(', ')} ms`;
 	}
 
 	override async hold(site: sites.Site): Promise<void> {
@@ -58,6 +70,7 @@
 		const replacements: Array<Promise<void>> = [];
 		for (const [index, server] of group.servers.entries()) {
 			server.lagMs = this.#lagsMs[index];
+			server.reconnectMs = this.#reconnectsMs[index];
 		}
 
 		for (let count = 0; count < this.#count; count++) {
@@ -74,6 +87,7 @@
 		await Promise.all(replacements);
 		for (const server of group.servers) {
 			server.lagMs = replicated.defaultLagMs;
+			server.reconnectMs = 0;
 		}
 	}
 
@@ -92,7 +106,7 @@
 		site.register(backend, 'draining');
 		await site.time.sleep(drainMs);
 		const deadline = site.time.now() + maxOvertimeMs;
-		while (!isWhole(backend.group) || (server.role === 'primary' && site.time.now() < deadline)) {
+		while (!isWhole(backend.group) || (site.time.now() < deadline && (backend.group.primary ?? server) === server)) {
 			await site.time.sleep(pollMs);
 		}
 
@@ -342,7 +356,12 @@
 		const host = source.integer(0, this.#size.hosts - 1);
 		switch (this.#pick(this.#kinds)) {
 			case 'drains': {
-				return new Drains(group, source.integer(1, maxDrains), source.integer(0, maxStartMs), this.#drawLags());
+				return new Drains(group, {
+					count: source.integer(1, maxDrains),
+					startMs: source.integer(0, maxStartMs),
+					lagsMs: this.#drawLags(),
+					reconnectsMs: Array.from({length: 3}, () => source.integer(0, maxReconnectMs)),
+				});
 			}
 
 			case 'orders': {
--- a/src/soak/replicated.ts
+++ b/src/soak/replicated.ts
@@ -35,6 +35,10 @@
 	isDeaf = false;
 	/** Fraction of responses that are lost, from 0 to 1. */
 	lossRate = 0;
+	/** Time after a promotion until the server receives from the new primary. */
+	reconnectMs = 0;
+	/** Clock time until which the server is not connected to the new primary. */
+	reconnectsUntil = 0;
 	/** The server has reported that it will leave. */
 	isDraining = false;
 	/** Clock time until which the server is busy, since it removes what the new primary does not have. */
@@ -162,6 +166,7 @@
 		this.#effectiveOrder = number;
 		for (const server of this.servers) {
 			server.role = server === target ? 'primary' : 'replica';
+			server.reconnectsUntil = this.#clock.now() + server.reconnectMs;
 		}
 
 		target.term = Math.max(...this.servers.map(({term}) => term)) + 1;
@@ -175,7 +180,8 @@
 	#replicate(server: Server): void {
 		const primary = this.primary ?? (this.#steppedDown?.recipients.delete(server) ? this.#steppedDown.server : undefined);
 		const isReplicationPaused = server.heldTerm > (primary?.term ?? 0);
-		if (!primary || server === primary || server.isUnresponsive || server.isDeaf || primary.isUnresponsive || isReplicationPaused || server.term > primary.term) {
+		const isCut = server.isUnresponsive || server.isDeaf || this.#clock.now() < server.reconnectsUntil;
+		if (!primary || server === primary || isCut || primary.isUnresponsive || isReplicationPaused || server.term > primary.term) {
 			return;
 		}
 
--- a/src/soak/soak.ts
+++ b/src/soak/soak.ts
@@ -19,6 +19,7 @@
 	readonly attempts: number;
 	readonly acknowledged: number;
 	readonly executions: number;
+	readonly promotions: number;
 	/** Number of sessions that showed the configuration of a host. */
 	readonly probes: number;
 	/** Number of those for which the bound of time held. */
@@ -84,6 +85,7 @@
 		attempts: site.callers.reduce((sum, {attempts}) => sum + attempts, 0),
 		acknowledged: site.checker.acknowledged,
 		executions: site.checker.executions,
+		promotions: promotions.length,
 		probes: site.configurations.answers,
 		boundProbes: site.configurations.boundAnswers,
 		unanswered: site.unanswered.count,
