--- a/src/soak/soak.ts
+++ b/src/soak/soak.ts
@@ -43,6 +43,8 @@
 
 /** Time between the start of the host processes and that of the callers. */
 const startupMs = 3000;
+const maxFirstWriteMs = 20_000;
+const firstWritePollMs = 100;
 /** Time without faults at the end. */
 const recoveryMs = 10_000;
 /** The last part of the recovery time, in which each caller must be served. */
@@ -61,6 +63,10 @@
 	await site.time.sleep(startupMs);
 	site.startCallers();
 	load?.start();
+	if (planKind === 'promotions') {
+		await awaitAcknowledged(site);
+	}
+
 	const startedAt = site.time.now();
 	const tasks: Array<Promise<void>> = [];
 	while (site.time.now() - startedAt < faultsMs) {
@@ -95,6 +101,14 @@
 	};
 }
 
+/** Waits until a write of each group was acknowledged: while no host has found a primary, faults of promotions show nothing. */
+async function awaitAcknowledged(site: sites.Site): Promise<void> {
+	const deadline = site.time.now() + maxFirstWriteMs;
+	while (site.time.now() < deadline && !site.groups.every(({name}) => site.checker.lastAcknowledgedAt(name) > 0)) {
+		await site.time.sleep(firstWritePollMs);
+	}
+}
+
 /** Describes what has not recovered from the faults. */
 function findUnrecovered(site: sites.Site): string[] {
 	const unserved = site.callers.filter(({servedAt}) => (servedAt.at(-1) ?? 0) < site.time.now() - servedWindowMs);
