--- a/src/soak/soak.ts
+++ b/src/soak/soak.ts
@@ -19,6 +19,7 @@
 	readonly attempts: number;
 	readonly acknowledged: number;
 	readonly executions: number;
+	readonly promotions: number;
 	/** Number of sessions that showed the configuration of a host. */
 	readonly probes: number;
 	/** Number of those for which the bound of time held. */
@@ -42,6 +43,8 @@
 
 /** Time between the start of the host processes and that of the callers. */
 const startupMs = 3000;
+const maxFirstWriteMs = 20_000;
+const firstWritePollMs = 100;
 /** Time without faults at the end. */
 const recoveryMs = 10_000;
 /** The last part of the recovery time, in which each caller must be served. */
@@ -60,6 +63,10 @@
 	await site.time.sleep(startupMs);
 	site.startCallers();
 	load?.start();
+	if (planKind === 'promotions') {
+		await awaitAcknowledged(site);
+	}
+
 	const startedAt = site.time.now();
 	const tasks: Array<Promise<void>> = [];
 	while (site.time.now() - startedAt < faultsMs) {
@@ -84,6 +91,7 @@
 		attempts: site.callers.reduce((sum, {attempts}) => sum + attempts, 0),
 		acknowledged: site.checker.acknowledged,
 		executions: site.checker.executions,
+		promotions: promotions.length,
 		probes: site.configurations.answers,
 		boundProbes: site.configurations.boundAnswers,
 		unanswered: site.unanswered.count,
@@ -93,6 +101,14 @@
 	};
 }
 
+/** Waits until a write of each group was acknowledged: while no host has found a primary, faults of promotions show nothing. */
+async function awaitAcknowledged(site: sites.Site): Promise<void> {
+	const deadline = site.time.now() + maxFirstWriteMs;
+	while (site.time.now() < deadline && !site.groups.every(({name}) => site.checker.lastAcknowledgedAt(name) > 0)) {
+		await site.time.sleep(firstWritePollMs);
+	}
+}
+
 /** Describes what has not recovered from the faults. */
 function findUnrecovered(site: sites.Site): string[] {
 	const unserved = site.callers.filter(({servedAt}) => (servedAt.at(-1) ?? 0) < site.time.now() - servedWindowMs);
