--- a/src/entry/failover.ts
+++ b/src/entry/failover.ts
@@ -89,6 +89,8 @@
 	readonly #options: Options;
 	readonly #orders: orders.Orders;
 	readonly #succession: successions.Succession;
+	/** The last token under which an order was sent that may still be carried out, so it must not serve another order. */
+	#spentToken = 0;
 	readonly #trace: attempts.Trace;
 
 	constructor(options: Options) {
@@ -231,6 +233,10 @@
 		}
 
 		this.#trace.claimed(claimed.right.token, claimed.right.how);
+		if (claimed.right.token === this.#spentToken) {
+			return errors.fail('conflict', 'store', name, 'an order of the kept claim may still be carried out');
+		}
+
 		if (this.#hasNewServer(known)) {
 			this.#succession.release(claimed.right);
 			return errors.fail('not-run', 'observe', name, 'a server registered meanwhile, which may hold acknowledged commits');
@@ -261,6 +267,10 @@
 		}
 
 		const claim = claimed.right;
+		if (claim.token === this.#spentToken) {
+			return errors.fail('conflict', 'store', name, 'an order of the kept claim may still be carried out');
+		}
+
 		this.#trace.claimed(claim.token, claim.how);
 		await this.#succession.suspend(claim, confirmations.leaderTerm + 1);
 		const [before] = await this.#orders.status([leader]);
@@ -275,6 +285,7 @@
 		});
 		this.#trace.ordered(Either.isRight(outcome) ? outcome.right : errors.describe(outcome.left));
 		if (Either.isLeft(outcome)) {
+			this.#spentToken = claim.token;
 			return outcome;
 		}
 
@@ -334,6 +345,8 @@
 		await fence.lift(Either.isRight(outcome));
 		if (!mayTakeEffect) {
 			this.#succession.release(claim);
+		} else if (Either.isLeft(outcome)) {
+			this.#spentToken = claim.token;
 		}
 
 		return outcome;
@@ -376,6 +389,7 @@
 				break;
 			}
 
+			this.#spentToken = token;
 			await this.#options.clock.sleep(promoteRetryMs);
 			if (this.#options.clock.now() >= deadline || this.#options.claims.isClaimedByOther(service)) {
 				break;
--- a/src/entry/tests/failover.test.ts
+++ b/src/entry/tests/failover.test.ts
@@ -444,6 +444,23 @@
 	await setup.stop();
 });
 
+test.test('guards against a kept claim whose token serves another order although an earlier one may still be carried out', async () => {
+	const setup = new fixture.Fixture();
+	await setup.start();
+	await setup.startFailover();
+	setup.authority.lostResponses = 100;
+	setup.authority.isUnavailable = true;
+	setup.cluster.get('a').isUnresponsive = true;
+	await awaitPromotionRequest(setup);
+	setup.store.state = 'down';
+	await setup.time.advance(3000);
+	const before = setup.authority.requests.length;
+	assert.ok(setup.claims.wasClaimed('ledgers'));
+	await setup.time.advance(6000);
+	assert.equal(setup.authority.requests.length, before);
+	await setup.stop();
+});
+
 test.test('guards against the loss of a commit held by a server that registers between the query of the servers and the pause', async () => {
 	const setup = new fixture.Fixture();
 	await setup.start(['a', 'b']);
