--- a/src/entry/fence.ts
+++ b/src/entry/fence.ts
@@ -37,9 +37,9 @@
 */
 const renewalIntervalMs = 100;
 /**
-Time from the claim after which no order is sent any more. The hosts withhold commits for 4 s after they have heard of the
-claim, and a promotion takes effect up to 1 s after its order. An old leader that stepped down leads again if it restarts
-while this host is stopped and doesn't watch it.
+Time from the claim after which no order is sent any more. A rule without an order ends at the hosts after 4 s, and other
+hosts may claim then. An old leader that stepped down leads again if it restarts while this host is stopped and doesn't
+watch it.
 */
 const maxOrderAgeMs = 2500;
 /** Time for the target to receive a commit that another server has received. */
