--- a/src/entry/failover.ts
+++ b/src/entry/failover.ts
@@ -205,7 +205,10 @@
 	async #attempt(reason: successions.Reason, leader: member.Member | undefined): Promise<errors.Outcome<member.Member>> {
 		const {group: {name, members: known}, claims: promotionClaims} = this.#options;
 		const isUnseen = reason === 'silent' || reason === 'leaderless';
-		const [found, views] = await Promise.all([this.#succession.findCandidates(leader), isUnseen ? this.#inquire(leader) : undefined]);
+		const [found, views] = await Promise.all([
+			reason === 'leaving' && leader ? this.#succession.findReplicas(leader) : this.#succession.findCandidates(leader),
+			isUnseen ? this.#inquire(leader) : undefined,
+		]);
 		if (views && !views.mayReplace) {
 			return errors.fail('not-run', 'observe', name, `the leader responds to ${views.responding} other hosts`);
 		}
--- a/src/entry/succession.ts
+++ b/src/entry/succession.ts
@@ -104,6 +104,16 @@
 			: errors.fail('not-run', 'observe', name, `no responding server holds ${acknowledged ? position.format(acknowledged) : 'a log'}`);
 	}
 
+	/**
+	The replicas that respond and their status, for a leader that responds: the end of its log in its answer to the order to
+	step down bounds every acknowledged commit, so none of the replicas has to be known as complete before.
+	*/
+	async findReplicas(leader: member.Member): Promise<errors.Outcome<candidates.Candidate[]>> {
+		const {group: {name, members}, orders: sent} = this.#options;
+		const responding = await sent.status(members.filter(server => server !== leader));
+		return responding.length > 0 ? Either.right(responding) : errors.fail('not-run', 'observe', name, 'no replica responded');
+	}
+
 	/** Fences the leader and chooses the server that can be promoted without losing an acknowledged commit. */
 	async prepare(attempt: Attempt): Promise<errors.Outcome<fences.Fence>> {
 		const dated = {...attempt, term: this.#nextTerm(attempt)};
@@ -187,7 +197,12 @@
 			return this.#giveUp(attempt, stepped);
 		}
 
-		return stepped.right.status.role === 'replica' ? this.#chooseComplete(attempt, stepped.right) : this.#fenceAtHosts(attempt);
+		if (stepped.right.status.role === 'replica') {
+			return this.#chooseComplete(attempt, stepped.right);
+		}
+
+		const found = await this.findCandidates(leader);
+		return Either.isLeft(found) ? this.#giveUp(attempt, found) : this.#fenceAtHosts({...attempt, found: found.right});
 	}
 
 	/**
--- a/src/entry/tests/leaderless.test.ts
+++ b/src/entry/tests/leaderless.test.ts
@@ -177,3 +177,21 @@
 	assert.equal(setup.group.leader?.id, 'b');
 	await setup.stop();
 });
+
+// Guards against a leaving leader that is not replaced in time, since a replica that doesn't matter was not compared with it.
+test.test('a leaving leader is replaced by a complete replica while another one has restarted and receives nothing', async () => {
+	const setup = new fixture.Fixture();
+	await setup.start();
+	await setup.startFailover();
+	setup.cluster.commit(setup.cluster.get('a'));
+	await setup.time.advance(1500);
+	const c = setup.cluster.get('c');
+	c.index = 0;
+	c.isReplicationCut = true;
+	setup.group.register(setup.cluster.registration('c', {startedAt: 60_000}));
+	await setup.time.advance(2600);
+	setup.group.register(setup.cluster.registration('a', {state: 'leaving'}));
+	await setup.time.advance(2000);
+	assert.deepEqual(setup.authority.requests.map(({server}) => server), ['b']);
+	await setup.stop();
+});
