--- a/src/entry/confirmation.ts
+++ b/src/entry/confirmation.ts
@@ -4,8 +4,9 @@
 An acknowledgement of a server reaches its caller only through a host, so hosts are the place where a failover fences every
 server that may lead: the old leader, and one that an order of an earlier attempt makes lead while another successor is
 chosen. From the claim on, hosts withhold what servers acknowledge. Once the successor is chosen, they confirm what it
-acknowledges and nothing of any other server, until it leads, the attempt was given up, or a newer claim decides. A commit
-that is withheld for too long is in doubt.
+acknowledges and nothing of any other server. That holds until the authority has answered the order and the successor leads,
+or the attempt was given up: a newer claim doesn't end an order that may still be carried out. A commit that is withheld for
+too long is in doubt.
 */
 import type * as clock from '../core/clock.js';
 import * as notifier from '../core/notifier.js';
@@ -29,7 +30,7 @@
 - `nobody`: the successor is not chosen yet.
 - `leader`: only those of the present leader, until it steps down.
 - `ordered`: only those of the server that the claim's order is for, from `term` on. Those of earlier terms have the given fate.
-- `settled`: only those of the server, which leads, and the platform refuses all older orders.
+- `settled`: only those of the server, which leads, and the authority refuses all older orders.
 - `successor`: those of any server from `term` on; said by hosts that don't name the server.
 */
 export type Rule =
@@ -49,7 +50,7 @@
 
 /** Time after which a rule without an order ends, and a claim without news has to be settled: other hosts may claim again, see `claims.ts`. */
 const maxSuspensionMs = 4000;
-/** Time for which an order may still be carried out unless a newer one was accepted since: the platform may be seconds late. */
+/** Time for which an order may still be carried out unless a newer one was accepted since: the authority may be seconds late. */
 const maxOrderMs = 12_000;
 /** Interval at which a withheld commit is judged again without news: an isolated host may regain its links. */
 const recheckMs = 100;
@@ -61,7 +62,7 @@
 	/** The rules of several claims hold at once, since an order of an older one may still be carried out. */
 	#suspensions: readonly Suspension[] = [];
 	#claim: Claim | undefined;
-	/** The highest token of which is known that the platform refuses all older ones. */
+	/** The highest token for which the authority is known to refuse all older ones. */
 	#settledToken = 0;
 	/** The highest token of which a claimant has told this host whether commits have to be withheld. */
 	#announcedToken = 0;
