Identify callers by key, and set the interfaces for customers, quotas, load and limits

Configurations may now have customers with keys and quotas. A session is opened with a key; an unknown one is refused with NOAUTH, and servers get the customer's name in place of a constant.

Jobs carry the customer, and pools, routes and connections accept one. Without customers in the configuration nothing changes, and no message between hosts has a new field.

--- a/scripts/generate.js
+++ b/scripts/generate.js
@@ -22,7 +22,7 @@
 const validated = {
 	inputs: ['Settings', 'Configuration', 'EntrySettings'],
 	messages: ['Status', 'Grant', 'Message', 'VersionedObject', 'HostList', 'GroupStatus'],
-	stored: ['Announcement', 'Registration', 'PromotionClaim', 'InSyncSet', 'Deployment', 'StoredConfiguration', 'StoredServer', 'StoredObject', 'StoredPage', 'StoredEvent', 'StoredEvents'],
+	stored: ['Announcement', 'Registration', 'PromotionClaim', 'InSyncSet', 'Deployment', 'StoredConfiguration', 'StoredTenant', 'StoredServer', 'StoredObject', 'StoredPage', 'StoredEvent', 'StoredEvents'],
 	forwarding: ['EntryMessage'],
 };
 
--- a/src/core/connection.ts
+++ b/src/core/connection.ts
@@ -22,6 +22,10 @@
 	abstract readonly name: string;
 	abstract readonly place: string;
 
-	/** Opens a connection. Errors: `not-run`, since no statement was sent. */
-	abstract connect(timeoutMs: number): Promise<errors.Outcome<C>>;
+	/**
+	Opens a connection, in the name of a customer where the deployment has customers. It then serves only that customer.
+
+	Errors: `not-run`, since no statement was sent.
+	*/
+	abstract connect(timeoutMs: number, customer?: string): Promise<errors.Outcome<C>>;
 }
--- a/src/entry/caller.ts
+++ b/src/entry/caller.ts
@@ -3,8 +3,8 @@
 */
 import type * as statement from './statement.js';
 
-/** The opening message of a session. */
-export type Opening = {readonly database: string; readonly user: string};
+/** The opening message of a session. The key identifies the caller's customer; it must not be logged or passed on. */
+export type Opening = {readonly database: string; readonly key: string};
 
 /** The connection of one caller. It carries one session. */
 export abstract class Caller {
--- a/src/entry/deployment.ts
+++ b/src/entry/deployment.ts
@@ -4,6 +4,7 @@
 import type * as types from '../generated/types.js';
 import type * as clock from '../core/clock.js';
 import * as notifier from '../core/notifier.js';
+import * as directories from './customers/directory.js';
 import type * as decisions from './decisions.js';
 
 /** Idle timeout of a transaction until a configuration sets one. */
@@ -17,6 +18,7 @@
 	readonly #decisions: decisions.Decisions;
 	#content: types.Deployment | undefined;
 	#routes: ReadonlyMap<string, types.Route> = new Map();
+	#customers: directories.Directory | undefined;
 
 	constructor(time: clock.Clock, record: decisions.Decisions) {
 		this.#clock = time;
@@ -27,6 +29,11 @@
 		return this.#content;
 	}
 
+	/** The customers; `undefined` if the deployment has none, so that every caller is served. */
+	get customers(): directories.Directory | undefined {
+		return this.#customers;
+	}
+
 	get idleTransactionMs(): number {
 		return this.#content?.idleTransactionMs ?? defaultIdleTransactionMs;
 	}
@@ -45,6 +52,7 @@
 		});
 		this.#content = content;
 		this.#routes = new Map(content.routes.map(route => [route.database, route]));
+		this.#customers = content.customers && new directories.Directory(content.customers);
 		this.changed.notify();
 	}
 
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -13,6 +13,7 @@
 import type * as backend from './backend.js';
 import type * as caller from './caller.js';
 import * as claims from './claims.js';
+import * as limiters from './customers/limiter.js';
 import type * as decisions from './decisions.js';
 import * as deployments from './deployment.js';
 import * as failover from './failover.js';
@@ -140,7 +141,8 @@
 		this.#sessionOptions = {
 			context: this.#context,
 			deployment: this.#deployment,
-			executor: new forwarder.Forwarder(this.#context, this.#local, service => this.#fleet.route(service)),
+			executor: new forwarder.Forwarder(this.#context, this.#local, (service, customer) => this.#fleet.route(service, customer)),
+			limiter: new limiters.Unlimited(),
 		};
 		this.#listener = options.listener(accepted => {
 			this.#tasks.start('session', async () => this.#serveCaller(accepted));
--- a/src/entry/executor.ts
+++ b/src/entry/executor.ts
@@ -44,8 +44,8 @@
 
 /** Executes statements and opens transactions for sessions. */
 export abstract class Executor {
-	/** Prepares connections or links for a service when a session for it opens. */
-	abstract prepare(service: string): void;
+	/** Prepares connections or links for a service when a session of a customer opens; without customers, `customer` is `undefined`. */
+	abstract prepare(service: string, customer?: string): void;
 
 	/** Executes a statement outside a transaction. */
 	abstract run(job: jobs.Job, work: leases.Work): Promise<statement.Reply>;
--- a/src/entry/fleet.ts
+++ b/src/entry/fleet.ts
@@ -94,7 +94,7 @@
 	}
 
 	/** The owners to send a service's work to, in round-robin order to balance the load. */
-	route(service: string): forwarder.Route {
+	route(service: string, _customer?: string): forwarder.Route {
 		const names = this.#ranks.get(service) ?? this.#rank(service);
 		this.#ranks.set(service, names);
 		const {name: self} = this.#options.self;
--- a/src/entry/forwarder.ts
+++ b/src/entry/forwarder.ts
@@ -27,20 +27,20 @@
 export class Forwarder extends executor.Executor {
 	readonly #context: jobs.Context;
 	readonly #local: executor.Executor;
-	readonly #route: (service: string) => Route;
+	readonly #route: (service: string, customer?: string) => Route;
 	#lastTransactionId = 0;
 
-	constructor(context: jobs.Context, local: executor.Executor, route: (service: string) => Route) {
+	constructor(context: jobs.Context, local: executor.Executor, route: (service: string, customer?: string) => Route) {
 		super();
 		this.#context = context;
 		this.#local = local;
 		this.#route = route;
 	}
 
-	override prepare(service: string): void {
-		for (const target of this.#route(service)) {
+	override prepare(service: string, customer?: string): void {
+		for (const target of this.#route(service, customer)) {
 			if (target === 'local') {
-				this.#local.prepare(service);
+				this.#local.prepare(service, customer);
 			} else {
 				target.connect();
 			}
@@ -48,7 +48,7 @@
 	}
 
 	override async run(job: jobs.Job, work: leases.Work): Promise<statement.Reply> {
-		const untried = [...this.#route(job.route.service)];
+		const untried = [...this.#route(job.route.service, job.customer)];
 		const running = new Map<Target, Promise<Attempt>>();
 		let refused: statement.Reply | undefined;
 		let mayHaveRun = false;
@@ -84,7 +84,7 @@
 
 	override async begin(job: jobs.Job, mode: types.AccessMode): Promise<executor.Transaction | statement.Reply> {
 		let refused: statement.Reply | undefined;
-		for (const target of this.#route(job.route.service)) {
+		for (const target of this.#route(job.route.service, job.customer)) {
 			if (refused && !jobs.hasTime(this.#context, job)) {
 				break;
 			}
@@ -235,6 +235,7 @@
 		values: [...job.state.values],
 		remainingMs: jobs.remainingMs(context, job),
 		spentMs: jobs.elapsedMs(context, job),
+		...(job.customer !== undefined && {customer: job.customer}),
 	};
 }
 
--- a/src/entry/job.ts
+++ b/src/entry/job.ts
@@ -20,6 +20,8 @@
 export type Job = {
 	readonly id: string;
 	readonly route: types.Route;
+	/** Name of the customer; `undefined` without customers and on public routes. */
+	readonly customer: string | undefined;
 	readonly state: states.State;
 	/** Log position of the session's last commit in the service; null if there is none. */
 	readonly sessionPosition: statement.Position | null;
@@ -96,12 +98,12 @@
 }
 
 /** Refuses a job that has not run, with a retry delay in the message. */
-export function refuse(context: Context, job: Job, reason: string): statement.Reply {
+export function refuse(context: Context, job: Job, reason: string, retryMs = retryAfterMs): statement.Reply {
 	context.decisions.request('refused', job.id, {
 		service: job.route.service,
 		route: job.route.name,
 		reason,
 		waitedMs: Math.round(elapsedMs(context, job)),
 	});
-	return statement.refuse('busy', `not run: ${reason}; retry after ${retryAfterMs} ms`, 'none');
+	return statement.refuse('busy', `not run: ${reason}; retry after ${Math.ceil(retryMs)} ms`, 'none');
 }
--- a/src/entry/responder.ts
+++ b/src/entry/responder.ts
@@ -216,10 +216,10 @@
 		});
 	}
 
-	#createJob({id, route, own, remainingMs, spentMs}: types.ForwardedJob, state: states.State): jobs.Job {
+	#createJob({id, route, own, remainingMs, spentMs, customer}: types.ForwardedJob, state: states.State): jobs.Job {
 		const arrivedAt = this.#context.clock.mark();
 		return {
-			id, route, state, sessionPosition: own, arrivedAt, deadline: arrivedAt.monotonicMs + remainingMs - replyMarginMs, spentMs,
+			id, route, customer, state, sessionPosition: own, arrivedAt, deadline: arrivedAt.monotonicMs + remainingMs - replyMarginMs, spentMs,
 		};
 	}
 }
--- a/src/entry/session.ts
+++ b/src/entry/session.ts
@@ -3,9 +3,11 @@
 */
 import type * as types from '../generated/types.js';
 import type * as caller from './caller.js';
+import * as directories from './customers/directory.js';
+import type * as limiters from './customers/limiter.js';
 import type * as deployment from './deployment.js';
 import * as executor from './executor.js';
-import type * as jobs from './job.js';
+import * as jobs from './job.js';
 import type * as leases from './lease.js';
 import * as states from './state.js';
 import * as statement from './statement.js';
@@ -15,6 +17,7 @@
 	readonly context: jobs.Context;
 	readonly deployment: deployment.Deployment;
 	readonly executor: executor.Executor;
+	readonly limiter: limiters.Limiter;
 };
 
 /** Position of the session's last commit in the log of a service. */
@@ -38,6 +41,7 @@
 	readonly #options: Options;
 	readonly #state = new states.State();
 	#database = '';
+	#keyDigest = '';
 	#transaction: executor.Transaction | undefined;
 	#lastCommit: Commit | undefined;
 	#isDraining = false;
@@ -117,8 +121,9 @@
 		await this.#transaction?.abort('the host is shutting down');
 	}
 
-	async #admit({database}: caller.Opening): Promise<boolean> {
+	async #admit({database, key}: caller.Opening): Promise<boolean> {
 		this.#database = database;
+		this.#keyDigest = directories.digest(key);
 		this.#isOpening = true;
 		const isAdmitted = await this.#accept(database);
 		this.#isOpening = false;
@@ -138,7 +143,12 @@
 			return false;
 		}
 
-		this.#options.executor.prepare(route.service);
+		if (!this.#isAuthorized(route)) {
+			this.#caller.reject('unauthorized', 'the key is unknown');
+			return false;
+		}
+
+		this.#options.executor.prepare(route.service, this.#customer(route)?.name);
 		this.#caller.accept();
 		return true;
 	}
@@ -219,8 +229,14 @@
 			return this.#refuse('no-database', this.#database);
 		}
 
+		const refusal = await this.#limit(job);
+		if (refusal) {
+			return refusal;
+		}
+
 		const opened = await this.#options.executor.begin(job, mode);
 		if (!(opened instanceof executor.Transaction)) {
+			this.#returnUnused(job, opened);
 			return opened;
 		}
 
@@ -255,7 +271,13 @@
 			return this.#refuse('no-database', this.#database);
 		}
 
+		const refusal = await this.#limit(job);
+		if (refusal) {
+			return refusal;
+		}
+
 		const reply = await this.#options.executor.run({...job, state: this.#state.copy()}, work);
+		this.#returnUnused(job, reply);
 		if (work.mode === 'write') {
 			this.#recordCommit(reply, job.route.service);
 		}
@@ -263,6 +285,40 @@
 		return reply;
 	}
 
+	/** The customer of the session on a route; `undefined` without customers, on public routes, and if the key is unknown. */
+	#customer(route: types.Route): directories.Customer | undefined {
+		return route.isPublic ? undefined : this.#options.deployment.customers?.find(this.#keyDigest);
+	}
+
+	/** Whether the session may use a route under the current configuration. */
+	#isAuthorized(route: types.Route): boolean {
+		return route.isPublic === true || this.#options.deployment.customers === undefined || this.#customer(route) !== undefined;
+	}
+
+	/** Counts an operation against the customer's quota, and returns a refusal if it may not run. */
+	async #limit(job: jobs.Job): Promise<statement.Reply | undefined> {
+		if (!this.#isAuthorized(job.route)) {
+			return this.#refuse('unauthorized', 'the key is unknown');
+		}
+
+		const customer = this.#customer(job.route);
+		const admission = customer && await this.#options.limiter.admit(customer);
+		if (!admission || admission.kind === 'admitted') {
+			return undefined;
+		}
+
+		const reason = admission.kind === 'limited' ? 'the customer is over its quota' : 'the quota can\'t be checked';
+		return jobs.refuse(this.#options.context, job, reason, admission.retryAfterMs);
+	}
+
+	/** Returns an operation that did not run to the customer's quota. */
+	#returnUnused({route}: jobs.Job, reply: statement.Reply): void {
+		const customer = this.#customer(route);
+		if (customer && statement.isNotRun(reply)) {
+			this.#options.limiter.release(customer);
+		}
+	}
+
 	/** Records the log position of a commit, which later reads of the session have to include. */
 	#recordCommit({refusal, position}: statement.Reply, service: string): void {
 		if (refusal === null && position) {
@@ -281,6 +337,7 @@
 		return {
 			id,
 			route,
+			customer: this.#customer(route)?.name,
 			state: this.#state,
 			sessionPosition: this.#lastCommit?.service === route.service ? this.#lastCommit.position : null,
 			arrivedAt,
--- a/src/entry/tests/fake-fleet.ts
+++ b/src/entry/tests/fake-fleet.ts
@@ -338,6 +338,7 @@
 		await time.awaitRunning();
 		const reply = await this.#writer.execute({
 			id,
+			customer: undefined,
 			route: {
 				name: 'r', database: 'd', kind: 'primary', maximumAgeMs: 0, statementTimeoutMs: this.#fleet.writeTimeoutMs, targetMs: 300, priority: 1, service,
 			},
--- a/src/entry/tests/fixture.ts
+++ b/src/entry/tests/fixture.ts
@@ -73,7 +73,7 @@
 
 	job(change: Partial<jobs.GroupJob> = {}): jobs.GroupJob {
 		return {
-			id: 'q1', route: this.route(), group: this.group, state: new states.State(), sessionPosition: null, arrivedAt: this.time.mark(), deadline: this.time.now() + 800, spentMs: 0, ...change,
+			id: 'q1', route: this.route(), customer: undefined, group: this.group, state: new states.State(), sessionPosition: null, arrivedAt: this.time.mark(), deadline: this.time.now() + 800, spentMs: 0, ...change,
 		};
 	}
 
--- a/src/entry/tests/session.test.ts
+++ b/src/entry/tests/session.test.ts
@@ -2,6 +2,7 @@
 import * as test from 'node:test';
 import type * as types from '../../generated/types.js';
 import * as caller from '../caller.js';
+import * as limiters from '../customers/limiter.js';
 import * as deployments from '../deployment.js';
 import * as executor from '../executor.js';
 import type * as jobs from '../job.js';
@@ -34,7 +35,7 @@
 	}
 
 	override async open(): Promise<caller.Opening> {
-		return {database: 'd', user: 'u'};
+		return {database: 'd', key: 'u'};
 	}
 
 	override accept(): void {
@@ -90,6 +91,7 @@
 			context: this.fixture.context,
 			deployment: this.deployment,
 			executor: new local.Local(this.fixture.context, () => this.fixture.group),
+			limiter: new limiters.Unlimited(),
 		});
 		void session.run();
 		return {client, session};
@@ -232,7 +234,9 @@
 	await harness.start('session');
 	const recorder = new RecordingExecutor();
 	const client = new Caller();
-	void new sessions.Session(client, {context: harness.fixture.context, deployment: harness.deployment, executor: recorder}).run();
+	void new sessions.Session(client, {
+		context: harness.fixture.context, deployment: harness.deployment, executor: recorder, limiter: new limiters.Unlimited(),
+	}).run();
 	await harness.request(client, direct('READ 1'), {kind: 'set', name: 'v1', value: '1'}, direct('READ 2'));
 	assert.deepEqual(recorder.jobs.map(({state}) => [...state.values]), [[], [['v1', '1']]]);
 	await harness.fixture.stop();
--- a/src/entry/tests/shutdown.test.ts
+++ b/src/entry/tests/shutdown.test.ts
@@ -2,6 +2,7 @@
 import * as test from 'node:test';
 import * as clock from '../../core/clock.js';
 import type * as caller from '../caller.js';
+import * as limiters from '../customers/limiter.js';
 import * as callers from '../caller.js';
 import * as decisions from '../decisions.js';
 import * as deployments from '../deployment.js';
@@ -88,7 +89,7 @@
 
 	override async open(): Promise<caller.Opening | undefined> {
 		await this.#waitUntil(() => this.#isOpened);
-		return this.isClosed ? undefined : {database: 'd', user: 'u'};
+		return this.isClosed ? undefined : {database: 'd', key: 'u'};
 	}
 
 	override accept(): void {
@@ -188,7 +189,7 @@
 
 	async #serve(connected: Caller): Promise<void> {
 		const session = new sessions.Session(connected, {
-			context: {clock: this.time, place: 'west', decisions: this.#decisions}, deployment: this.#deployment, executor: this.executor,
+			context: {clock: this.time, place: 'west', decisions: this.#decisions}, deployment: this.#deployment, executor: this.executor, limiter: new limiters.Unlimited(),
 		});
 		this.sessions.add(session);
 		await session.run();
--- a/src/platform/backend.ts
+++ b/src/platform/backend.ts
@@ -22,6 +22,8 @@
 
 /** Idle time after which the operating system sends the first keep-alive probe on a connection. */
 const keepAliveIdleMs = 1000;
+/** Name under which connections without a customer are opened. */
+const ownName = 'sycamorering';
 
 /** A connection to a backend server. Replies are matched to commands in order. */
 export class Connection extends backend.Connection {
@@ -63,9 +65,9 @@
 		return this.#isClosedByServer;
 	}
 
-	/** Starts the session at the server. The reply has no rows and no signature. */
-	async start(service: string, timeoutMs: number): Promise<errors.Outcome<statement.Reply>> {
-		return this.#request(`STARTUP ${service} sycamorering ${this.server}\r\n`, timeoutMs);
+	/** Starts the session at the server, which gets the customer's name. The reply has no rows and no signature. */
+	async start(service: string, customer: string, timeoutMs: number): Promise<errors.Outcome<statement.Reply>> {
+		return this.#request(`STARTUP ${service} ${customer} ${this.server}\r\n`, timeoutMs);
 	}
 
 	override async send(command: statement.Command, timeoutMs: number): Promise<errors.Outcome<statement.Reply>> {
@@ -217,7 +219,7 @@
 		return this.#registration.place;
 	}
 
-	override async connect(timeoutMs: number): Promise<errors.Outcome<backend.Connection>> {
+	override async connect(timeoutMs: number, customer = ownName): Promise<errors.Outcome<backend.Connection>> {
 		const startedAt = this.#clock.now();
 		const {host, port} = address.parse(this.#registration.address);
 		const socket = net.connect({
@@ -235,7 +237,7 @@
 			});
 		});
 		await this.#clock.limit(connected, timeoutMs);
-		const outcome = await connection.start(this.#registration.service, Math.max(1, timeoutMs - (this.#clock.now() - startedAt)));
+		const outcome = await connection.start(this.#registration.service, customer, Math.max(1, timeoutMs - (this.#clock.now() - startedAt)));
 		if (Either.isRight(outcome) && outcome.right.refusal === null) {
 			return Either.right(connection);
 		}
--- a/src/platform/caller.ts
+++ b/src/platform/caller.ts
@@ -51,13 +51,13 @@
 			return undefined;
 		}
 
-		const [command, database, user] = line.split(text, 2);
+		const [command, database, key] = line.split(text, 2);
 		if (command !== 'STARTUP' || database === undefined || database === '') {
 			this.reject('malformed', 'a session must begin with STARTUP and a database name');
 			return undefined;
 		}
 
-		return {database, user: user ?? ''};
+		return {database, key: key ?? ''};
 	}
 
 	override accept(): void {
--- a/src/platform/decode.ts
+++ b/src/platform/decode.ts
@@ -5,6 +5,7 @@
 import * as validators from '../generated/stored.js';
 import type * as types from '../generated/types.js';
 import type * as objects from '../entry/objects.js';
+import * as directories from '../entry/customers/directory.js';
 import * as validation from '../entry/validation.js';
 
 const routeKinds: Readonly<Record<types.StoredRoute['type'], types.RouteKind>> = {
@@ -35,7 +36,7 @@
 	'in-sync': (_name, stored) => validation.check(validators.validateInSyncSet, stored),
 };
 
-function toDeployment({version, routes, services, limits}: types.StoredConfiguration): types.Deployment {
+function toDeployment({version, routes, services, limits, tenants}: types.StoredConfiguration): types.Deployment {
 	return {
 		version,
 		routes: routes.map(route => ({
@@ -47,6 +48,7 @@
 			targetMs: route.targetLatencyMs,
 			priority: route.priority,
 			service: route.service,
+			...(tenants && {isPublic: route.public}),
 		})),
 		databases: services.map(service => ({
 			name: service.name,
@@ -54,6 +56,19 @@
 			synchronousReplicas: service.syncReplicas,
 		})),
 		idleTransactionMs: limits.txIdleMs,
+		...(tenants && {customers: tenants.flatMap(tenant => toCustomer(tenant) ?? [])}),
+	};
+}
+
+/** A customer; `undefined` if its entry is invalid. */
+function toCustomer(stored: unknown): types.Customer | undefined {
+	const {value} = validation.check(validators.validateStoredTenant, stored);
+	return value && {
+		name: value.name,
+		priority: value.priority,
+		operationsPerS: value.perS,
+		burst: value.burstSize,
+		keyDigests: value.apiKeys.map(key => directories.digest(key)),
 	};
 }
 
--- a/src/platform/line.ts
+++ b/src/platform/line.ts
@@ -27,6 +27,7 @@
 	timeout: 'TIMEOUT',
 	'in-doubt': 'INDOUBT',
 	malformed: 'MALFORMED',
+	unauthorized: 'NOAUTH',
 };
 const refusalsByCode = new Map(Object.entries(refusalCodes).map(([name, wire]) => [wire, name as statement.Refusal]));
 
--- a/src/platform/tests/caller.test.ts
+++ b/src/platform/tests/caller.test.ts
@@ -39,7 +39,7 @@
 test.test('a session is opened, a statement is read and a complete reply is sent', {timeout: testTimeoutMs}, async context => {
 	const {accepted, socket} = await connect(context);
 	socket.write('STARTUP lepu270 u3f1\r\nQUERY 5c0e READ 1a4\r\n');
-	assert.deepEqual(await accepted.open(), {database: 'lepu270', user: 'u3f1'});
+	assert.deepEqual(await accepted.open(), {database: 'lepu270', key: 'u3f1'});
 	accepted.accept();
 	assert.equal(await read(socket), 'READY I -\r\n');
 	assert.deepEqual(await accepted.next(), {id: '5c0e', statement: {kind: 'direct', mode: 'read', text: 'READ 1a4'}});
