Soak: customers with keys and quotas, and a plan that replaces keys

The plan customers runs a deployment with four customers. It checks that each statement runs on a connection of its own customer, that nothing runs under a key that was removed longer ago than a configuration may take, that an unknown key opens no session, and that no window of the quotas is exceeded.

--- a/src/bench/hosts.ts
+++ b/src/bench/hosts.ts
@@ -119,7 +119,7 @@
 		for (const server of this.#group.servers) {
 			const limits = {connections: this.#options.connections, slots, maxWorkMs};
 			const listener = new servers.Listener({
-				clock: this.time, random: this.#random, checker: this.#checker, unanswered: this.#unanswered,
+				clock: this.time, random: this.#random, checker: this.#checker, unanswered: this.#unanswered, customers: undefined,
 			}, limits, this.#group, server);
 			this.#listeners.push(listener);
 			this.platform.put('servers', server.id, objects.formatRegistration({
@@ -146,6 +146,7 @@
 				unanswered: this.#unanswered,
 				maxPauseMs,
 				scopes: [],
+				customer: undefined,
 				route: {
 					database: 'primary', group: service, kind: 'primary', maxAgeMs: 0, timeoutMs,
 				},
--- a/src/soak/caller.ts
+++ b/src/soak/caller.ts
@@ -9,6 +9,7 @@
 import type * as types from '../generated/types.js';
 import type * as checkers from './checker.js';
 import type * as contacts from './contact.js';
+import type * as soakCustomers from './customers.js';
 import type * as requests from './unanswered.js';
 
 /** A route, the consistency that it promises, and the least time that any configuration gives its statements. */
@@ -24,6 +25,8 @@
 	/** What a request needs beside its host. */
 	readonly scopes: readonly contacts.Scope[];
 	readonly route: Route;
+	/** The caller's customer; `undefined` in deployments without customers. */
+	readonly customer: {readonly all: soakCustomers.Customers; readonly index: number} | undefined;
 	/** Addresses of the entry hosts' caller listeners. */
 	readonly hosts: readonly string[];
 };
@@ -147,14 +150,16 @@
 	#onLine: (() => void) | undefined;
 	readonly #host: number;
 	#isOpen = true;
+	readonly #key: string;
 	/** Clock time at which the host ended the connection. */
 	#endedAt: number | undefined;
 	/** The open transaction: the time of its `BEGIN`, and the ids of its writes. */
-	#transaction: {readonly sentAt: number; readonly writes: string[]} | undefined;
+	#transaction: {readonly id: string; readonly sentAt: number; readonly writes: string[]} | undefined;
 
 	constructor(host: number, options: Options) {
 		this.#options = options;
 		this.#host = host;
+		this.#key = options.customer?.all.key(options.customer.index) ?? 'soak';
 		const [address, port] = options.hosts[host].split(':');
 		this.#socket = net.connect({host: address, port: Number(port), noDelay: true});
 		this.#socket.on('data', chunk => {
@@ -177,7 +182,7 @@
 	}
 
 	async open(): Promise<boolean> {
-		this.#socket.write(`STARTUP ${this.#options.route.database} soak\r\n`);
+		this.#socket.write(`STARTUP ${this.#options.route.database} ${this.#key}\r\n`);
 		const response = await this.#readLine();
 		return response?.startsWith('READY') ?? false;
 	}
@@ -211,7 +216,7 @@
 		const sentAt = this.#options.clock.now();
 		const response = await this.#query(id, 'BEGIN');
 		if (response && response.error === undefined) {
-			this.#transaction = {sentAt, writes: []};
+			this.#transaction = {id, sentAt, writes: []};
 		}
 
 		return this.#transaction !== undefined;
@@ -234,7 +239,7 @@
 
 	async commit(id: string): Promise<boolean> {
 		const writes = this.#transaction?.writes ?? [];
-		this.#recordRequest(id, 'COMMIT', this.#transaction?.sentAt);
+		this.#recordRequest(id, 'COMMIT');
 		this.#transaction = undefined;
 		const response = await this.#query(id, 'COMMIT');
 		this.#recordOutcome(writes, response);
@@ -262,7 +267,7 @@
 		const [word] = line.split(text, 1);
 		const [name, template] = [...this.#prepared].find(([, prepared]) => prepared.startsWith(`${word} `)) ?? [];
 		const isPrepared = name !== undefined && template !== undefined && this.#options.random.integer(0, 1) === 0;
-		this.#recordRequest(id, isPrepared ? `${template} 7 x` : text, this.#transaction?.sentAt);
+		this.#recordRequest(id, isPrepared ? `${template} 7 x` : text);
 		const response = await this.#query(id, isPrepared ? `EXECUTE ${name} 7 x` : text);
 		if (response && response.error === undefined) {
 			this.#options.checker.checkResponse(id, response.signature, response.rows);
@@ -271,10 +276,14 @@
 		return response;
 	}
 
-	#recordRequest(id: string, text: string, sentAt: number | undefined): void {
-		const {checker, route, clock: time} = this.#options;
+	#recordRequest(id: string, text: string): void {
+		const {checker, route, clock: time, customer} = this.#options;
+		const sentAt = this.#transaction?.sentAt ?? time.now();
+		customer?.all.recordRequest({
+			id, operation: this.#transaction?.id ?? id, customer: customer.index, key: this.#key, host: this.#host, sentAt,
+		});
 		checker.recordRequest({
-			id, text, kind: route.kind, maxAgeMs: route.maxAgeMs, sentAt: sentAt ?? time.now(), values: new Map(this.#values), ownWrites: [...this.#ownWrites],
+			id, text, kind: route.kind, maxAgeMs: route.maxAgeMs, sentAt, values: new Map(this.#values), ownWrites: [...this.#ownWrites],
 		});
 	}
 
--- a/src/soak/fault.ts
+++ b/src/soak/fault.ts
@@ -179,22 +179,28 @@
 	}
 }
 
-/** Compacts the store's history, or writes a new configuration. */
+const changeTexts = {compact: 'the store compacts its history', configure: 'a new configuration', 'replace key': 'a customer gets another key'} as const;
+
+/** Compacts the store's history, or writes a new configuration, which may replace the key of a customer. */
 export class StoreChange extends Fault {
 	readonly text: string;
 	readonly scopes = [] as const;
-	readonly #kind: 'compact' | 'configure';
+	readonly #kind: 'compact' | 'configure' | 'replace key';
 
-	constructor(kind: 'compact' | 'configure') {
+	constructor(kind: 'compact' | 'configure' | 'replace key') {
 		super();
 		this.#kind = kind;
-		this.text = kind === 'compact' ? 'the store compacts its history' : 'a new configuration';
+		this.text = changeTexts[kind];
 	}
 
 	override begin(site: sites.Site): void {
 		if (this.#kind === 'compact') {
 			site.platform.compact();
 		} else {
+			if (this.#kind === 'replace key') {
+				site.replaceKey();
+			}
+
 			site.configure();
 		}
 	}
--- a/src/soak/object.ts
+++ b/src/soak/object.ts
@@ -9,10 +9,12 @@
 	readonly type: 'primary' | 'bounded_staleness' | 'read_your_writes';
 	readonly maxAgeMs: number;
 	readonly timeoutMs: number;
+	/** Whether sessions need no key. Only used with customers. */
+	readonly isPublic?: boolean;
 };
 
 /** A configuration. Each service has `connections` on each of its servers. */
-export type Configuration = {readonly version: number; readonly routes: readonly Route[]; readonly services: readonly string[]; readonly connections: number};
+export type Configuration = {readonly version: number; readonly routes: readonly Route[]; readonly services: readonly string[]; readonly connections: number; readonly tenants?: readonly unknown[]};
 
 /** A server as it registers itself. */
 export type Registration = {
@@ -30,14 +32,15 @@
 const idleTransactionMs = 2000;
 
 /** Formats a configuration as the operators write it. */
-export function formatConfiguration({version, routes, services, connections}: Configuration): unknown {
+export function formatConfiguration({version, routes, services, connections, tenants}: Configuration): unknown {
 	return {
 		version,
-		routes: routes.map(({database, service, type, maxAgeMs, timeoutMs}) => ({
-			name: database, databaseName: database, type, timeoutMs, targetLatencyMs, priority: 1, service, ...(maxAgeMs > 0 ? {maxStalenessMs: maxAgeMs} : {}),
+		routes: routes.map(({database, service, type, maxAgeMs, timeoutMs, isPublic}) => ({
+			name: database, databaseName: database, type, timeoutMs, targetLatencyMs, priority: 1, service, ...(maxAgeMs > 0 ? {maxStalenessMs: maxAgeMs} : {}), ...(isPublic && {public: true}),
 		})),
 		services: services.map(name => ({name, maxConnections: connections, syncReplicas: 1})),
 		limits: {txIdleMs: idleTransactionMs},
+		...(tenants && {tenants}),
 	};
 }
 
--- a/src/soak/plan.ts
+++ b/src/soak/plan.ts
@@ -9,7 +9,7 @@
 import type * as sites from './site.js';
 
 /** Name of a plan. */
-export type Kind = 'mixed' | 'restores' | 'returns' | 'stalls' | 'overload' | 'promotions';
+export type Kind = 'mixed' | 'restores' | 'returns' | 'stalls' | 'overload' | 'promotions' | 'customers';
 
 /** A fault and its duration. */
 export type Step = {readonly fault: faults.Fault; readonly durationMs: number};
@@ -184,6 +184,24 @@
 	}
 }
 
+/** Any faults, with a replaced key after each. The draws come from a source of their own, like those of `Restores`. */
+class Customers extends Plan {
+	readonly #random: random.Source;
+	readonly #size: sites.Size;
+	#isKeyNext = false;
+
+	constructor(source: random.Source, size: sites.Size) {
+		super(source);
+		this.#random = source;
+		this.#size = size;
+	}
+
+	protected override draw(): faults.Fault {
+		this.#isKeyNext = !this.#isKeyNext;
+		return this.#isKeyNext ? faults.draw(this.#random, this.#size) : new faults.StoreChange('replace key');
+	}
+}
+
 /** Promotions in a row. The draws come from a source of their own, like those of `Restores`. */
 class Promotions extends Plan {
 	readonly #draw: promotions.Draw;
@@ -205,7 +223,13 @@
 export function adapt(kind: Kind, size: sites.Size): sites.Size {
 	if (kind === 'promotions') {
 		return {
-			hosts: 7, groups: 3, connections: 24, callers: 36, hasQuickCallers: true, slots: 1, maxWorkMs: 12,
+			...size, hosts: 7, groups: 3, connections: 24, callers: 36, hasQuickCallers: true, slots: 1, maxWorkMs: 12,
+		};
+	}
+
+	if (kind === 'customers') {
+		return {
+			...size, hosts: 5, connections: 8, callers: 24, hasQuickCallers: true, customers: 4,
 		};
 	}
 
@@ -247,6 +271,10 @@
 			return new Overload(new randoms.Seeded(seed), size);
 		}
 
+		case 'customers': {
+			return new Customers(new randoms.Seeded(seed), size);
+		}
+
 		case 'promotions': {
 			return new Promotions(new randoms.Seeded(seed), size);
 		}
--- a/src/soak/probe.ts
+++ b/src/soak/probe.ts
@@ -4,11 +4,15 @@
 import * as net from 'node:net';
 import * as line from '../platform/line.js';
 import type * as clock from '../core/clock.js';
+import type * as soakCustomers from './customers.js';
 import type * as configurations from './configurations.js';
 
 export type Options = {
 	readonly clock: clock.Clock;
 	readonly configurations: configurations.Configurations;
+	readonly customers: soakCustomers.Customers | undefined;
+	/** A database whose route isn't public, if there are customers. */
+	readonly privateDatabase: string;
 	/** Address of the host's caller listener. */
 	readonly address: string;
 	/** The host's current process; `undefined` while it isn't running. */
@@ -17,6 +21,10 @@
 
 const intervalMs = 150;
 const responseTimeoutMs = 2000;
+/** A key that no configuration has. The probes' own routes are public. */
+const unknownKey = 'probe';
+/** One in this many probes tries to open a session that needs a key with the unknown one. */
+const unknownKeyInterval = 10;
 
 /** Database name of the route that only configuration `number` has. */
 export function databaseName(number: number): string {
@@ -33,13 +41,19 @@
 
 	/** Opens sessions for the latest configuration's route and for the one that it removed, until `signal` aborts. */
 	async run(signal: AbortSignal): Promise<void> {
-		const {clock: time, configurations: checked} = this.#options;
+		const {
+			clock: time, configurations: checked, customers, privateDatabase, address,
+		} = this.#options;
 		for (let count = 0; !signal.aborted; count++) {
 			const number = checked.latest - (count % 2);
 			if (number >= 0) {
 				await this.#openSession(number);
 			}
 
+			if (customers && count % unknownKeyInterval === 0) {
+				customers.recordUnknownKey(await request(time, address, `STARTUP ${privateDatabase} ${unknownKey}\r\n`));
+			}
+
 			await time.sleep(intervalMs, signal);
 		}
 	}
@@ -61,7 +75,7 @@
 
 /** Opens a session for a database at a host; `undefined` if the host's answer says nothing about its configuration. */
 export async function openSession(time: clock.Clock, address: string, database: string): Promise<configurations.Answer | undefined> {
-	return parseAnswer(await request(time, address, `STARTUP ${database} probe\r\n`));
+	return parseAnswer(await request(time, address, `STARTUP ${database} ${unknownKey}\r\n`));
 }
 
 /** Sends a line on a new connection and returns the first line of the response; `undefined` if there is none. */
--- a/src/soak/server.ts
+++ b/src/soak/server.ts
@@ -10,9 +10,16 @@
 import type * as random from '../core/random.js';
 import type * as replicated from './replicated.js';
 import type * as checkers from './checker.js';
+import type * as soakCustomers from './customers.js';
 import type * as requests from './unanswered.js';
 
-export type Options = {readonly clock: clock.Clock; readonly random: random.Source; readonly checker: checkers.Checker; readonly unanswered: requests.Unanswered};
+export type Options = {
+	readonly clock: clock.Clock;
+	readonly random: random.Source;
+	readonly checker: checkers.Checker;
+	readonly unanswered: requests.Unanswered;
+	readonly customers: soakCustomers.Customers | undefined;
+};
 
 /** Limits of one server. A statement takes a random time of up to `maxWorkMs`. */
 export type Limits = {readonly connections: number; readonly slots: number; readonly maxWorkMs: number};
@@ -103,6 +110,8 @@
 	readonly #values = new Map<string, string>();
 	readonly #prepared = new Map<string, string>();
 	#transaction: Transaction | undefined;
+	/** Customer named at the opening of the connection. */
+	#customer = '';
 
 	constructor(socket: net.Socket, options: Options, context: Context) {
 		this.#socket = socket;
@@ -127,6 +136,7 @@
 		const {server, isFull} = this.#context;
 		const [word, first, rest = ''] = line.split(text, 2);
 		if (word === 'STARTUP') {
+			[this.#customer] = line.split(rest, 1);
 			const isWrongServer = first !== this.#context.group.name || !rest.endsWith(` ${server.id}`);
 			if (isWrongServer || isFull()) {
 				this.#socket.end(`ERROR ${isWrongServer ? 'WRONGNODE' : 'CONNLIMIT'} ${server.id}\r\n`);
@@ -281,6 +291,7 @@
 			return this.#fail(`READONLY ${server.id}`);
 		}
 
+		this.#options.customers?.recordExecution(id, this.#customer);
 		const signature = this.#options.checker.recordExecution(id, text, {server, values: this.#values, isWrite});
 		if (!isWrite) {
 			return {rows: [signature], signature};
@@ -302,6 +313,7 @@
 			return {error: 'MALFORMED no transaction'};
 		}
 
+		this.#options.customers?.recordExecution(id, this.#customer);
 		const signature = this.#options.checker.recordExecution(id, 'COMMIT', {server, values: this.#values, isWrite: false});
 		if (transaction.writes.length === 0) {
 			return {signature};
--- a/src/soak/site.ts
+++ b/src/soak/site.ts
@@ -17,6 +17,7 @@
 import * as checkers from './checker.js';
 import * as configurations from './configurations.js';
 import * as contacts from './contact.js';
+import * as soakCustomers from './customers.js';
 import * as failovers from './failovers.js';
 import type * as faults from './fault.js';
 import type * as loads from './load.js';
@@ -39,6 +40,8 @@
 	readonly slots: number;
 	/** Longest execution of a statement. */
 	readonly maxWorkMs: number;
+	/** Number of customers; 0 for a deployment without customers. */
+	readonly customers: number;
 };
 
 /** An entry host: its settings file, its addresses and its current process. */
@@ -99,6 +102,7 @@
 	readonly configurations = new configurations.Configurations(this.time, this.contact);
 	readonly unanswered = new requests.Unanswered({clock: this.time, unplanned: this.unplanned, graceMs: graceS * 1000});
 	readonly failovers: failovers.Failovers;
+	readonly customers: soakCustomers.Customers | undefined;
 	readonly groups: readonly replicated.Group[];
 	readonly hosts: Host[] = [];
 	readonly backends: Backend[] = [];
@@ -124,6 +128,7 @@
 		this.#random = source;
 		this.groups = Array.from({length: size.groups}, (_, index) => new replicated.Group(`ledgers${index}`, places, this.time, this.checker));
 		this.platform = new platforms.Platform(this.time, source, (service, server, order) => this.groups.find(({name}) => name === service)?.promote(server, order) ?? false);
+		this.customers = size.customers > 0 ? new soakCustomers.Customers(this.time, this.contact, size.customers) : undefined;
 		this.failovers = new failovers.Failovers({clock: this.time, contact: this.contact, lastAcknowledgedAt: group => this.checker.lastAcknowledgedAt(group)});
 	}
 
@@ -139,7 +144,7 @@
 
 	/** Violations found so far, those of all checks. */
 	get violations(): readonly string[] {
-		return [...this.checker.violations, ...this.configurations.violations, ...this.failovers.violations, ...this.unanswered.violations, ...this.unexpectedExits];
+		return [...this.checker.violations, ...this.configurations.violations, ...this.failovers.violations, ...this.unanswered.violations, ...this.customers?.violations ?? [], ...this.unexpectedExits];
 	}
 
 	/** Starts the stand-ins, writes the configuration and starts the host processes, without waiting until they are ready. */
@@ -150,7 +155,7 @@
 			for (const server of group.servers) {
 				const limits = {connections: this.#size.connections, slots: this.#size.slots, maxWorkMs: this.#size.maxWorkMs};
 				const listener = new servers.Listener({
-					clock: this.time, random: this.#random, checker: this.checker, unanswered: this.unanswered,
+					clock: this.time, random: this.#random, checker: this.checker, unanswered: this.unanswered, customers: this.customers,
 				}, limits, group, server);
 				this.backends.push({
 					group, server, listener, relay: await relay.Relay.start({host: '127.0.0.1', port: await listener.listen()}, 1),
@@ -202,6 +207,7 @@
 				route: {
 					database: `${group.name}-${kind}`, group: group.name, kind, maxAgeMs, timeoutMs: minTimeoutMs,
 				},
+				customer: this.customers && {all: this.customers, index: index % this.customers.count},
 				hosts: this.hosts.map(({callerAddress}) => callerAddress),
 			});
 			this.callers.push(caller);
@@ -210,7 +216,7 @@
 
 		for (const [host, {callerAddress: address}] of this.hosts.entries()) {
 			const probe = new probes.Probe({
-				clock: this.time, configurations: this.configurations, address, process: () => this.#findProcess(host),
+				clock: this.time, configurations: this.configurations, customers: this.customers, privateDatabase: `${this.groups[0].name}-primary`, address, process: () => this.#findProcess(host),
 			});
 			this.#tasks.push(probe.run(this.#callersStopped.signal));
 		}
@@ -233,15 +239,21 @@
 					database: `${name}-${kind}`, service: name, type, maxAgeMs, timeoutMs: minTimeoutMs + this.#random.integer(0, 100),
 				}))),
 				{
-					database, service: this.groups[0].name, type: 'primary', maxAgeMs: 0, timeoutMs: minTimeoutMs,
+					database, service: this.groups[0].name, type: 'primary', maxAgeMs: 0, timeoutMs: minTimeoutMs, isPublic: this.customers !== undefined,
 				},
 			],
 			services: this.groups.map(({name}) => name),
 			connections: this.#size.connections,
+			...(this.customers && {tenants: this.customers.format()}),
 		}));
 		this.configurations.acknowledge();
 	}
 
+	/** Replaces the key of a random customer; the next configuration holds the new one. */
+	replaceKey(): void {
+		this.customers?.replaceKey(this.#random.integer(0, this.customers.count - 1));
+	}
+
 	/** Ends a server and starts a new one at its address, with its log. */
 	replace(index: number): void {
 		const backend = this.backends[index];
@@ -304,6 +316,7 @@
 			}
 		}
 
+		this.customers?.checkQuotas();
 		this.#stopped.abort();
 		this.unplanned.begin(['hosts']);
 		for (const {child} of this.hosts) {
@@ -401,6 +414,7 @@
 			`graceS = ${graceS}`,
 			'[peers]',
 			`seeds = ${seeds}`,
+			...(this.customers ? formatQuota() : []),
 		].join('\n'));
 		this.platform.peerRelays.set(`${hostAddress}:${peer}`, `127.0.0.1:${peerRelay.port}`);
 		return {
@@ -409,6 +423,12 @@
 	}
 }
 
+/** Settings of the bound on the operations of customers. */
+function formatQuota(): string[] {
+	const {windowS, overage, slack} = soakCustomers.bound;
+	return ['[quota]', `windowS = ${windowS}`, `overage = ${overage}`, `slack = ${slack}`];
+}
+
 /** The servers of a group. */
 export function serverScopes(group: number): contacts.Scope[] {
 	return Array.from({length: serversPerGroup}, (_, index) => `server ${(group * serversPerGroup) + index}` as const);
