Add a check of a configuration before it is sent

sycamorering inspect reads a configuration in the form of the users' platform and reports errors, entries that can never match, limits that contradict each other and the differences from the version in force, as text or JSON. The decisions are in operator/inspection.ts on decoded types, so they know no names of the platform.

Entries of customers that can't be decoded are not reported one by one yet.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -16,6 +16,7 @@
 	entry: async () => import('./entry.js'),
 	check: async () => import('./check.js'),
 	diff: async () => import('./diff.js'),
+	inspect: async () => import('./inspect.js'),
 	apply: async () => import('./apply.js'),
 	show: async () => import('./show.js'),
 	status: async () => import('./status.js'),
--- a/src/platform/decode.ts
+++ b/src/platform/decode.ts
@@ -24,8 +24,7 @@
 			return {value: undefined, fault: `the configuration is ${configurationName}`};
 		}
 
-		const {value, fault} = validation.check(validators.validateStoredConfiguration, stored);
-		return {value: value && toDeployment(value), fault};
+		return decodeConfiguration(stored);
 	},
 	servers(name, stored) {
 		const {value, fault} = validation.check(validators.validateStoredServer, stored);
@@ -36,6 +35,19 @@
 	'in-sync': (_name, stored) => validation.check(validators.validateInSyncSet, stored),
 };
 
+/**
+Decodes a configuration as operators write it.
+
+@example
+```
+const {value, fault} = decode.decodeConfiguration(JSON.parse(text));
+```
+*/
+export function decodeConfiguration(stored: unknown): validation.Checked<types.Deployment> {
+	const {value, fault} = validation.check(validators.validateStoredConfiguration, stored);
+	return {value: value && toDeployment(value), fault};
+}
+
 function toDeployment({version, routes, services, limits, tenants}: types.StoredConfiguration): types.Deployment {
 	return {
 		version,
