Keep each server connection for the customer that it was opened for

A pool knew no customer, so that with customers in the configuration a connection opened in the name of one would have served another. Requests now carry the customer, and a connection is handed only to requests of its own customer, also after hedges, validation and idle times. At the limit of the pool or of the server, the least recently used idle connection of another customer is closed for a waiting request; a customer with more than its share yields connections to those that wait. Polls and orders of the proxy use any connection. All callers of the pool pass the job's customer. Without customers the pool decides as before.

With the customer check removed from the pool or from the search for idle connections, the new property test fails.

--- a/src/core/pool.ts
+++ b/src/core/pool.ts
@@ -1,5 +1,6 @@
 /**
-A pool of connections to one backend server, limited to the owner's quota. A connection has one holder at a time.
+A pool of connections to one backend server, limited to the owner's quota. A connection has one holder at a time, and
+serves only requests of the customer that it was opened for.
 */
 import * as Either from 'fp-ts/lib/Either.js';
 import type * as clock from './clock.js';
@@ -28,6 +29,10 @@
 
 /** Options of a request for a connection. */
 export type Request<C> = {
+	/** Customer whose statement needs the connection; `undefined` without customers and for work in the proxy's own name. */
+	readonly customer?: string;
+	/** Whether the request runs no caller's statement, as polls and orders, so that it may use a connection of any customer. */
+	readonly isInternal?: boolean;
 	/** Ends the wait when it aborts. */
 	readonly signal?: AbortSignal;
 	/** Accepts the idle connections to use first. */
@@ -42,6 +47,10 @@
 };
 
 type Idle<C> = {readonly connection: C; readonly since: number};
+/** The customer that a connection was opened for, and the clock times of its opening and of its last use for a caller. */
+type Origin = {readonly customer: string | undefined; readonly openedAt: number; usedAt: number};
+/** An attempt to open or validate a connection of a customer. A hedge was started in parallel with a slow attempt. */
+type Attempt = {readonly customer: string | undefined; readonly order: 'first' | 'hedge'; readonly startedAt: number};
 type Waiter<C> = {
 	readonly since: number;
 	readonly request: Request<C>;
@@ -53,6 +62,11 @@
 stands for all waiting requests: after a power loss every host finds the limit reached by lost connections.
 */
 const limitBackoffMs = 100;
+/**
+Time for which a connection stays with a customer that has further requests while another one waits. Opening one takes
+12 ms of an execution slot, so that alternating customers cost at most an eighth of a connection's time.
+*/
+const minTenureMs = 100;
 /** Time for which a refusal at the connection limit counts as recent: several attempts. */
 const limitMemoryMs = 400;
 
@@ -63,10 +77,9 @@
 	readonly #held = new Set<C>();
 	#idle: Array<Idle<C>> = [];
 	#waiters: Array<Waiter<C>> = [];
+	readonly #origins = new WeakMap<C, Origin>();
 	/** Attempts to open or validate a connection. They count towards the limit until they end. */
-	#pending = 0;
-	/** Those of `#pending` that were started in parallel with a slow attempt. */
-	#hedges = 0;
+	readonly #attempts = new Set<Attempt>();
 	#connectionLimit: number;
 	#isClosed = false;
 	/** Time of the clock at which the server last refused a connection at its limit. */
@@ -91,7 +104,7 @@
 
 	/** Number of connections that are open or being opened. */
 	get open(): number {
-		return this.#held.size + this.#idle.length + this.#pending;
+		return this.#held.size + this.#idle.length + this.#attempts.size;
 	}
 
 	/** Whether this pool has no connection and the server recently refused one at its limit. */
@@ -113,11 +126,6 @@
 		return this.#clock.now() - this.#refusedAt < limitBackoffMs;
 	}
 
-	/** Number of connections that pending attempts will provide; a hedge and the attempt that it hedges count once. */
-	get #expectedConnections(): number {
-		return this.#pending - this.#hedges;
-	}
-
 	/**
 	Acquires an idle connection, opens one if the limit allows, or waits for one. The holder must pass it to `release`.
 
@@ -137,7 +145,7 @@
 			return this.#refuse('the request for a connection was cancelled');
 		}
 
-		if (this.isBlockedByLimit && this.#isBackingOff && request.atLimit !== 'wait') {
+		if (this.#isRefusing(request) && request.atLimit !== 'wait') {
 			return errors.fail('not-run', 'admit', this.server.name, 'the server is at its connection limit');
 		}
 
@@ -254,36 +262,126 @@
 
 	/** Serves waiters from idle connections, then by opening connections up to the limit. */
 	#serveWaiters(): void {
-		for (let idle = this.#nextIdle(); idle; idle = this.#nextIdle()) {
-			this.#useIdle(idle);
+		for (let next = this.#nextIdle(); next; next = this.#nextIdle()) {
+			this.#useIdle(next.idle, next.waiter);
 		}
 
-		while (this.#needsConnection(this.#expectedConnections)) {
-			void this.#obtain(async () => this.#connect(), 'first');
+		for (let waiter = this.#nextUncovered(); waiter && this.#makeRoom(waiter.request); waiter = this.#nextUncovered()) {
+			const {customer} = waiter.request;
+			void this.#obtain(async () => this.#connect(customer), customer, 'first');
 		}
 	}
 
 	/**
-	Removes and returns the idle connection to use next: the one that the first waiter prefers, else the most recently
-	used one. `undefined` if no request waits, or if that connection needs validation and pending attempts will serve all
-	waiters.
+	Removes and returns the idle connection to use next, with its waiter: for the first waiter that can use one, the
+	connection that it prefers, else the most recently used one. `undefined` if no waiter can use one, or if it needs validation and pending
+	attempts will serve all waiters of its customer.
 	*/
-	#nextIdle(): Idle<C> | undefined {
-		const [waiter] = this.#waiters;
-		const latest = this.#idle.at(-1);
-		if (!waiter || !latest || this.#isClosed) {
+	#nextIdle(): {readonly idle: Idle<C>; readonly waiter: Waiter<C>} | undefined {
+		if (this.#isClosed || this.#idle.length === 0) {
 			return undefined;
 		}
 
-		const {isPreferred} = waiter.request;
-		const preferred = isPreferred && this.#idle.findLast(idle => this.#isRecentlyUsed(idle) && isPreferred(idle.connection));
-		const idle = preferred ?? latest;
-		if (!this.#isRecentlyUsed(idle) && this.#waiters.length <= this.#expectedConnections) {
+		for (const waiter of this.#firstWaiters()) {
+			const idle = this.#findIdle(waiter.request);
+			if (idle && (this.#isRecentlyUsed(idle) || !this.#isCovered(waiter.request))) {
+				this.#idle.splice(this.#idle.indexOf(idle), 1);
+				return {idle, waiter};
+			}
+		}
+
+		return undefined;
+	}
+
+	#findIdle({customer, isInternal, isPreferred}: Request<C>): Idle<C> | undefined {
+		const usable = this.#idle.filter(({connection}) => isInternal === true || this.#origin(connection).customer === customer);
+		const preferred = isPreferred && usable.findLast(idle => this.#isRecentlyUsed(idle) && isPreferred(idle.connection));
+		return preferred ?? usable.at(-1);
+	}
+
+	/** The first waiter of each customer and the first internal one, in the order of service. */
+	#firstWaiters(): Array<Waiter<C>> {
+		const first = new Map<string | undefined, Waiter<C>>();
+		let internal: Waiter<C> | undefined;
+		for (const waiter of this.#waiters) {
+			const {customer, isInternal} = waiter.request;
+			if (isInternal) {
+				internal ??= waiter;
+			} else if (!first.has(customer)) {
+				first.set(customer, waiter);
+			}
+		}
+
+		const kept = new Set([...first.values(), internal]);
+		return this.#waiters.filter(waiter => kept.has(waiter));
+	}
+
+	/** The first waiter that no pending attempt will serve, those of customers with less than their share before the others. */
+	#nextUncovered(): Waiter<C> | undefined {
+		if (this.#isClosed) {
 			return undefined;
 		}
 
-		this.#idle.splice(this.#idle.indexOf(idle), 1);
-		return idle;
+		const uncovered = this.#firstWaiters().filter(({request}) => !this.#isCovered(request));
+		return uncovered.length > 1
+			? uncovered.find(({request: {isInternal, customer}}) => isInternal === true || this.#count(customer) < this.#share(customer)) ?? uncovered[0]
+			: uncovered[0];
+	}
+
+	/** Whether pending attempts will serve all waiters of a request's customer. A hedge and the attempt that it hedges count once. */
+	#isCovered({customer, isInternal}: Request<C>): boolean {
+		const attempts = [...this.#attempts].filter(({order}) => order === 'first');
+		return isInternal
+			? this.#waiters.length <= attempts.length
+			: this.#waiters.filter(({request}) => !request.isInternal && request.customer === customer).length <= attempts.filter(attempt => attempt.customer === customer).length;
+	}
+
+	/**
+	Whether a connection may be opened for a request. At the limit, or while the server refuses connections at its own limit,
+	the least recently used idle connection of another customer is closed for it.
+	*/
+	#makeRoom(request: Request<C>): boolean {
+		if (this.open < this.#effectiveLimit && !this.#isBackingOff) {
+			return true;
+		}
+
+		const evicted = this.open <= this.#effectiveLimit ? this.#findEvictable(request) : undefined;
+		if (!evicted) {
+			return false;
+		}
+
+		this.#idle.splice(this.#idle.indexOf(evicted), 1);
+		evicted.connection.close();
+		return true;
+	}
+
+	/** The idle connection of another customer that was not used for a caller for the longest time. */
+	#findEvictable({customer, isInternal}: Request<C>): Idle<C> | undefined {
+		return isInternal
+			? undefined
+			: this.#idle
+				.filter(({connection}) => this.#origin(connection).customer !== customer)
+				.toSorted((one, other) => this.#origin(one.connection).usedAt - this.#origin(other.connection).usedAt)
+				.at(0);
+	}
+
+	/** Whether the server recently refused a connection at its limit, and this pool has none that the request could use. */
+	#isRefusing(request: Request<C>): boolean {
+		const connections = [...this.#held, ...this.#idle.map(({connection}) => connection)];
+		return this.#isBackingOff && !connections.some(connection => this.#accepts(request, this.#origin(connection).customer)) && !this.#findEvictable(request);
+	}
+
+	#accepts(request: Request<C>, customer: string | undefined): boolean {
+		return request.isInternal === true || request.customer === customer;
+	}
+
+	#origin(connection: C): Origin {
+		const origin = this.#origins.get(connection);
+		if (!origin) {
+			throw new TypeError('the connection was not opened by this pool');
+		}
+
+		return origin;
 	}
 
 	#isRecentlyUsed({since}: Idle<C>): boolean {
@@ -291,42 +389,37 @@
 	}
 
 	/** Assigns an idle connection, validates it first, or closes it, depending on how long it was idle. */
-	#useIdle(idle: Idle<C>): void {
+	#useIdle(idle: Idle<C>, waiter: Waiter<C>): void {
 		const {connection, since} = idle;
 		const isOld = this.#clock.now() - since > this.#limits.idleLimitMs;
 		if (!connection.isOpen || isOld || this.open >= this.#effectiveLimit) {
 			connection.close();
 		} else if (this.#isRecentlyUsed(idle)) {
-			this.#assign(connection);
+			this.#assign(connection, waiter);
 		} else {
-			void this.#obtain(async () => this.#validate(connection), 'first');
+			const {customer} = this.#origin(connection);
+			void this.#obtain(async () => this.#validate(connection, customer), customer, 'first');
 		}
 	}
 
-	#needsConnection(expectedConnections: number): boolean {
-		return !this.#isClosed && this.#waiters.length > expectedConnections && this.open < this.#effectiveLimit && !this.#isBackingOff;
-	}
-
-	/** Obtains a connection for the waiters, and opens a second one in parallel if a `first` attempt is slow. */
-	async #obtain(obtain: () => Promise<errors.Outcome<C>>, order: 'first' | 'hedge'): Promise<void> {
-		const startedAt = this.#clock.now();
+	/** Obtains a connection for a customer's waiters, and opens a second one in parallel if a `first` attempt is slow. */
+	async #obtain(obtain: () => Promise<errors.Outcome<C>>, customer: string | undefined, order: 'first' | 'hedge'): Promise<void> {
+		const attempt = {customer, order, startedAt: this.#clock.now()};
 		const ended = new AbortController();
-		this.#pending++;
-		this.#hedges += order === 'hedge' ? 1 : 0;
+		this.#attempts.add(attempt);
 		if (order === 'first') {
-			void this.#hedge(ended.signal);
+			void this.#hedge(customer, ended.signal);
 		}
 
 		const outcome = await this.#catchError(obtain);
 		ended.abort('ended');
-		this.#pending--;
-		this.#hedges -= order === 'hedge' ? 1 : 0;
+		this.#attempts.delete(attempt);
 		if (Either.isLeft(outcome)) {
-			this.#failWaiters(outcome, startedAt);
+			this.#failWaiters(outcome, attempt);
 		} else if (outcome.right.isOpen) {
 			this.#makeAvailable(outcome.right);
 		} else {
-			this.#failWaiters(this.#refuse('the connection was closed while it was being opened or validated'), startedAt);
+			this.#failWaiters(this.#refuse('the connection was closed while it was being opened or validated'), attempt);
 		}
 	}
 
@@ -339,26 +432,30 @@
 		}
 	}
 
-	async #hedge(ended: AbortSignal): Promise<void> {
+	async #hedge(customer: string | undefined, ended: AbortSignal): Promise<void> {
 		await this.#clock.sleep(this.#limits.hedgeAfterMs, ended);
-		if (!ended.aborted && this.#needsConnection(0)) {
-			void this.#obtain(async () => this.#connect(), 'hedge');
+		const isNeeded = !this.#isClosed && this.#waiters.some(({request}) => this.#accepts(request, customer));
+		if (!ended.aborted && isNeeded && this.open < this.#effectiveLimit && !this.#isBackingOff) {
+			void this.#obtain(async () => this.#connect(customer), customer, 'hedge');
 		}
 	}
 
 	/**
-	Fails waiters after a failed attempt, so that their requests can try another server: the one that waits longest and,
-	when no connection is in use that could be released, also those that waited throughout the attempt and that no pending
-	attempt will serve.
+	Fails waiters that could have used the connection after a failed attempt, so that their requests can try another server:
+	the one that waits longest and, when no connection is in use that could be released, also those that waited throughout
+	the attempt and that no pending attempt will serve.
 	*/
-	#failWaiters(outcome: errors.Outcome<never>, startedAt: number): void {
+	#failWaiters(outcome: errors.Outcome<never>, {customer, startedAt}: Attempt): void {
 		if (Either.isLeft(outcome) && outcome.left.step === 'admit') {
 			this.#backOff(outcome);
 			return;
 		}
 
-		const servedWaiters = this.#held.size === 0 ? this.#pending : Number.POSITIVE_INFINITY;
-		const failed = this.#waiters.filter((waiter, index) => index === 0 || (index > servedWaiters && waiter.since <= startedAt));
+		const isInUse = [...this.#held].some(connection => this.#origin(connection).customer === customer);
+		const servedWaiters = isInUse ? Number.POSITIVE_INFINITY : [...this.#attempts].filter(attempt => attempt.customer === customer).length;
+		const failed = this.#waiters
+			.filter(({request}) => this.#accepts(request, customer))
+			.filter((waiter, index) => index === 0 || (index > servedWaiters && waiter.since <= startedAt));
 		for (const waiter of failed) {
 			waiter.settle(outcome);
 		}
@@ -368,12 +465,19 @@
 
 	/**
 	Delays the next attempt after the server refused a connection at its limit. Waiters get a connection once one in use is
-	released; if there is none, those that don't wait for the limit fail.
+	released, or for an idle one of another customer; if there is none, those that don't wait for the limit fail.
 	*/
 	#backOff(outcome: errors.Outcome<never>): void {
 		this.#refusedAt = this.#clock.now();
-		if (this.open === 0) {
-			for (const waiter of this.#waiters.filter(({request}) => request.atLimit !== 'wait')) {
+		if (this.#waiters.some(({request}) => this.#findEvictable(request))) {
+			this.#serveWaiters();
+		}
+
+		const attempts = [...this.#attempts];
+		for (const waiter of this.#waiters) {
+			const {request} = waiter;
+			const isPending = attempts.some(({customer}) => this.#accepts(request, customer));
+			if (request.atLimit !== 'wait' && !isPending && this.#isRefusing(request)) {
 				waiter.settle(outcome);
 			}
 		}
@@ -386,26 +490,33 @@
 		this.#serveWaiters();
 	}
 
-	async #connect(): Promise<errors.Outcome<C>> {
-		return this.server.connect(this.#limits.connectTimeoutMs);
+	async #connect(customer: string | undefined): Promise<errors.Outcome<C>> {
+		const outcome = await this.server.connect(this.#limits.connectTimeoutMs, customer);
+		if (Either.isRight(outcome)) {
+			const openedAt = this.#clock.now();
+			this.#origins.set(outcome.right, {customer, openedAt, usedAt: openedAt});
+		}
+
+		return outcome;
 	}
 
 	/** Validates an idle connection by resetting it, and opens a new one if the server does not respond on it. */
-	async #validate(connection: C): Promise<errors.Outcome<C>> {
+	async #validate(connection: C, customer: string | undefined): Promise<errors.Outcome<C>> {
 		const outcome = await connection.reset(this.#limits.connectTimeoutMs);
 		if (Either.isRight(outcome) && connection.isOpen) {
 			return Either.right(connection);
 		}
 
 		connection.close();
-		return this.#connect();
+		return this.#connect(customer);
 	}
 
 	#makeAvailable(connection: C): void {
-		if (!connection.isOpen || this.#isClosed || this.open >= this.#effectiveLimit) {
+		const waiter = this.#waiters.find(({request}) => this.#accepts(request, this.#origin(connection).customer));
+		if (!connection.isOpen || this.#isClosed || this.open >= this.#effectiveLimit || (waiter && this.#mustYield(connection, waiter))) {
 			connection.close();
-		} else if (this.#waiters.length > 0) {
-			this.#assign(connection);
+		} else if (waiter) {
+			this.#assign(connection, waiter);
 		} else {
 			this.#idle.push({connection, since: this.#clock.now()});
 		}
@@ -413,9 +524,49 @@
 		this.#serveWaiters();
 	}
 
-	#assign(connection: C): void {
+	/**
+	Whether a connection is to be closed so that one can be opened for another customer's request, which can't get one
+	otherwise: if the connection's customer has more than its share, or if its next request came after the other one and the
+	connection has served it for some time.
+	*/
+	#mustYield(connection: C, next: Waiter<C>): boolean {
+		const {customer, openedAt} = this.#origin(connection);
+		const other = this.#firstWaiters().find(({request}) => !this.#accepts(request, customer) && !this.#isCovered(request));
+		const canOpen = this.open + 1 < this.#effectiveLimit && !this.#isBackingOff;
+		if (!other || canOpen || next.request.isInternal === true || this.#findEvictable(other.request)) {
+			return false;
+		}
+
+		const isFirst = this.#waiters.indexOf(next) < this.#waiters.indexOf(other);
+		const isOverShare = this.#count(customer) + 1 > this.#share(customer);
+		const isDue = !isFirst && this.#clock.now() - openedAt >= minTenureMs;
+		return isOverShare || isDue;
+	}
+
+	/** Number of connections of a customer that are in use, idle or being opened. */
+	#count(customer: string | undefined): number {
+		const connections = [...this.#held, ...this.#idle.map(idle => idle.connection)];
+		return connections.filter(connection => this.#origin(connection).customer === customer).length + [...this.#attempts].filter(attempt => attempt.customer === customer).length;
+	}
+
+	/** Number of connections for each customer if the limit is shared equally between those that use connections or wait for one. */
+	#share(customer: string | undefined): number {
+		const active = new Set([
+			customer,
+			...[...this.#held].map(connection => this.#origin(connection).customer),
+			...[...this.#attempts].map(attempt => attempt.customer),
+			...this.#waiters.filter(({request}) => !request.isInternal).map(({request}) => request.customer),
+		]);
+		return Math.max(1, Math.floor(this.#connectionLimit / active.size));
+	}
+
+	#assign(connection: C, waiter: Waiter<C>): void {
 		this.#held.add(connection);
-		this.#waiters[0]?.settle(Either.right(connection));
+		if (!waiter.request.isInternal) {
+			this.#origin(connection).usedAt = this.#clock.now();
+		}
+
+		waiter.settle(Either.right(connection));
 	}
 
 	#refuse(reason: string): errors.Outcome<never> {
--- a/src/core/tests/fake-server.ts
+++ b/src/core/tests/fake-server.ts
@@ -55,7 +55,7 @@
 		return this.connections.filter(({isOpen}) => isOpen).length;
 	}
 
-	override async connect(timeoutMs: number): Promise<errors.Outcome<backend.Connection>> {
+	override async connect(timeoutMs: number, customer?: string): Promise<errors.Outcome<backend.Connection>> {
 		const {kind, delayMs} = this.onConnect();
 		this.connectAttempts++;
 		this.#connecting++;
@@ -66,7 +66,7 @@
 			return errors.fail('not-run', kind === 'at-limit' ? 'admit' : 'connect', this.name, 'refused');
 		}
 
-		const connection = new Connection(this);
+		const connection = new Connection(this, customer);
 		this.connections.push(connection);
 		return Either.right(connection);
 	}
@@ -75,14 +75,17 @@
 /** A connection of a fake server. */
 export class Connection extends backend.Connection {
 	override readonly server: string;
+	/** The customer that the connection was opened for. */
+	readonly customer: string | undefined;
 	isUnresponsive = false;
 	resets = 0;
 	#isOpen = true;
 	#pending = 0;
 	readonly #server: Server;
 
-	constructor(server: Server) {
+	constructor(server: Server, customer?: string) {
 		super();
+		this.customer = customer;
 		this.server = server.name;
 		this.#server = server;
 	}
--- a/src/core/tests/pool.test.ts
+++ b/src/core/tests/pool.test.ts
@@ -18,27 +18,44 @@
 }
 
 type Step =
-	| {readonly kind: 'use'; readonly timeoutMs: number; readonly holdMs: number; readonly residue: pool.Residue; readonly end: 'keep' | 'lose'}
+	| {
+		readonly kind: 'use'; readonly timeoutMs: number; readonly holdMs: number; readonly residue: pool.Residue; readonly end: 'keep' | 'lose';
+		readonly customer: string | undefined; readonly isInternal: boolean;
+	}
 	| {readonly kind: 'resize'; readonly connections: number}
 	| {readonly kind: 'silence'};
 
-const stepArbitrary: fc.Arbitrary<Step> = fc.oneof(
-	{
-		weight: 8,
-		arbitrary: fc.record({
-			kind: fc.constant('use' as const),
-			timeoutMs: fc.integer({min: 0, max: 800}),
-			holdMs: fc.integer({min: 0, max: 1500}),
-			residue: fc.constantFrom('clean' as const, 'dirty' as const),
-			end: fc.constantFrom('keep' as const, 'lose' as const),
-		}),
-	},
-	{weight: 1, arbitrary: fc.record({kind: fc.constant('resize' as const), connections: fc.integer({min: 1, max: 4})})},
-	{weight: 1, arbitrary: fc.constant({kind: 'silence' as const})},
-);
+function customerOf(connection: backend.Connection): string | undefined {
+	assert.ok(connection instanceof fakes.Connection);
+	return connection.customer;
+}
+
+/** Steps whose requests are of one of the customers, or of none. */
+function createSteps(customers: ReadonlyArray<string | undefined>): fc.Arbitrary<Step> {
+	return fc.oneof(
+		{
+			weight: 8,
+			arbitrary: fc.record({
+				kind: fc.constant('use' as const),
+				timeoutMs: fc.integer({min: 0, max: 800}),
+				holdMs: fc.integer({min: 0, max: 1500}),
+				residue: fc.constantFrom('clean' as const, 'dirty' as const),
+				end: fc.constantFrom('keep' as const, 'lose' as const),
+				customer: fc.constantFrom(...customers),
+				isInternal: customers.length > 1 ? fc.integer({min: 0, max: 5}).map(value => value === 0) : fc.constant(false),
+			}),
+		},
+		{weight: 1, arbitrary: fc.record({kind: fc.constant('resize' as const), connections: fc.integer({min: 1, max: 4})})},
+		{weight: 1, arbitrary: fc.constant({kind: 'silence' as const})},
+	);
+}
+
 const connectResultArbitrary = fc.record({kind: fc.constantFrom('open' as const, 'open' as const, 'refuse' as const, 'hang' as const), delayMs: fc.integer({min: 0, max: 700})});
 
-/** Runs steps 50 ms apart, and checks that the limit holds, that no connection has two holders, and that all waits end. */
+/**
+Runs steps 50 ms apart, and checks that the limit holds, that no connection has two holders or serves two customers, and
+that all waits end.
+*/
 async function run(script: readonly Step[], connectResults: readonly fakes.ConnectResult[], closeAt: number): Promise<void> {
 	const {time, server, connections} = make();
 	const holders = new Set<backend.Connection>();
@@ -46,9 +63,11 @@
 	let maxLimit = limits.connections;
 	server.onConnect = () => connectResults[server.connectAttempts % connectResults.length] ?? {kind: 'open', delayMs: 1};
 	const use = async (step: Step & {kind: 'use'}): Promise<void> => {
-		const outcome = await connections.acquire(step.timeoutMs);
+		const {customer, isInternal} = step;
+		const outcome = await connections.acquire(step.timeoutMs, {customer, isInternal});
 		if (Either.isRight(outcome)) {
 			const connection = outcome.right;
+			assert.ok(isInternal || customerOf(connection) === customer, 'a connection of another customer');
 			assert.ok(!holders.has(connection), 'two holders of one connection');
 			holders.add(connection);
 			await time.sleep(step.holdMs);
@@ -103,13 +122,25 @@
 
 test.test('guards against a broken limit, shared connections and endless waits under random faults', async () => {
 	await fc.assert(fc.asyncProperty(
-		fc.array(stepArbitrary, {maxLength: 40}),
+		fc.array(createSteps([undefined]), {maxLength: 40}),
 		fc.array(connectResultArbitrary, {minLength: 1, maxLength: 8}),
 		fc.integer({min: 0, max: 80}),
 		run,
 	), {seed: 20_261, numRuns: 150});
 });
 
+test.test('guards against a connection that serves another customer than the one it was opened for, under random faults', async () => {
+	const resultArbitrary = fc.record({
+		kind: fc.constantFrom('open' as const, 'open' as const, 'refuse' as const, 'hang' as const, 'at-limit' as const), delayMs: fc.integer({min: 0, max: 700}),
+	});
+	await fc.assert(fc.asyncProperty(
+		fc.array(createSteps(['one', 'two', 'three', undefined]), {maxLength: 60}),
+		fc.array(resultArbitrary, {minLength: 1, maxLength: 8}),
+		fc.integer({min: 0, max: 120}),
+		run,
+	), {seed: 20_262, numRuns: 300});
+});
+
 test.test('guards against waiting the whole deadline for a server whose attempts hang', async () => {
 	const {time, server, connections} = make();
 	server.onConnect = () => ({kind: 'hang', delayMs: 0});
@@ -262,3 +293,123 @@
 	assert.equal(connections.open, 0);
 	await time.advance(500);
 });
+
+/** Acquires a connection for a customer, and fails the test if there is none in time. */
+async function take(time: clock.Manual, connections: pool.Pool<backend.Connection>, customer: string | undefined, timeoutMs = 10): Promise<backend.Connection> {
+	const acquired = connections.acquire(timeoutMs, {customer});
+	await time.advance(timeoutMs);
+	const outcome = await acquired;
+	assert.ok(Either.isRight(outcome));
+	return outcome.right;
+}
+
+test.test('guards against an idle connection of a customer that is closed although a less recently used one could be', async () => {
+	const {time, server, connections} = make({connections: 3});
+	const opened = new Map<string, backend.Connection>();
+	for (const customer of ['one', 'two', 'three']) {
+		const connection = await take(time, connections, customer);
+		opened.set(customer, connection);
+		await connections.release(connection, 'clean');
+	}
+
+	await connections.release(await take(time, connections, 'one'), 'clean');
+	assert.equal(server.connectAttempts, 3);
+	// A poll of the proxy itself doesn't show that the customer needs its connection.
+	const polled = connections.acquire(100, {isInternal: true, isPreferred: connection => connection === opened.get('two')});
+	await time.advance(1);
+	const poll = await polled;
+	assert.ok(Either.isRight(poll) && poll.right === opened.get('two'));
+	await connections.release(poll.right, 'clean');
+	await connections.release(await take(time, connections, 'four'), 'clean');
+	assert.deepEqual([...opened].filter(([, {isOpen}]) => !isOpen).map(([customer]) => customer), ['two']);
+	assert.equal(server.peakConnections, 3);
+});
+
+test.test('guards against a poll that opens a connection while one of a customer is idle', async () => {
+	const {time, server, connections} = make();
+	await connections.release(await take(time, connections, 'one'), 'clean');
+	for (const request of [{isInternal: true}, {isInternal: true, isControl: true}]) {
+		const acquired = connections.acquire(100, request);
+		await time.advance(10);
+		const outcome = await acquired;
+		assert.ok(Either.isRight(outcome) && customerOf(outcome.right) === 'one');
+		await connections.release(outcome.right, 'clean');
+	}
+
+	assert.equal(server.connectAttempts, 1);
+});
+
+test.test('guards against a customer that keeps all connections while another one waits', async () => {
+	const {time, server, connections} = make({connections: 4});
+	const stopped = new AbortController();
+	const use = async (): Promise<void> => {
+		while (!stopped.signal.aborted) {
+			const outcome = await connections.acquire(1000, {customer: 'large'});
+			if (Either.isRight(outcome)) {
+				await time.sleep(20);
+				await connections.release(outcome.right, 'clean');
+			}
+		}
+	};
+
+	const users = Array.from({length: 20}, use);
+	await time.advance(500);
+	assert.equal(server.connections.filter(({isOpen, customer}) => isOpen && customer === 'large').length, 4);
+	const connection = await take(time, connections, 'small', 30);
+	stopped.abort();
+	await time.advance(1100);
+	await Promise.all(users);
+	assert.equal(customerOf(connection), 'small');
+});
+
+test.test('guards against handshakes that take most of a connection\'s time when two customers share it', async () => {
+	const {time, server, connections} = make({connections: 1});
+	server.onConnect = () => ({kind: 'open', delayMs: 12});
+	const served = new Map<string, number>();
+	const stopped = new AbortController();
+	const use = async (customer: string): Promise<void> => {
+		while (!stopped.signal.aborted) {
+			const outcome = await connections.acquire(1000, {customer});
+			if (Either.isRight(outcome)) {
+				await time.sleep(10);
+				served.set(customer, (served.get(customer) ?? 0) + 1);
+				await connections.release(outcome.right, 'clean');
+			}
+		}
+	};
+
+	const users = ['one', 'one', 'one', 'two', 'two', 'two'].map(async customer => use(customer));
+	await time.advance(5000);
+	stopped.abort();
+	await time.advance(1100);
+	await Promise.all(users);
+	assert.ok(server.connectAttempts * 12 <= 0.15 * 5000, `${server.connectAttempts} attempts`);
+	assert.ok(Math.min(...served.values()) >= 0.7 * Math.max(...served.values()), JSON.stringify([...served]));
+	assert.equal(served.size, 2);
+});
+
+test.test('guards against a request that waits for the server\'s limit while an idle connection of another customer could be closed', async () => {
+	const {time, server, connections} = make({connections: 4});
+	server.onConnect = () => ({kind: server.open < 2 ? 'open' : 'at-limit', delayMs: 5});
+	const first = await take(time, connections, 'one');
+	const second = await take(time, connections, 'one');
+	await connections.release(first, 'clean');
+	await connections.release(second, 'clean');
+	const startedAt = time.now();
+	const acquired = connections.acquire(1000, {customer: 'two'});
+	await time.advance(20);
+	const outcome = await acquired;
+	assert.ok(Either.isRight(outcome) && customerOf(outcome.right) === 'two');
+	assert.ok(time.now() - startedAt <= 20);
+	assert.deepEqual([first, second].filter(({isOpen}) => isOpen).length, 1);
+});
+
+test.test('guards against a read that waits at a server at its connection limit while other customers use all connections', async () => {
+	const {time, server, connections} = make({connections: 4});
+	server.onConnect = () => ({kind: server.open < 1 ? 'open' : 'at-limit', delayMs: 5});
+	await take(time, connections, 'one');
+	const acquired = connections.acquire(1000, {customer: 'two'});
+	await time.advance(10);
+	const outcome = await Promise.race([acquired, Promise.resolve()]);
+	assert.ok(outcome && Either.isLeft(outcome) && outcome.left.step === 'admit');
+});
--- a/src/entry/group.ts
+++ b/src/entry/group.ts
@@ -427,7 +427,7 @@
 		const startedAt = this.#options.clock.now();
 		// Statements that wait may hold all connections for longer than a failure takes to be noticed.
 		const isControl = isUrgent || startedAt - server.lastResponseAt > controlAfterMs;
-		const acquired = await server.pool.acquire(probeTimeoutMs, {isControl});
+		const acquired = await server.pool.acquire(probeTimeoutMs, {isInternal: true, isControl});
 		if (Either.isLeft(acquired)) {
 			// A shortage of connections is no failure: statements use them, or the server has refused one at its limit.
 			const isRefused = server.pool.wasRefused && startedAt - server.lastResponseAt < maxRefusalMs;
--- a/src/entry/leader.ts
+++ b/src/entry/leader.ts
@@ -37,6 +37,6 @@
 async function attempt(context: jobs.Context, job: jobs.GroupJob): Promise<errors.Outcome<leases.Lease>> {
 	const leader = await job.group.awaitLeader(jobs.serverWaitMs(context, job));
 	return leader
-		? leases.acquire(leader, job.state, context.clock, {timeoutMs: jobs.connectionWaitMs(context, job), atLimit: 'wait'})
+		? leases.acquire(leader, job.state, context.clock, {customer: job.customer, timeoutMs: jobs.connectionWaitMs(context, job), atLimit: 'wait'})
 		: errors.fail('not-run', 'route', job.group.name, 'no leader is known');
 }
--- a/src/entry/orders.ts
+++ b/src/entry/orders.ts
@@ -80,7 +80,7 @@
 		let outcome: errors.Outcome<candidate.Candidate> = errors.fail('not-run', 'send', server.id, 'no request was sent');
 		for (let attempt = 0; attempt < attempts; attempt++) {
 			const sentAt = this.#options.clock.now();
-			const acquired = await server.pool.acquire(requestTimeoutMs, {isControl: true});
+			const acquired = await server.pool.acquire(requestTimeoutMs, {isInternal: true, isControl: true});
 			if (Either.isLeft(acquired)) {
 				outcome = acquired;
 				continue;
--- a/src/entry/tests/fake-cluster.ts
+++ b/src/entry/tests/fake-cluster.ts
@@ -13,8 +13,8 @@
 import * as position from '../../core/position.js';
 import type * as statement from '../statement.js';
 
-/** A caller's statement that was executed. */
-export type Execution = {readonly server: string; readonly id: string; readonly text: string; readonly index: number; readonly values: Record<string, string>};
+/** A caller's statement that was executed, with the customer that its connection was opened for. */
+export type Execution = {readonly server: string; readonly customer: string | undefined; readonly id: string; readonly text: string; readonly index: number; readonly values: Record<string, string>};
 
 /** How a server handles a caller's statement: normally, executing it but losing the response, or refusing it as busy. */
 export type ResponseMode = 'usual' | 'answer-lost' | 'busy';
@@ -122,7 +122,7 @@
 		}
 	}
 
-	override async connect(timeoutMs: number): Promise<errors.Outcome<backend.Connection>> {
+	override async connect(timeoutMs: number, customer?: string): Promise<errors.Outcome<backend.Connection>> {
 		await this.cluster.clock.sleep(this.isUnresponsive ? timeoutMs : 2 * oneWayLatencyMs);
 		if (this.isUnresponsive) {
 			return errors.fail('not-run', 'connect', this.name, 'no response');
@@ -132,7 +132,7 @@
 			return errors.fail('not-run', 'admit', this.name, 'too many connections');
 		}
 
-		const connection = new Connection(this);
+		const connection = new Connection(this, customer);
 		this.connections.add(connection);
 		return Either.right(connection);
 	}
@@ -144,6 +144,7 @@
 /** Fake connection to a server. */
 export class Connection extends backend.Connection {
 	override readonly server: string;
+	readonly customer: string | undefined;
 	readonly #server: Server;
 	#isOpen = true;
 	#state: types.TransactionState = 'none';
@@ -151,10 +152,11 @@
 	readonly #sessionValues = new Map<string, string>();
 	readonly #sessionPrepared = new Map<string, string>();
 
-	constructor(server: Server) {
+	constructor(server: Server, customer?: string) {
 		super();
 		this.#server = server;
 		this.server = server.name;
+		this.customer = customer;
 	}
 
 	override get isOpen(): boolean {
@@ -359,7 +361,7 @@
 
 		this.#state = isCommit ? 'none' : this.#state;
 		server.cluster.executions.push({
-			server: server.name, id: command.id, text, index: server.index, values: Object.fromEntries(this.#sessionValues),
+			server: server.name, customer: this.customer, id: command.id, text, index: server.index, values: Object.fromEntries(this.#sessionValues),
 		});
 		return {...this.#reply(null), rows: ['row'], signature: `${server.name}.${command.id}`};
 	}
--- a/src/entry/transaction.ts
+++ b/src/entry/transaction.ts
@@ -187,7 +187,7 @@
 
 		let reason = 'no backend server is known';
 		for (const server of this.#reader.candidates(job, minPosition)) {
-			const lease = await leases.acquire(server, job.state, this.#context.clock, {timeoutMs: jobs.connectionWaitMs(this.#context, job)});
+			const lease = await leases.acquire(server, job.state, this.#context.clock, {customer: job.customer, timeoutMs: jobs.connectionWaitMs(this.#context, job)});
 			if (Either.isLeft(lease)) {
 				reason = lease.left.message;
 				continue;
