Give each customer an owner in each region, and divide connections by their work

Every owner of a service opened connections for every customer, so that with 74 customers each connection would have been used rarely and closed soon. A small customer now has one of a region's owners, chosen by rendezvous hashing of service and customer; one with 5% of all operations or more has both. The limits of the owners add up to 0.8 of the server's, by the rates of their customers; the rest is for hosts that start, for 3 s, and for hosts that stand in for owners. Idle connections stay open for 30 s at owners, since a new one takes 12 ms of a slot. The hosts that poll a primary, and those that a failover asks, stay the same. Without customers, routes and limits are unchanged.

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -134,6 +134,7 @@
 			seeds: options.settings.peers.seeds.split(',').map(seed => seed.trim()).filter(seed => seed !== ''),
 			connectionLimit: service => this.#deployment.content?.databases.find(({name}) => name === service)?.connectionLimit ?? 1,
 			serverPlaces: service => new Set([...this.#registrations.values()].filter(server => server.service === service).map(({place}) => place)),
+			customers: () => this.#deployment.customers,
 		});
 		this.#hosts = new hosts.LinkedHosts({clock: time, colleagues: service => this.#canOpenLinks ? this.#fleet.colleagues(service) : []});
 		this.#reporter = new reporters.Reporter({clock: time, decisions: log, findGroup: service => this.#groups.get(service)});
--- a/src/entry/fleet.ts
+++ b/src/entry/fleet.ts
@@ -4,6 +4,7 @@
 import type * as types from '../generated/types.js';
 import type * as clock from '../core/clock.js';
 import type * as link from '../peer/link.js';
+import * as ownership from './customers/ownership.js';
 import type * as decisions from './decisions.js';
 import type * as forwarder from './forwarder.js';
 import type * as group from './group.js';
@@ -21,6 +22,8 @@
 	readonly connectionLimit: (service: string) => number;
 	/** Places that have a server of the service. */
 	readonly serverPlaces: (service: string) => ReadonlySet<string>;
+	/** The customers of the configuration; `undefined` if the deployment has none. */
+	readonly customers: () => ownership.Directory | undefined;
 };
 
 /**
@@ -30,6 +33,10 @@
 const overcommitFactor = 2;
 /** Lower bound of the assumed number of owners, used until other hosts are discovered. */
 const minOwners = 4;
+/** Time for which an owner keeps idle connections of customers; servers close them after 60 s. */
+const ownerRetentionMs = 30_000;
+/** The same for a host that stands in for owners: they usually return within seconds. */
+const standInRetentionMs = 3000;
 
 /** Rank key of the observer of the store. Service names contain no space, so it can't collide with one. */
 const observerKey = 'store observer';
@@ -41,6 +48,9 @@
 	readonly #peers = new Map<string, peers.Peer>();
 	/** Cache of ranked host names by service, cleared when an input of the ranking changes. */
 	readonly #ranks = new Map<string, readonly string[]>();
+	/** Cache of the loads of the owners of a service in a region, by service and owners. */
+	readonly #loads = new Map<string, ReadonlyMap<string, number>>();
+	#sizes: ownership.Sizes | undefined;
 	readonly #seeds: readonly peers.Peer[];
 	#roundRobin = 0;
 
@@ -73,19 +83,28 @@
 		this.invalidate();
 	}
 
-	/** Drops cached ranks after a change of servers or connection limits. */
+	/** Drops cached ranks after a change of servers, connection limits or customers. */
 	invalidate(): void {
 		this.#ranks.clear();
+		const directory = this.#options.customers();
+		if (directory !== this.#sizes?.directory) {
+			this.#sizes = directory && new ownership.Sizes(directory);
+			this.#loads.clear();
+		}
 	}
 
-	/** Whether every host uses its own connections to the service's servers. */
+	/** Whether every host uses its own connections to the service's servers. With customers, a few owners have them. */
 	isDirect(service: string): boolean {
-		return placement.isDirect({hosts: [...this.#hosts.values()], connectionLimit: this.#options.connectionLimit(service)});
+		return !this.#sizes && placement.isDirect({hosts: [...this.#hosts.values()], connectionLimit: this.#options.connectionLimit(service)});
 	}
 
 	/** Limits on this host's connections to each server of a service. */
 	quota(service: string): group.Quota {
 		const connectionLimit = this.#options.connectionLimit(service);
+		if (this.#sizes) {
+			return this.#customerQuota(service, connectionLimit, this.#sizes);
+		}
+
 		const owners = Math.max(minOwners, placement.countOwners({hosts: [...this.#hosts.values()], connectionLimit}));
 		return {
 			softLimit: Math.max(1, Math.floor(connectionLimit * placement.quotaFraction / owners)),
@@ -93,10 +112,12 @@
 		};
 	}
 
-	/** The owners to send a service's work to, in round-robin order to balance the load. */
-	route(service: string, _customer?: string): forwarder.Route {
-		const names = this.#ranks.get(service) ?? this.#rank(service);
-		this.#ranks.set(service, names);
+	/**
+	The owners to send a service's work to, in round-robin order to balance the load. The work of a small customer goes to its
+	owner, and to the next host in rank only if the owner is lost.
+	*/
+	route(service: string, customer?: string): forwarder.Route {
+		const names = this.#rankFor(service, customer);
 		const {name: self} = this.#options.self;
 		const owners: Array<peers.Peer | 'local'> = [];
 		for (const name of names) {
@@ -114,7 +135,8 @@
 			}
 		}
 
-		if (owners.length < 2) {
+		const hasOneOwner = customer !== undefined && this.#sizes !== undefined && !this.#sizes.isLarge(customer);
+		if (owners.length < 2 || hasOneOwner) {
 			return owners.length === 0 ? ['local'] : owners;
 		}
 
@@ -171,10 +193,61 @@
 		}
 	}
 
-	#rank(service: string): readonly string[] {
+	/** The hosts of this region in their rank for a service, its owners in their rank for the customer. */
+	#rankFor(service: string, customer: string | undefined): readonly string[] {
 		const {self} = this.#options;
-		const view = this.#view(service, self.region);
-		return placement.isDirect(view) ? [self.name] : placement.rank(view).map(({name}) => name);
+		const hosts = this.#ranks.get(service) ?? (this.isDirect(service) ? [self.name] : this.#rank(service, self.region));
+		this.#ranks.set(service, hosts);
+		if (customer === undefined || !this.#sizes) {
+			return hosts;
+		}
+
+		const key = `${service} for ${customer}`;
+		const ranked = this.#ranks.get(key) ?? [
+			...ownership.rank(service, customer, hosts.slice(0, placement.ownersPerRegion).map(name => ({name}))).map(({name}) => name),
+			...hosts.slice(placement.ownersPerRegion),
+		];
+		this.#ranks.set(key, ranked);
+		return ranked;
+	}
+
+	#rank(service: string, region: string): readonly string[] {
+		return placement.rank(this.#view(service, region)).map(({name}) => name);
+	}
+
+	/**
+	The limits where connections belong to customers. The owners divide a fraction of the server's limit by the rates of their
+	customers; the rest is for hosts that start, while servers may count their previous connections, and for stand-ins.
+	*/
+	#customerQuota(service: string, connectionLimit: number, sizes: ownership.Sizes): group.Quota {
+		const loads = new Map<string, number>();
+		for (const region of this.#regions) {
+			for (const [name, load] of this.#regionLoads(service, region, sizes)) {
+				loads.set(name, load);
+			}
+		}
+
+		const budget = Math.floor(connectionLimit * placement.quotaFraction);
+		const reserve = Math.max(1, Math.floor((connectionLimit - budget) / loads.size));
+		const own = ownership.divide(budget, loads).get(this.#options.self.name);
+		return own === undefined
+			? {
+				softLimit: reserve, hardLimit: reserve, startLimit: reserve, retentionMs: standInRetentionMs,
+			}
+			: {
+				softLimit: own, hardLimit: own, startLimit: Math.min(reserve, own), retentionMs: ownerRetentionMs,
+			};
+	}
+
+	/** The loads of a region's owners, as parts of that of the region. */
+	#regionLoads(service: string, region: string, sizes: ownership.Sizes): ReadonlyMap<string, number> {
+		const rankKey = `${service} in ${region}`;
+		const names = this.#ranks.get(rankKey) ?? this.#rank(service, region).slice(0, placement.ownersPerRegion);
+		this.#ranks.set(rankKey, names);
+		const loadKey = `${service} ${names.join(' ')}`;
+		const found = this.#loads.get(loadKey) ?? ownership.loads(service, names.map(name => ({name})), sizes);
+		this.#loads.set(loadKey, found);
+		return found;
 	}
 
 	get #regions(): string[] {
--- a/src/entry/group.ts
+++ b/src/entry/group.ts
@@ -23,8 +23,12 @@
 /** A position that covers every commit acknowledged before `requestedAt`. */
 export type ReadIndex = {readonly requestedAt: clock.Mark; readonly position: statement.Position};
 
-/** Limits on a host's connections to one server. Connections above `softLimit` are closed when unused; `hardLimit` is the maximum. */
-export type Quota = {readonly softLimit: number; readonly hardLimit: number};
+/**
+Limits on a host's connections to one server. Connections above `softLimit` are closed when unused; `hardLimit` is the maximum,
+`startLimit` that of a host that is starting, by default `softLimit`. Where connections belong to customers, idle ones are kept
+for `retentionMs` instead.
+*/
+export type Quota = {readonly softLimit: number; readonly hardLimit: number; readonly startLimit?: number; readonly retentionMs?: number};
 
 export type Options = {
 	readonly name: string;
@@ -221,10 +225,10 @@
 		}
 	}
 
-	/** Sets the connection limits for each server. While the host is starting, the soft limit is the maximum. */
-	resize({softLimit, hardLimit}: Quota, isStarting = false): void {
+	/** Sets the connection limits for each server. */
+	resize(quota: Quota, isStarting = false): void {
 		this.#isStarting = isStarting;
-		this.#quota = {softLimit, hardLimit: isStarting ? softLimit : hardLimit};
+		this.#quota = {...quota, hardLimit: isStarting ? quota.startLimit ?? quota.softLimit : quota.hardLimit};
 		for (const {pool} of this.#members.values()) {
 			pool.resize(this.#quota.hardLimit);
 		}
@@ -281,7 +285,7 @@
 			this.#removeMissing();
 			const {isActive} = this;
 			for (const {pool} of this.#members.values()) {
-				pool.trim(isActive ? this.#quota.softLimit : 0, surplusIdleTimeoutMs);
+				this.#trim(pool, isActive);
 			}
 
 			if (isActive) {
@@ -448,6 +452,16 @@
 		this.recordBegin(server, sentAt, outcome);
 	}
 
+	/** Closes an idle connection that is not to be kept. */
+	#trim(connections: member.Member['pool'], isActive: boolean): void {
+		const {softLimit, retentionMs} = this.#quota;
+		if (retentionMs === undefined) {
+			connections.trim(isActive ? softLimit : 0, surplusIdleTimeoutMs);
+		} else {
+			connections.trim(0, retentionMs);
+		}
+	}
+
 	#poll(): void {
 		const {clock: time} = this.#options;
 		if (this.#leader) {
--- a/src/entry/tests/customers.test.ts
+++ b/src/entry/tests/customers.test.ts
@@ -43,3 +43,48 @@
 	assert.deepEqual(executions.filter(({customer, id}) => (customer ?? 'own') !== id.split(' ')[0]), []);
 	await harness.stop();
 });
+
+test.test('guards against handshakes for customers whose connections were closed though there was room', async () => {
+	const harness = new Harness();
+	await harness.start();
+	harness.group.resize({
+		softLimit: 4, hardLimit: 4, startLimit: 1, retentionMs: 30_000,
+	});
+	for (const customer of ['one', 'two', 'three']) {
+		assert.equal(await harness.run('READ 1', customer), null);
+	}
+
+	const opened = [...harness.cluster.get('b').connections];
+	// Without work the group sends no polls, which would use the connections as well.
+	harness.isActive = false;
+	await harness.time.advance(20_000);
+	for (const customer of ['one', 'two', 'three']) {
+		assert.equal(await harness.run('READ 1', customer), null);
+	}
+
+	assert.deepEqual([...harness.cluster.get('b').connections].filter(connection => !opened.includes(connection)), [], 'a connection was opened again');
+	assert.ok(opened.every(({isOpen}) => isOpen));
+	assert.deepEqual(harness.group.members.map(({pool}) => pool.open > 0), [true, true, true]);
+	await harness.time.advance(40_000);
+	assert.deepEqual(harness.group.members.map(({pool}) => pool.open), [0, 0, 0]);
+	await harness.stop();
+});
+
+test.test('guards against more connections than the reserve allows while servers may count those of the previous process', async () => {
+	const harness = new Harness();
+	await harness.start();
+	harness.group.resize({
+		softLimit: 4, hardLimit: 4, startLimit: 1, retentionMs: 30_000,
+	}, true);
+	const run = async (customer: string): Promise<string | null> => {
+		const {work, ...job} = harness.statementJob('WRITE 1 a', {customer});
+		const {refusal} = await harness.local.run(job, work);
+		return refusal;
+	};
+
+	const replies = Promise.all(['one', 'two', 'three'].map(async customer => run(customer)));
+	await harness.time.advance(20);
+	assert.ok(harness.group.members.every(({pool}) => pool.open <= 1));
+	assert.deepEqual(await harness.runFor(800, replies), [null, null, null]);
+	await harness.stop();
+});
--- a/src/entry/tests/fixture.ts
+++ b/src/entry/tests/fixture.ts
@@ -46,6 +46,9 @@
 
 	readonly context: jobs.Context = {clock: this.time, place: 'west', decisions: this.decisions};
 
+	/** Whether the group has work all the time. */
+	isActive = true;
+
 	/** Registers the servers and runs the group's task until the leader is known. */
 	async start(servers: readonly string[] = ['a', 'b', 'c'], quota = 4): Promise<void> {
 		this.group.resize({softLimit: quota, hardLimit: quota});
@@ -102,7 +105,10 @@
 	/** Keeps the group active, as traffic would. */
 	async #keepActive(): Promise<void> {
 		while (!this.stopped.signal.aborted) {
-			this.group.touch();
+			if (this.isActive) {
+				this.group.touch();
+			}
+
 			await this.time.sleep(1000, this.stopped.signal);
 		}
 	}
--- a/src/entry/tests/forwarder.test.ts
+++ b/src/entry/tests/forwarder.test.ts
@@ -30,6 +30,7 @@
 		seeds: [],
 		connectionLimit: () => 2,
 		serverPlaces: () => new Set(['west-a']),
+		customers: () => undefined,
 	});
 
 	readonly caches = states.caches(this.fixture.time, this.fixture.decisions);
--- a/src/entry/tests/synchronizer.test.ts
+++ b/src/entry/tests/synchronizer.test.ts
@@ -46,6 +46,7 @@
 			seeds: region.seeds,
 			connectionLimit: () => 1,
 			serverPlaces: () => new Set<string>(),
+			customers: () => undefined,
 		});
 		this.caches.hosts.listen(update => {
 			for (const item of update.items) {
