Skip invalid customers of a configuration with one line each

An invalid entry was dropped without a line, the later of two entries of a name and the later holder of a shared key were in force, and keys beyond Latin-1 were digested by their truncated characters, so another key could match.

Entries are now selected in entry/customers/entries.ts: the first of a name holds, a shared key serves nobody, unusable keys are skipped alone. The reasons, without keys, are logged as entry-skipped by the host that decodes the version, and not sent to others.

--- a/src/entry/cache.ts
+++ b/src/entry/cache.ts
@@ -166,6 +166,12 @@
 			});
 		}
 
+		for (const fault of item.omitted ?? []) {
+			this.#options.decisions.record('entry-skipped', {
+				kind: this.#options.kind, name: item.name, revision: item.revision, fault,
+			});
+		}
+
 		this.#options.onChange(item.name, item, source);
 	}
 }
--- a/src/entry/customers/directory.ts
+++ b/src/entry/customers/directory.ts
@@ -9,8 +9,15 @@
 /** A customer whose callers share its keys and its quota. */
 export type Customer = types.Customer;
 
+/** Longest key in bytes. Keys have a few hundred bytes at most; a longer one is not worth the time of its digest. */
+export const maxKeyBytes = 4096;
+
+/** Digest that belongs to no key. */
+const noDigest = '';
+
 /**
-Digest of a key in hexadecimal form.
+Digest of a key in hexadecimal form. `key` has one character for each byte, as it was received. The digest of an empty or
+too long key is empty, and belongs to no customer.
 
 @example
 ```
@@ -18,7 +25,7 @@
 ```
 */
 export function digest(key: string): string {
-	return crypto.createHash('sha256').update(key, 'latin1').digest('hex');
+	return key === '' || key.length > maxKeyBytes ? noDigest : crypto.createHash('sha256').update(key, 'latin1').digest('hex');
 }
 
 /** Finds customers by name and by the digest of a key. */
@@ -43,6 +50,6 @@
 
 	/** The customer that holds the key with a digest. */
 	find(keyDigest: string): Customer | undefined {
-		return this.#byDigest.get(keyDigest);
+		return keyDigest === noDigest ? undefined : this.#byDigest.get(keyDigest);
 	}
 }
--- a/src/entry/notice.ts
+++ b/src/entry/notice.ts
@@ -24,8 +24,11 @@
 
 /** Creates the message for an update that was the store's state `ageMs` ago. */
 export function describe<K extends objects.Kind>(kind: K, {from, revision, items, gone}: caches.Update<K>, ageMs: number): types.StateNotice {
+	const sent = items.map(item => ({
+		name: item.name, revision: item.revision, fault: item.fault, value: item.value ?? null,
+	}));
 	const notice = {
-		kind, from: from ?? null, revision, ageMs, items: items.map(({value, ...item}) => ({...item, value: value ?? null})), gone: [...gone],
+		kind, from: from ?? null, revision, ageMs, items: sent, gone: [...gone],
 	};
 	return notice as types.StateNotice;
 }
--- a/src/entry/objects.ts
+++ b/src/entry/objects.ts
@@ -19,12 +19,16 @@
 /** Kinds of which every host keeps a current copy. */
 export type CachedKind = Exclude<Kind, 'in-sync'>;
 
-/** One object. An invalid value is `undefined`, and `fault` gives the reason. */
+/**
+One object. An invalid value is `undefined`, and `fault` gives the reason. `omitted` has the reasons for parts of the value
+that were left out, where this host has read them from the store.
+*/
 export type Item<K extends Kind> = {
 	readonly name: string;
 	readonly revision: number;
 	readonly value: Values[K] | undefined;
 	readonly fault: string;
+	readonly omitted?: readonly string[];
 };
 
 /** All objects of a kind at a revision of the store. `unreadable` describes those without a valid name or revision. */
--- a/src/entry/validation.ts
+++ b/src/entry/validation.ts
@@ -12,8 +12,11 @@
 	errors?: readonly Issue[] | null;
 };
 
-/** A valid value with an empty `fault`, or `undefined` and the reason why the value is invalid. */
-export type Checked<T> = {readonly value: T | undefined; readonly fault: string};
+/**
+A valid value with an empty `fault`, or `undefined` and the reason why the value is invalid. `omitted` says which parts of a
+valid value were left out, and why.
+*/
+export type Checked<T> = {readonly value: T | undefined; readonly fault: string; readonly omitted?: readonly string[]};
 
 /**
 Checks a value against a schema.
--- a/src/platform/decode.ts
+++ b/src/platform/decode.ts
@@ -2,10 +2,12 @@
 Decodes values from the platform's store into the project's types. Other processes write to the store too, so every value
 is validated against the schema of its stored form.
 */
+import * as buffer from 'node:buffer';
 import * as validators from '../generated/stored.js';
 import type * as types from '../generated/types.js';
 import type * as objects from '../entry/objects.js';
 import * as directories from '../entry/customers/directory.js';
+import * as entries from '../entry/customers/entries.js';
 import * as validation from '../entry/validation.js';
 
 const routeKinds: Readonly<Record<types.StoredRoute['type'], types.RouteKind>> = {
@@ -25,7 +27,12 @@
 		}
 
 		const {value, fault} = validation.check(validators.validateStoredConfiguration, stored);
-		return {value: value && toDeployment(value), fault};
+		if (!value) {
+			return {value: undefined, fault};
+		}
+
+		const selection = value.tenants && entries.select(value.tenants.map(tenant => readTenant(tenant)));
+		return {value: toDeployment(value, selection?.customers), fault, omitted: selection?.omitted ?? []};
 	},
 	servers(name, stored) {
 		const {value, fault} = validation.check(validators.validateStoredServer, stored);
@@ -36,7 +43,7 @@
 	'in-sync': (_name, stored) => validation.check(validators.validateInSyncSet, stored),
 };
 
-function toDeployment({version, routes, services, limits, tenants}: types.StoredConfiguration): types.Deployment {
+function toDeployment({version, routes, services, limits}: types.StoredConfiguration, customers: readonly types.Customer[] | undefined): types.Deployment {
 	return {
 		version,
 		routes: routes.map(route => ({
@@ -48,7 +55,7 @@
 			targetMs: route.targetLatencyMs,
 			priority: route.priority,
 			service: route.service,
-			...(tenants && {isPublic: route.public}),
+			...(customers && {isPublic: route.public}),
 		})),
 		databases: services.map(service => ({
 			name: service.name,
@@ -56,22 +63,61 @@
 			synchronousReplicas: service.syncReplicas,
 		})),
 		idleTransactionMs: limits.txIdleMs,
-		...(tenants && {customers: tenants.flatMap(tenant => toCustomer(tenant) ?? [])}),
+		...(customers && {customers: [...customers]}),
 	};
 }
 
-/** A customer; `undefined` if its entry is invalid. */
-function toCustomer(stored: unknown): types.Customer | undefined {
-	const {value} = validation.check(validators.validateStoredTenant, stored);
-	return value && {
-		name: value.name,
-		priority: value.priority,
-		operationsPerS: value.perS,
-		burst: value.burstSize,
-		keyDigests: value.apiKeys.map(key => directories.digest(key)),
+/** Reads the entry of a customer. Each key is read by itself, so that an unusable one doesn't stop the others. */
+function readTenant(stored: unknown): entries.Entry {
+	const name = readName(stored);
+	const keys = readKeys(stored);
+	const keyDigests = [...new Set(keys.filter(key => isKey(key)).map(key => digestOf(key)))];
+	const unusable = keys.filter(key => !isKey(key)).length;
+	const {value, fault} = validation.check(validators.validateStoredTenant, stored);
+	const invalid = fault === '' ? findFault(name, keyDigests) : fault;
+	if (!value || invalid !== '') {
+		return {
+			name, customer: undefined, keyDigests, faults: [invalid],
+		};
+	}
+
+	return {
+		name,
+		customer: {
+			name, priority: value.priority, operationsPerS: value.perS, burst: value.burstSize, keyDigests,
+		},
+		keyDigests,
+		faults: unusable > 0 ? [`${unusable} of its keys are empty, longer than ${directories.maxKeyBytes} bytes, not text, or contain white space`] : [],
 	};
 }
 
+function findFault(name: string, keyDigests: readonly string[]): string {
+	if (name === entries.reservedName) {
+		return 'the name is reserved';
+	}
+
+	return keyDigests.length === 0 ? 'no usable key' : '';
+}
+
+function readName(stored: unknown): string {
+	const name = typeof stored === 'object' && stored !== null && 'name' in stored ? stored.name : undefined;
+	return typeof name === 'string' ? name : '';
+}
+
+function readKeys(stored: unknown): readonly unknown[] {
+	const keys = typeof stored === 'object' && stored !== null && 'apiKeys' in stored ? stored.apiKeys : undefined;
+	return Array.isArray(keys) ? keys : [];
+}
+
+function isKey(key: unknown): key is string {
+	return typeof key === 'string' && /^\S+$/v.test(key) && buffer.Buffer.byteLength(key) <= directories.maxKeyBytes;
+}
+
+/** Digest of the key as callers send it: in bytes, of which the text has one for each ASCII character and several for others. */
+function digestOf(key: string): string {
+	return directories.digest(buffer.Buffer.from(key).toString('latin1'));
+}
+
 function toRegistration(id: string, stored: types.StoredServer): types.Registration {
 	return {
 		id,
