End sessions whose key is removed, and refuse customers at cut-off hosts

A session went on under the name of whoever held its key, and one whose key was removed stayed open with its transaction. A version without customers after one with them served everyone, and a host that reached nobody served its last version forever.

Sessions remember how they were admitted, and are checked when a version comes into force, before each request and after the wait for the quota. A host whose configuration is older than the bound refuses customers with BUSY unless a link to another host is open, which is so while the store is down for all. Operations, refusals and open sessions are counted by customer, and refusals are logged with the customer's name.

--- /dev/null
+++ b/src/entry/customers/freshness.ts
@@ -0,0 +1,70 @@
+/**
+Whether the configuration of this host is recent enough to go by. Keys may be removed while a host can reach neither the
+store nor another host, and other hosts can serve its callers.
+*/
+import type * as clock from '../../core/clock.js';
+import type * as decisions from '../decisions.js';
+
+export type Options = {
+	readonly clock: clock.Clock;
+	readonly decisions: decisions.Decisions;
+	/** Time in ms within which a change of the configuration must be in force. */
+	readonly configurationMs: number;
+	/** Time in ms since the configuration was last confirmed to be the store's. */
+	readonly ageMs: () => number;
+	/** Whether the configuration in force has customers. */
+	readonly hasCustomers: () => boolean;
+	/** Whether a link to or from another host is open. */
+	readonly hasLink: () => boolean;
+	/** Whether this host knows other hosts. */
+	readonly knowsHosts: () => boolean;
+	/** Starts to open links to other hosts. */
+	readonly connect: () => void;
+};
+
+const tickMs = 200;
+/**
+Part of the bound left for a request on its way to a server. The age is measured from the receipt of the store's answer, so
+it also covers the time of that answer.
+*/
+const marginMs = 250;
+/** Fraction of the bound from which links are opened, so that they are open by the time at which the bound is reached. */
+const connectFraction = 5 / 6;
+
+/** Judges the age of the configuration. */
+export class Freshness {
+	readonly #options: Options;
+	#wasCurrent = true;
+
+	constructor(options: Options) {
+		this.#options = options;
+	}
+
+	/** Whether keys may be served. While the store is down for all hosts, the links between them remain open. */
+	get isCurrent(): boolean {
+		const {configurationMs, ageMs, hasLink, knowsHosts} = this.#options;
+		return ageMs() <= configurationMs - marginMs || hasLink() || !knowsHosts();
+	}
+
+	/** Opens links in time, and records when keys are no longer served and when they are again; runs until `signal` aborts. */
+	async run(signal: AbortSignal): Promise<void> {
+		const {clock: time, configurationMs, ageMs, hasCustomers, hasLink, connect} = this.#options;
+		while (!signal.aborted) {
+			if (hasCustomers() && ageMs() > (configurationMs - marginMs) * connectFraction && !hasLink()) {
+				connect();
+			}
+
+			this.#recordChange();
+			await time.sleep(tickMs, signal);
+		}
+	}
+
+	#recordChange(): void {
+		const {decisions: record, hasCustomers, ageMs} = this.#options;
+		const isCurrent = !hasCustomers() || this.isCurrent;
+		if (isCurrent !== this.#wasCurrent) {
+			this.#wasCurrent = isCurrent;
+			record.record(isCurrent ? 'keys-served' : 'keys-suspended', {ageMs: Math.round(ageMs())});
+		}
+	}
+}
--- a/src/entry/decisions.ts
+++ b/src/entry/decisions.ts
@@ -3,12 +3,18 @@
 */
 
 import type * as types from '../generated/types.js';
+import type * as activities from './customers/activity.js';
 
 /** The inputs and the outcome of a decision. */
 export type Fields = Readonly<Record<string, string | number | boolean>>;
 
 /** Records decisions. Names are a fixed set of identifiers in kebab case. */
 export abstract class Decisions {
+	/** Reports the counts by customer as metrics. Does nothing where there are no metrics. */
+	observeCustomers(_activity: activities.Activity): void {
+		// Only the journal has metrics.
+	}
+
 	/** Records a state change or an action of the host: infrequent, and always logged. */
 	abstract record(name: string, fields: Fields): void;
 
--- a/src/entry/deployment.ts
+++ b/src/entry/deployment.ts
@@ -48,11 +48,17 @@
 		}
 
 		this.#decisions.record('configuration-accepted', {
-			version: content.version, replaced: this.#content?.version ?? 0, routes: content.routes.length, source, ageMs: Math.round(ageMs),
+			version: content.version,
+			replaced: this.#content?.version ?? 0,
+			routes: content.routes.length,
+			...(content.customers && {customers: content.customers.length}),
+			source,
+			ageMs: Math.round(ageMs),
 		});
-		this.#content = content;
-		this.#routes = new Map(content.routes.map(route => [route.database, route]));
-		this.#customers = content.customers && new directories.Directory(content.customers);
+		const effective = this.#keepCustomers(content);
+		this.#content = effective;
+		this.#routes = new Map(effective.routes.map(route => [route.database, route]));
+		this.#customers = effective.customers && new directories.Directory(effective.customers);
 		this.changed.notify();
 	}
 
@@ -69,4 +75,18 @@
 
 		return this.#content !== undefined;
 	}
+
+	/**
+	Adds the customers in force, and which routes are public, to a version that doesn't say whether there are any. Without
+	them, a version whose writer left them out by mistake would serve callers without a key.
+	*/
+	#keepCustomers(content: types.Deployment): types.Deployment {
+		const customers = this.#content?.customers;
+		if (content.customers !== undefined || customers === undefined) {
+			return content;
+		}
+
+		this.#decisions.record('customers-kept', {version: content.version, customers: customers.length});
+		return {...content, customers, routes: content.routes.map(route => ({...route, isPublic: this.#routes.get(route.database)?.isPublic === true}))};
+	}
 }
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -13,7 +13,10 @@
 import type * as backend from './backend.js';
 import type * as caller from './caller.js';
 import * as claims from './claims.js';
+import * as activities from './customers/activity.js';
+import * as freshnesses from './customers/freshness.js';
 import * as limiters from './customers/limiter.js';
+import * as revocation from './customers/revocation.js';
 import type * as decisions from './decisions.js';
 import * as deployments from './deployment.js';
 import * as failover from './failover.js';
@@ -100,6 +103,7 @@
 	readonly #tasks: tasks.Tasks;
 	readonly #listener: Listener;
 	readonly #sessionOptions: sessions.Options;
+	readonly #freshness: freshnesses.Freshness;
 	readonly #caches: notices.Caches;
 	#isDraining = false;
 	/** Whether the port for links is open, so that links to other hosts may be opened as well. */
@@ -138,11 +142,29 @@
 		this.#hosts = new hosts.LinkedHosts({clock: time, colleagues: service => this.#canOpenLinks ? this.#fleet.colleagues(service) : []});
 		this.#reporter = new reporters.Reporter({clock: time, decisions: log, findGroup: service => this.#groups.get(service)});
 		this.#local = new local.Local(this.#context, service => this.#groups.get(service));
+		const activity = new activities.Activity(() => this.#deployment.customers);
+		log.observeCustomers(activity);
+		this.#freshness = new freshnesses.Freshness({
+			clock: time,
+			decisions: log,
+			configurationMs: options.settings.consistency.configurationMs,
+			ageMs: () => this.#caches.configuration.ageMs,
+			hasCustomers: () => this.#deployment.customers !== undefined,
+			hasLink: () => this.#hasLink,
+			knowsHosts: () => this.#fleet.knowsHosts,
+			connect: () => {
+				for (const service of this.#groups.keys()) {
+					this.#hosts.prepare(service);
+				}
+			},
+		});
 		this.#sessionOptions = {
 			context: this.#context,
 			deployment: this.#deployment,
 			executor: new forwarder.Forwarder(this.#context, this.#local, (service, customer) => this.#fleet.route(service, customer)),
 			limiter: new limiters.Unlimited(),
+			activity,
+			isCurrent: () => this.#freshness.isCurrent,
 		};
 		this.#listener = options.listener(accepted => {
 			this.#tasks.start('session', async () => this.#serveCaller(accepted));
@@ -171,6 +193,11 @@
 		return !this.#isDraining && this.#deployment.content !== undefined && this.#caches.servers.revision !== undefined && this.#caches.hosts.revision !== undefined;
 	}
 
+	/** Whether a link to or from another host is open. */
+	get #hasLink(): boolean {
+		return this.#fleet.hasOpenLink || this.#responders.size > 0;
+	}
+
 	/** Starts the tasks and the listeners. */
 	async start(): Promise<void> {
 		const {settings: {listen}, decisions: log} = this.#options;
@@ -198,6 +225,7 @@
 		});
 		const monitor = new stalls.Monitor({clock: this.#options.clock, decisions: log});
 		this.#tasks.keep('stall monitor', signal, async () => monitor.run(signal));
+		this.#tasks.keep('freshness', signal, async () => this.#freshness.run(signal));
 		this.#tasks.keep('announcer', signal, async () => hostAnnouncer.run(signal));
 		await this.#serveHttp(listen.readiness, async () => [this.isReady ? 200 : 503, '']);
 		await this.#serveHttp(listen.metrics, async () => [200, await this.#options.metrics()]);
@@ -330,6 +358,7 @@
 
 	#applyDeployment(content: types.Deployment, source: string): void {
 		this.#deployment.accept(content, source, this.#caches.configuration.ageMs);
+		revocation.review(this.#sessions, this.#deployment.content?.version ?? 0, this.#options.decisions);
 		for (const {name} of this.#deployment.content?.databases ?? []) {
 			if (!this.#groups.has(name)) {
 				this.#addGroup(name);
@@ -367,7 +396,7 @@
 	*/
 	#isIsolated(service: string): boolean {
 		const maxAgeMs = this.#options.settings.consistency.configurationMs * synchronizer.maxAgeFraction;
-		if (this.#caches.servers.ageMs <= maxAgeMs || this.#fleet.hasOpenLink || this.#responders.size > 0) {
+		if (this.#caches.servers.ageMs <= maxAgeMs || this.#hasLink) {
 			return false;
 		}
 
--- a/src/entry/fleet.ts
+++ b/src/entry/fleet.ts
@@ -140,6 +140,11 @@
 		return [...this.#peers.values()].some(({isOpen}) => isOpen);
 	}
 
+	/** Whether any other host is known. */
+	get knowsHosts(): boolean {
+		return this.#hosts.size > 1;
+	}
+
 	/** The host that follows the store for its region, chosen among hosts that are not `excluded`; `undefined` if it is this host. */
 	observer(excluded: ReadonlySet<string>): peers.Peer | undefined {
 		const {self} = this.#options;
--- a/src/entry/forwarder.ts
+++ b/src/entry/forwarder.ts
@@ -53,6 +53,10 @@
 		let refused: statement.Reply | undefined;
 		let mayHaveRun = false;
 		while (untried.length > 0 || running.size > 0) {
+			if (job.isRevoked?.()) {
+				untried.length = 0;
+			}
+
 			const next = refused && !jobs.hasTime(this.#context, job) ? undefined : untried.shift();
 			if (next) {
 				running.set(next, this.#attempt(next, job, work));
@@ -85,7 +89,7 @@
 	override async begin(job: jobs.Job, mode: types.AccessMode): Promise<executor.Transaction | statement.Reply> {
 		let refused: statement.Reply | undefined;
 		for (const target of this.#route(job.route.service, job.customer)) {
-			if (refused && !jobs.hasTime(this.#context, job)) {
+			if (refused && (!jobs.hasTime(this.#context, job) || job.isRevoked?.())) {
 				break;
 			}
 
--- a/src/entry/job.ts
+++ b/src/entry/job.ts
@@ -22,6 +22,8 @@
 	readonly route: types.Route;
 	/** Name of the customer; `undefined` without customers and on public routes. */
 	readonly customer: string | undefined;
+	/** Whether the session's key was removed since. Absent at a host to which the job was forwarded, which knows no key. */
+	readonly isRevoked?: () => boolean;
 	readonly state: states.State;
 	/** Log position of the session's last commit in the service; null if there is none. */
 	readonly sessionPosition: statement.Position | null;
@@ -102,6 +104,7 @@
 	context.decisions.request('refused', job.id, {
 		service: job.route.service,
 		route: job.route.name,
+		...(job.customer !== undefined && {customer: job.customer}),
 		reason,
 		waitedMs: Math.round(elapsedMs(context, job)),
 	});
--- a/src/entry/journal.ts
+++ b/src/entry/journal.ts
@@ -12,6 +12,7 @@
 import type * as types from '../generated/types.js';
 import type * as clock from '../core/clock.js';
 import type * as metrics from '../host/metrics.js';
+import type * as activities from './customers/activity.js';
 import * as decisions from './decisions.js';
 
 /** Limit on lines about requests in `windowMs`; further lines are only counted. */
@@ -44,6 +45,7 @@
 	readonly #logger: winston.Logger;
 	readonly #clock: clock.Clock;
 	#metrics: metrics.Metrics | undefined;
+	#activity: activities.Activity | undefined;
 	#earlyRequests: EndedRequest[] = [];
 	readonly #output: stream.Writable;
 	readonly #counts = new Map<string, number>();
@@ -79,6 +81,9 @@
 		target.addGauge('decisions', 'Decisions since the start, by name', ['name'], () =>
 			[...this.#counts].map(([name, value]) => ({labels: {name}, value})));
 		target.addGauge('failover_attempts', 'Failover attempts of this host since the start, by reason and result', ['reason', 'result'], () => [...this.#attempts.values()]);
+		target.addGauge('customer_operations', 'Operations that were admitted since the start, by customer', ['customer'], () => this.#activity?.operations ?? []);
+		target.addGauge('customer_refusals', 'Refused operations and sessions since the start, by customer and cause', ['customer', 'cause'], () => this.#activity?.refusals ?? []);
+		target.addGauge('customer_sessions', 'Open sessions, by customer', ['customer'], () => this.#activity?.sessions ?? []);
 		target.addGauge('log_lines_omitted', 'Log lines omitted since the start', [], () => [{labels: {}, value: this.#omitted}]);
 	}
 
@@ -117,6 +122,10 @@
 		}
 	}
 
+	override observeCustomers(activity: activities.Activity): void {
+		this.#activity = activity;
+	}
+
 	#count(name: string): void {
 		this.#counts.set(name, (this.#counts.get(name) ?? 0) + 1);
 	}
--- a/src/entry/session.ts
+++ b/src/entry/session.ts
@@ -3,6 +3,8 @@
 */
 import type * as types from '../generated/types.js';
 import type * as caller from './caller.js';
+import type * as activities from './customers/activity.js';
+import * as authorization from './customers/authorization.js';
 import * as directories from './customers/directory.js';
 import type * as limiters from './customers/limiter.js';
 import type * as deployment from './deployment.js';
@@ -18,6 +20,10 @@
 	readonly deployment: deployment.Deployment;
 	readonly executor: executor.Executor;
 	readonly limiter: limiters.Limiter;
+	/** Counts by customer. */
+	readonly activity?: activities.Activity;
+	/** Whether the configuration is recent enough to serve customers. Always, if absent. */
+	readonly isCurrent?: () => boolean;
 };
 
 /** Position of the session's last commit in the log of a service. */
@@ -32,6 +38,9 @@
 */
 const maxCloseDelayMs = 5;
 
+/** Why customers aren't served by a host that can reach neither the store nor another host. */
+const outdatedReason = 'the configuration of this host is too old';
+
 /** Callers time out when a session takes 2 s to open. */
 const openTimeoutMs = 1700;
 
@@ -42,6 +51,10 @@
 	readonly #state = new states.State();
 	#database = '';
 	#keyDigest = '';
+	/** How the session was admitted; `undefined` before. */
+	#grant: authorization.Grant | undefined;
+	/** Whether a version of the configuration has ended the session's admission. */
+	#isRevoked = false;
 	#transaction: executor.Transaction | undefined;
 	#lastCommit: Commit | undefined;
 	#isDraining = false;
@@ -96,6 +109,7 @@
 
 		this.#ending ??= 'caller';
 		this.#caller.close();
+		this.#admitAs(undefined);
 		await this.#transaction?.rollback();
 	}
 
@@ -116,6 +130,31 @@
 		}
 	}
 
+	/**
+	Ends the session if the configuration in force doesn't admit it: now, or after the reply to the request in progress. An
+	open transaction is rolled back. Returns the name of its customer, or an empty name if it has none, if the session ends by
+	this call.
+	*/
+	review(): string | undefined {
+		const route = this.#options.deployment.route(this.#database);
+		if (!this.#grant || this.#isRevoked || (this.#grant.kind === 'public' && !route)) {
+			return undefined;
+		}
+
+		const current = this.#authorize(route);
+		if (authorization.mayContinue(this.#grant, current, this.#transaction !== undefined)) {
+			if (this.#grant.kind === 'unrestricted') {
+				this.#admitAs(current);
+			}
+
+			return undefined;
+		}
+
+		this.#isRevoked = true;
+		this.close();
+		return authorization.customerName(this.#grant) ?? '';
+	}
+
 	/** Aborts the open transaction. The reply to the caller's next statement reports the abort. */
 	async abort(): Promise<void> {
 		await this.#transaction?.abort('the host is shutting down');
@@ -143,16 +182,31 @@
 			return false;
 		}
 
-		if (!this.#isAuthorized(route)) {
+		const grant = this.#authorize(route);
+		if (!grant) {
+			this.#options.activity?.refused(undefined, 'unauthorized');
+			this.#recordRefusedOpening(route, 'the key is unknown');
 			this.#caller.reject('unauthorized', 'the key is unknown');
 			return false;
 		}
 
-		this.#options.executor.prepare(route.service, this.#customer(route)?.name);
+		if (grant.kind === 'customer' && !this.#isCurrent) {
+			this.#options.activity?.refused(grant.customer.name, 'busy');
+			this.#recordRefusedOpening(route, outdatedReason);
+			this.#caller.reject('busy', `not run: ${outdatedReason}`);
+			return false;
+		}
+
+		this.#admitAs(grant);
+		this.#options.executor.prepare(route.service, authorization.customerName(grant));
 		this.#caller.accept();
 		return true;
 	}
 
+	#recordRefusedOpening({service, name}: types.Route, reason: string): void {
+		this.#options.context.decisions.request('session-refused', '', {service, route: name, reason});
+	}
+
 	/** Waits for the next request and aborts an open transaction that stays idle for too long. */
 	async #next(): Promise<statement.Request | undefined> {
 		const next = this.#caller.next();
@@ -169,6 +223,11 @@
 
 	async #execute(request: statement.Request): Promise<statement.Reply> {
 		const received = request.statement;
+		this.review();
+		if (this.#isRevoked) {
+			return this.#refuseRevoked();
+		}
+
 		if (this.#transaction?.isFailed && received.kind !== 'commit' && received.kind !== 'rollback') {
 			return this.#transaction.refusal();
 		}
@@ -236,7 +295,7 @@
 
 		const opened = await this.#options.executor.begin(job, mode);
 		if (!(opened instanceof executor.Transaction)) {
-			this.#returnUnused(job, opened);
+			this.#countRefused(job, opened);
 			return opened;
 		}
 
@@ -277,7 +336,7 @@
 		}
 
 		const reply = await this.#options.executor.run({...job, state: this.#state.copy()}, work);
-		this.#returnUnused(job, reply);
+		this.#countRefused(job, reply);
 		if (work.mode === 'write') {
 			this.#recordCommit(reply, job.route.service);
 		}
@@ -285,40 +344,73 @@
 		return reply;
 	}
 
-	/** The customer of the session on a route; `undefined` without customers, on public routes, and if the key is unknown. */
-	#customer(route: types.Route): directories.Customer | undefined {
-		return route.isPublic ? undefined : this.#options.deployment.customers?.find(this.#keyDigest);
+	/** How the session is admitted to a route under the configuration in force; `undefined` if it isn't. */
+	#authorize(route: types.Route | undefined): authorization.Grant | undefined {
+		return authorization.authorize(this.#options.deployment.customers, route, this.#keyDigest);
 	}
 
-	/** Whether the session may use a route under the current configuration. */
-	#isAuthorized(route: types.Route): boolean {
-		return route.isPublic === true || this.#options.deployment.customers === undefined || this.#customer(route) !== undefined;
+	/** Whether the configuration is recent enough to serve customers. */
+	get #isCurrent(): boolean {
+		return this.#options.isCurrent?.() ?? true;
+	}
+
+	#admitAs(grant: authorization.Grant | undefined): void {
+		const [before, after] = [authorization.customerName(this.#grant), authorization.customerName(grant)];
+		this.#grant = grant;
+		if (before !== undefined) {
+			this.#options.activity?.closed(before);
+		}
+
+		if (after !== undefined) {
+			this.#options.activity?.opened(after);
+		}
 	}
 
 	/** Counts an operation against the customer's quota, and returns a refusal if it may not run. */
 	async #limit(job: jobs.Job): Promise<statement.Reply | undefined> {
-		if (!this.#isAuthorized(job.route)) {
-			return this.#refuse('unauthorized', 'the key is unknown');
+		const customer = job.customer === undefined ? undefined : this.#options.deployment.customers?.get(job.customer);
+		if (!customer) {
+			return undefined;
 		}
 
-		const customer = this.#customer(job.route);
-		const admission = customer && await this.#options.limiter.admit(customer);
-		if (!admission || admission.kind === 'admitted') {
-			return undefined;
+		if (!this.#isCurrent) {
+			this.#options.activity?.refused(customer.name, 'busy');
+			return jobs.refuse(this.#options.context, job, outdatedReason);
+		}
+
+		const admission = await this.#options.limiter.admit(customer);
+		if (admission.kind !== 'admitted') {
+			this.#options.activity?.refused(customer.name, admission.kind === 'limited' ? 'over-quota' : 'busy');
+			const reason = admission.kind === 'limited' ? 'the customer is over its quota' : 'the quota can\'t be checked';
+			return jobs.refuse(this.#options.context, job, reason, admission.retryAfterMs);
+		}
+
+		// A version that removes the key may have arrived while the quota was checked.
+		this.review();
+		if (this.#isRevoked) {
+			this.#options.limiter.release(customer);
+			return this.#refuseRevoked();
 		}
 
-		const reason = admission.kind === 'limited' ? 'the customer is over its quota' : 'the quota can\'t be checked';
-		return jobs.refuse(this.#options.context, job, reason, admission.retryAfterMs);
+		this.#options.activity?.admitted(customer.name);
+		return undefined;
 	}
 
-	/** Returns an operation that did not run to the customer's quota. */
-	#returnUnused({route}: jobs.Job, reply: statement.Reply): void {
-		const customer = this.#customer(route);
+	/** Returns an operation that did not run to the customer's quota, and counts it as refused. */
+	#countRefused({customer: name}: jobs.Job, reply: statement.Reply): void {
+		const customer = name === undefined ? undefined : this.#options.deployment.customers?.get(name);
 		if (customer && statement.isNotRun(reply)) {
 			this.#options.limiter.release(customer);
+			this.#options.activity?.refused(customer.name, 'busy');
 		}
 	}
 
+	/** Refuses a request after the session's admission has ended. The session closes after the reply. */
+	#refuseRevoked(): statement.Reply {
+		this.#options.activity?.refused(authorization.customerName(this.#grant), 'unauthorized');
+		return statement.refuse('unauthorized', 'the key is no longer valid', 'none');
+	}
+
 	/** Records the log position of a commit, which later reads of the session have to include. */
 	#recordCommit({refusal, position}: statement.Reply, service: string): void {
 		if (refusal === null && position) {
@@ -337,7 +429,8 @@
 		return {
 			id,
 			route,
-			customer: this.#customer(route)?.name,
+			customer: authorization.customerName(this.#authorize(route)),
+			isRevoked: () => this.#isRevoked,
 			state: this.#state,
 			sessionPosition: this.#lastCommit?.service === route.service ? this.#lastCommit.position : null,
 			arrivedAt,
--- a/src/entry/tests/journal.test.ts
+++ b/src/entry/tests/journal.test.ts
@@ -5,6 +5,7 @@
 import * as timers from 'node:timers/promises';
 import * as clock from '../../core/clock.js';
 import * as metrics from '../../host/metrics.js';
+import * as activities from '../customers/activity.js';
 import * as journals from '../journal.js';
 
 type Line = Readonly<Record<string, string | number>>;
@@ -171,3 +172,19 @@
 	assert.match(text, /^sycamorering_failover_attempts\{reason="silent",result="given up"\} 2$/mv);
 	await output.release();
 });
+
+// Guards against counts by customer that are lost because the metrics are loaded after callers were served.
+test.test('counts by customer are metrics, also those from before the metrics were attached', async () => {
+	const {journal} = await start();
+	const activity = new activities.Activity(() => undefined);
+	journal.observeCustomers(activity);
+	activity.admitted('wind');
+	activity.refused(undefined, 'unauthorized');
+	const target = new metrics.Metrics();
+	journal.attach(target);
+	activity.opened('wind');
+	const text = await target.text();
+	assert.match(text, /^sycamorering_customer_operations\{customer="other"\} 1$/mv);
+	assert.match(text, /^sycamorering_customer_sessions\{customer="other"\} 1$/mv);
+	assert.match(text, /^sycamorering_customer_refusals\{customer="unknown",cause="unauthorized"\} 1$/mv);
+});
