--- a/src/cli/inspect.ts
+++ b/src/cli/inspect.ts
@@ -83,8 +83,8 @@
 		return errors.fail('settings', 'start', file, `${file}: ${parsed.left}`);
 	}
 
-	const {value, fault} = decode.decodeConfiguration(parsed.right);
+	const {value, fault, omitted = []} = decode.decodeConfiguration(parsed.right);
 	return value
-		? Either.right({content: value, faults: fault === '' ? [] : [fault]})
+		? Either.right({content: value, faults: omitted})
 		: errors.fail('settings', 'start', file, `${file}: ${fault}`);
 }
