Limit customers to their quotas over all hosts

Cause: Entry passed Unlimited, so no quota of a customer was enforced.

Messages quota-request and quota-grant are sent only where the settings have a quota and the configuration has customers. The session hands the token of an operation that did not run back.

--- a/src/core/ownership.ts
+++ b/src/core/ownership.ts
@@ -32,6 +32,11 @@
 		.map(({host}) => host);
 }
 
+/** A hash of a text, an unsigned integer of 32 bits. */
+export function digest(text: string): number {
+	return hashing.h32(text);
+}
+
 /**
 Returns the three owners of a group in the order of rank: the highest-ranked host of each place. With fewer than three
 places the next hosts in rank follow, so that a group still has more than one owner if all hosts are in one place.
--- a/src/entry/decisions.ts
+++ b/src/entry/decisions.ts
@@ -3,12 +3,18 @@
 */
 
 import type * as types from '../generated/types.js';
+import type * as limiters from './customers/limiter.js';
 
 /** The inputs and the outcome of a decision. */
 export type Fields = Readonly<Record<string, string | number | boolean>>;
 
 /** Records decisions. Names are a fixed set of identifiers in kebab case. */
 export abstract class Decisions {
+	/** Records whether an operation of a customer was within its quota: counted, never logged. */
+	admission(_customer: string, _result: limiters.Admission['kind']): void {
+		// Only an implementation that exports metrics counts them.
+	}
+
 	/** Records a state change or an action of the host: infrequent, and always logged. */
 	abstract record(name: string, fields: Fields): void;
 
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -14,6 +14,9 @@
 import type * as caller from './caller.js';
 import * as claims from './claims.js';
 import * as limiters from './customers/limiter.js';
+import type * as counters from './customers/quota/counters.js';
+import * as quotas from './customers/quota/quotas.js';
+import * as sources from './customers/quota/source.js';
 import type * as decisions from './decisions.js';
 import * as deployments from './deployment.js';
 import * as failover from './failover.js';
@@ -101,6 +104,7 @@
 	readonly #listener: Listener;
 	readonly #sessionOptions: sessions.Options;
 	readonly #caches: notices.Caches;
+	readonly #quotas: quotas.Quotas | undefined;
 	#isDraining = false;
 	/** Whether the port for links is open, so that links to other hosts may be opened as well. */
 	#canOpenLinks = false;
@@ -138,11 +142,18 @@
 		this.#hosts = new hosts.LinkedHosts({clock: time, colleagues: service => this.#canOpenLinks ? this.#fleet.colleagues(service) : []});
 		this.#reporter = new reporters.Reporter({clock: time, decisions: log, findGroup: service => this.#groups.get(service)});
 		this.#local = new local.Local(this.#context, service => this.#groups.get(service));
+		this.#quotas = options.settings.quota && new quotas.Quotas({
+			self: host.name,
+			clock: time,
+			decisions: log,
+			bound: options.settings.quota,
+			reach: (name, distance, confirm) => this.#reach(name, distance, confirm),
+		});
 		this.#sessionOptions = {
 			context: this.#context,
 			deployment: this.#deployment,
 			executor: new forwarder.Forwarder(this.#context, this.#local, (service, customer) => this.#fleet.route(service, customer)),
-			limiter: new limiters.Unlimited(),
+			limiter: this.#quotas?.limiter ?? new limiters.Unlimited(),
 		};
 		this.#listener = options.listener(accepted => {
 			this.#tasks.start('session', async () => this.#serveCaller(accepted));
@@ -164,6 +175,9 @@
 				this.#claims.update(name, item);
 			}),
 		};
+		this.#caches.hosts.listen(() => {
+			this.#updateQuotaHosts();
+		});
 	}
 
 	/** Whether this host is ready for callers. */
@@ -199,6 +213,7 @@
 		const monitor = new stalls.Monitor({clock: this.#options.clock, decisions: log});
 		this.#tasks.keep('stall monitor', signal, async () => monitor.run(signal));
 		this.#tasks.keep('announcer', signal, async () => hostAnnouncer.run(signal));
+		this.#tasks.keep('quotas', signal, async () => this.#quotas?.run(signal));
 		await this.#serveHttp(listen.readiness, async () => [this.isReady ? 200 : 503, '']);
 		await this.#serveHttp(listen.metrics, async () => [200, await this.#options.metrics()]);
 		await this.#listener.listen(listen.caller);
@@ -281,7 +296,7 @@
 	/** Executes the requests of another host that arrive over a link opened by that host. */
 	async #servePeer(accepted: link.Link<types.EntryMessage>): Promise<void> {
 		const responder = new responders.Responder(accepted, {
-			executor: this.#local, context: this.#context, caches: this.#caches, reporter: this.#reporter,
+			executor: this.#local, context: this.#context, caches: this.#caches, reporter: this.#reporter, quotas: this.#quotas,
 		});
 		this.#responders.add(responder);
 		if (this.#isDraining) {
@@ -337,6 +352,7 @@
 		}
 
 		this.#updateQuotas();
+		this.#quotas?.updateCustomers(this.#deployment.customers?.customers ?? []);
 	}
 
 	#addGroup(name: string): void {
@@ -387,6 +403,18 @@
 		}
 	}
 
+	/** Another host as a counter of customers' operations. */
+	#reach(name: string, distance: counters.Distance, confirm: (host: string, view: number) => void): sources.Source | undefined {
+		const peer = this.#canOpenLinks ? this.#fleet.find(name) : undefined;
+		return peer && new sources.Remote(peer, distance, confirm);
+	}
+
+	/** Passes the list of the announced hosts to the quotas of customers, once a whole update of it is applied. */
+	#updateQuotaHosts(): void {
+		const items = this.#caches.hosts.state?.items ?? [];
+		this.#quotas?.updateHosts(items.flatMap(({name, value}) => value ? [{name, ...value}] : []));
+	}
+
 	/** Recomputes this host's connection quota for each service. */
 	#updateQuotas(): void {
 		this.#fleet.invalidate();
--- a/src/entry/fleet.ts
+++ b/src/entry/fleet.ts
@@ -164,6 +164,11 @@
 		return this.#hosts.size > 1 ? undefined : this.#seeds.find(peer => peer.isUsable && !excluded.has(peer.name));
 	}
 
+	/** Another host by name; `undefined` if it isn't known. */
+	find(name: string): peers.Peer | undefined {
+		return name === this.#options.self.name ? undefined : this.#peer(name);
+	}
+
 	/** Closes all links to other hosts. */
 	close(): void {
 		for (const peer of [...this.#peers.values(), ...this.#seeds]) {
--- a/src/entry/journal.ts
+++ b/src/entry/journal.ts
@@ -12,6 +12,8 @@
 import type * as types from '../generated/types.js';
 import type * as clock from '../core/clock.js';
 import type * as metrics from '../host/metrics.js';
+import type * as limiters from './customers/limiter.js';
+import * as usages from './customers/usage.js';
 import * as decisions from './decisions.js';
 
 /** Limit on lines about requests in `windowMs`; further lines are only counted. */
@@ -49,6 +51,7 @@
 	readonly #counts = new Map<string, number>();
 	/** Failover attempts by reason and result. */
 	readonly #attempts = new Map<string, {readonly labels: {readonly reason: string; readonly result: string}; value: number}>();
+	readonly #usage = new usages.Usage();
 	#windowStart = Number.NEGATIVE_INFINITY;
 	#windowLines = 0;
 	#distinctLines = 0;
@@ -79,9 +82,15 @@
 		target.addGauge('decisions', 'Decisions since the start, by name', ['name'], () =>
 			[...this.#counts].map(([name, value]) => ({labels: {name}, value})));
 		target.addGauge('failover_attempts', 'Failover attempts of this host since the start, by reason and result', ['reason', 'result'], () => [...this.#attempts.values()]);
+		target.addGauge('quota_operations', 'Operations of customers since the start, by whether they were within the quota; the largest customers by name', ['customer', 'result'], () =>
+			this.#usage.list().map(({customer, result, count}) => ({labels: {customer, result}, value: count})));
 		target.addGauge('log_lines_omitted', 'Log lines omitted since the start', [], () => [{labels: {}, value: this.#omitted}]);
 	}
 
+	override admission(customer: string, result: limiters.Admission['kind']): void {
+		this.#usage.count(customer, result);
+	}
+
 	override record(name: string, fields: decisions.Fields): void {
 		this.#count(name);
 		if (name === attemptName) {
--- a/src/entry/notice.ts
+++ b/src/entry/notice.ts
@@ -30,11 +30,6 @@
 	return notice as types.StateNotice;
 }
 
-/** Whether a message carries an update. */
-export function isState(message: types.EntryMessage): message is types.StateNotice {
-	return message.kind === 'configuration' || message.kind === 'servers' || message.kind === 'hosts' || message.kind === 'claims';
-}
-
 /** Applies an update that the host `source` sent to the cache of its kind. Returns false if an earlier update is missing. */
 export function apply(all: Caches, {kind, from, revision, items, gone}: types.StateNotice, confirmedAt: number, source: string): boolean {
 	const update = {
--- a/src/entry/peer.ts
+++ b/src/entry/peer.ts
@@ -41,6 +41,7 @@
 	readonly #options: Options;
 	readonly #pending = new Map<number, Pending<statement.Reply>>();
 	readonly #inquiries = new Map<number, Pending<types.LeaderReport>>();
+	readonly #leases = new Map<number, Pending<types.QuotaGrant>>();
 	#link: link.Link<types.EntryMessage> | undefined;
 	#opening: Promise<link.Link<types.EntryMessage> | undefined> | undefined;
 	#failedAt = Number.NEGATIVE_INFINITY;
@@ -95,6 +96,11 @@
 		return outcome ?? errors.fail('outcome-unknown', 'forward', this.name, `no answer within ${Math.round(timeoutMs)} ms`);
 	}
 
+	/** Asks for operations of a customer's quota, with the failures of `request`. */
+	async lease(request: Omit<types.QuotaRequest, 'kind' | 'id'>, timeoutMs: number): Promise<errors.Outcome<types.QuotaGrant>> {
+		return this.#send(this.#leases, id => ({kind: 'quota-request', id, ...request}), timeoutMs);
+	}
+
 	/** Sends a message that has no reply, if the link is open. The peer rolls back open transactions when a link closes. */
 	notify(message: types.RollbackNotice): void {
 		if (this.isOpen) {
@@ -168,21 +174,10 @@
 	/** The task of a link: receives messages until the link ends, then fails the pending requests. */
 	async #receive(opened: link.Link<types.EntryMessage>): Promise<void> {
 		for (let message = await opened.next(); message; message = await opened.next()) {
-			if (message.kind === 'reply') {
-				this.#pending.get(message.id)?.settle(Either.right(message.reply));
-			} else if (message.kind === 'leader-report') {
-				this.#inquiries.get(message.id)?.settle(Either.right(message));
-			} else if (notices.isState(message)) {
-				this.#subscription?.apply(message);
-			} else if (message.kind === 'leaving') {
-				this.#isDraining = true;
-				this.#options.decisions.record('peer-leaving', {peer: this.name});
-			} else {
-				opened.close(`the peer sent ${message.kind}, which only the opener of a link sends`);
-			}
+			this.#handle(opened, message);
 		}
 
-		for (const {delivery, settle} of [...this.#pending.values(), ...this.#inquiries.values()]) {
+		for (const {delivery, settle} of [...this.#pending.values(), ...this.#inquiries.values(), ...this.#leases.values()]) {
 			settle(delivery.state === 'written'
 				? errors.fail('outcome-unknown', 'forward', this.name, 'the link was lost before the reply')
 				: errors.fail('not-run', 'forward', this.name, 'the link was lost before the request was written'));
@@ -191,6 +186,50 @@
 		this.#recordFailure('the link was lost');
 	}
 
+	#handle(opened: link.Link<types.EntryMessage>, message: types.EntryMessage): void {
+		switch (message.kind) {
+			case 'reply': {
+				this.#pending.get(message.id)?.settle(Either.right(message.reply));
+				break;
+			}
+
+			case 'leader-report': {
+				this.#inquiries.get(message.id)?.settle(Either.right(message));
+				break;
+			}
+
+			case 'quota-grant': {
+				this.#leases.get(message.id)?.settle(Either.right(message));
+				break;
+			}
+
+			case 'configuration':
+			case 'servers':
+			case 'hosts':
+			case 'claims': {
+				this.#subscription?.apply(message);
+				break;
+			}
+
+			case 'leaving': {
+				this.#isDraining = true;
+				this.#options.decisions.record('peer-leaving', {peer: this.name});
+				break;
+			}
+
+			case 'run':
+			case 'begin':
+			case 'statement':
+			case 'commit':
+			case 'rollback':
+			case 'subscribe':
+			case 'leader-inquiry':
+			case 'quota-request': {
+				opened.close(`the peer sent ${message.kind}, which only the opener of a link sends`);
+			}
+		}
+	}
+
 	#recordFailure(reason: string): void {
 		if (!this.#hasFailed) {
 			this.#options.decisions.record('peer-lost', {peer: this.name, address: this.address, reason});
--- a/src/entry/responder.ts
+++ b/src/entry/responder.ts
@@ -7,6 +7,7 @@
 import type * as jobs from './job.js';
 import type * as leases from './lease.js';
 import * as notices from './notice.js';
+import type * as quotas from './customers/quota/quotas.js';
 import type * as reporters from './reporter.js';
 import type * as objects from './objects.js';
 import type * as caches from './cache.js';
@@ -22,6 +23,8 @@
 	readonly context: jobs.Context;
 	readonly caches: notices.Caches;
 	readonly reporter: reporters.Reporter;
+	/** Absent where a deployment has no quotas. */
+	readonly quotas?: quotas.Quotas;
 };
 
 /** Time reserved for the reply to reach the peer before the peer's timeout. */
@@ -34,6 +37,7 @@
 	readonly #context: jobs.Context;
 	readonly #caches: notices.Caches;
 	readonly #reporter: reporters.Reporter;
+	readonly #quotas: quotas.Quotas | undefined;
 	/** Functions that end the peer's subscriptions, one for each cache. */
 	#subscriptions: Array<() => void> = [];
 	readonly #transactions = new Map<number, OpenTransaction>();
@@ -42,12 +46,14 @@
 	readonly #rolledBack = new Set<number>();
 	#activeRequests = 0;
 
-	constructor(accepted: link.Link<types.EntryMessage>, {executor: local, context, caches, reporter}: Options) {
+	constructor(accepted: link.Link<types.EntryMessage>, options: Options) {
+		const {executor: local, context, caches, reporter} = options;
 		this.#link = accepted;
 		this.#executor = local;
 		this.#context = context;
 		this.#caches = caches;
 		this.#reporter = reporter;
+		this.#quotas = options.quotas;
 	}
 
 	/** Whether the peer is subscribed to this host's caches of the store's objects. */
@@ -118,6 +124,11 @@
 				break;
 			}
 
+			case 'quota-request': {
+				this.#answerQuota(message);
+				break;
+			}
+
 			case 'subscribe': {
 				this.#subscribe(message.isWanted ? message.known : undefined);
 				break;
@@ -125,6 +136,7 @@
 
 			case 'reply':
 			case 'leader-report':
+			case 'quota-grant':
 			case 'leaving':
 			case 'configuration':
 			case 'servers':
@@ -136,6 +148,14 @@
 		}
 	}
 
+	#answerQuota(request: types.QuotaRequest): void {
+		if (this.#quotas) {
+			this.#link.send(this.#quotas.answer(request));
+		} else {
+			this.#link.close('the peer sent a quota request, but this host has no quotas');
+		}
+	}
+
 	async #reply(id: number, work: Promise<statement.Reply>): Promise<void> {
 		this.#activeRequests++;
 		const reply = await work;
--- a/src/entry/session.ts
+++ b/src/entry/session.ts
@@ -52,6 +52,8 @@
 	/** Time of the last reply, of the acceptance, or of the connection. */
 	#idleSince: number;
 	#ending: Ending | undefined;
+	/** Admission of the operation in progress, or of the last one; `undefined` without a customer. */
+	#admission: limiters.Admission | undefined;
 
 	constructor(accepted: caller.Caller, options: Options) {
 		this.#caller = accepted;
@@ -303,6 +305,7 @@
 
 		const customer = this.#customer(job.route);
 		const admission = customer && await this.#options.limiter.admit(customer);
+		this.#admission = admission;
 		if (!admission || admission.kind === 'admitted') {
 			return undefined;
 		}
@@ -314,8 +317,8 @@
 	/** Returns an operation that did not run to the customer's quota. */
 	#returnUnused({route}: jobs.Job, reply: statement.Reply): void {
 		const customer = this.#customer(route);
-		if (customer && statement.isNotRun(reply)) {
-			this.#options.limiter.release(customer);
+		if (customer && this.#admission && statement.isNotRun(reply)) {
+			this.#options.limiter.release(customer, this.#admission);
 		}
 	}
 
