--- a/src/entry/decisions.ts
+++ b/src/entry/decisions.ts
@@ -4,6 +4,7 @@
 
 import type * as types from '../generated/types.js';
 import type * as activities from './customers/activity.js';
+import type * as limiters from './customers/limiter.js';
 
 /** The inputs and the outcome of a decision. */
 export type Fields = Readonly<Record<string, string | number | boolean>>;
@@ -15,6 +16,11 @@
 		// Only the journal has metrics.
 	}
 
+	/** Records whether an operation of a customer was within its quota: counted, never logged. */
+	admission(_customer: string, _result: limiters.Admission['kind']): void {
+		// Only an implementation that exports metrics counts them.
+	}
+
 	/** Records a state change or an action of the host: infrequent, and always logged. */
 	abstract record(name: string, fields: Fields): void;
 
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -16,6 +16,9 @@
 import * as activities from './customers/activity.js';
 import * as freshnesses from './customers/freshness.js';
 import * as limiters from './customers/limiter.js';
+import type * as counters from './customers/quota/counters.js';
+import * as quotas from './customers/quota/quotas.js';
+import * as sources from './customers/quota/source.js';
 import * as revocation from './customers/revocation.js';
 import type * as decisions from './decisions.js';
 import * as deployments from './deployment.js';
@@ -105,6 +108,7 @@
 	readonly #sessionOptions: sessions.Options;
 	readonly #freshness: freshnesses.Freshness;
 	readonly #caches: notices.Caches;
+	readonly #quotas: quotas.Quotas | undefined;
 	#isDraining = false;
 	/** Whether the port for links is open, so that links to other hosts may be opened as well. */
 	#canOpenLinks = false;
@@ -159,11 +163,18 @@
 				}
 			},
 		});
+		this.#quotas = options.settings.quota && new quotas.Quotas({
+			self: host.name,
+			clock: time,
+			decisions: log,
+			bound: options.settings.quota,
+			reach: (name, distance, confirm) => this.#reach(name, distance, confirm),
+		});
 		this.#sessionOptions = {
 			context: this.#context,
 			deployment: this.#deployment,
 			executor: new forwarder.Forwarder(this.#context, this.#local, (service, customer) => this.#fleet.route(service, customer)),
-			limiter: new limiters.Unlimited(),
+			limiter: this.#quotas?.limiter ?? new limiters.Unlimited(),
 			activity,
 			isCurrent: () => this.#freshness.isCurrent,
 		};
@@ -187,6 +198,9 @@
 				this.#claims.update(name, item);
 			}),
 		};
+		this.#caches.hosts.listen(() => {
+			this.#updateQuotaHosts();
+		});
 	}
 
 	/** Whether this host is ready for callers. */
@@ -228,6 +242,7 @@
 		this.#tasks.keep('stall monitor', signal, async () => monitor.run(signal));
 		this.#tasks.keep('freshness', signal, async () => this.#freshness.run(signal));
 		this.#tasks.keep('announcer', signal, async () => hostAnnouncer.run(signal));
+		this.#tasks.keep('quotas', signal, async () => this.#quotas?.run(signal));
 		await this.#serveHttp(listen.readiness, async () => [this.isReady ? 200 : 503, '']);
 		await this.#serveHttp(listen.metrics, async () => [200, await this.#options.metrics()]);
 		await this.#listener.listen(listen.caller);
@@ -310,7 +325,7 @@
 	/** Executes the requests of another host that arrive over a link opened by that host. */
 	async #servePeer(accepted: link.Link<types.EntryMessage>): Promise<void> {
 		const responder = new responders.Responder(accepted, {
-			executor: this.#local, context: this.#context, caches: this.#caches, reporter: this.#reporter,
+			executor: this.#local, context: this.#context, caches: this.#caches, reporter: this.#reporter, quotas: this.#quotas,
 		});
 		this.#responders.add(responder);
 		if (this.#isDraining) {
@@ -367,6 +382,7 @@
 		}
 
 		this.#updateQuotas();
+		this.#quotas?.updateCustomers(this.#deployment.customers?.customers ?? []);
 	}
 
 	#addGroup(name: string): void {
@@ -417,6 +433,18 @@
 		}
 	}
 
+	/** Another host as a counter of customers' operations. */
+	#reach(name: string, distance: counters.Distance, confirm: (host: string, view: number) => void): sources.Source | undefined {
+		const peer = this.#canOpenLinks ? this.#fleet.find(name) : undefined;
+		return peer && new sources.Remote(peer, distance, confirm);
+	}
+
+	/** Passes the list of the announced hosts to the quotas of customers, once a whole update of it is applied. */
+	#updateQuotaHosts(): void {
+		const items = this.#caches.hosts.state?.items ?? [];
+		this.#quotas?.updateHosts(items.flatMap(({name, value}) => value ? [{name, ...value}] : []));
+	}
+
 	/** Recomputes this host's connection quota for each service. */
 	#updateQuotas(): void {
 		this.#fleet.invalidate();
--- a/src/entry/session.ts
+++ b/src/entry/session.ts
@@ -65,6 +65,8 @@
 	/** Time of the last reply, of the acceptance, or of the connection. */
 	#idleSince: number;
 	#ending: Ending | undefined;
+	/** Admission of the operation in progress, or of the last one; `undefined` without a customer. */
+	#admission: limiters.Admission | undefined;
 
 	constructor(accepted: caller.Caller, options: Options) {
 		this.#caller = accepted;
@@ -379,6 +381,7 @@
 		}
 
 		const admission = await this.#options.limiter.admit(customer);
+		this.#admission = admission;
 		if (admission.kind !== 'admitted') {
 			this.#options.activity?.refused(customer.name, admission.kind === 'limited' ? 'over-quota' : 'busy');
 			const reason = admission.kind === 'limited' ? 'the customer is over its quota' : 'the quota can\'t be checked';
@@ -388,7 +391,7 @@
 		// A version that removes the key may have arrived while the quota was checked.
 		this.review();
 		if (this.#isRevoked) {
-			this.#options.limiter.release(customer);
+			this.#options.limiter.release(customer, admission);
 			return this.#refuseRevoked();
 		}
 
@@ -399,8 +402,8 @@
 	/** Returns an operation that did not run to the customer's quota, and counts it as refused. */
 	#countRefused({customer: name}: jobs.Job, reply: statement.Reply): void {
 		const customer = name === undefined ? undefined : this.#options.deployment.customers?.get(name);
-		if (customer && statement.isNotRun(reply)) {
-			this.#options.limiter.release(customer);
+		if (customer && this.#admission && statement.isNotRun(reply)) {
+			this.#options.limiter.release(customer, this.#admission);
 			this.#options.activity?.refused(customer.name, 'busy');
 		}
 	}
