Report a read as failed if one of its attempts may have run

A read that was sent to one server without a reply, and then refused by the others, was refused as not run, although the first server may have executed it. The same happened when the time of the read ended while an attempt was still in progress.

A read now remembers the servers that it was sent to and that have not said that it did not run. It is refused only if there are none, and fails otherwise.

--- a/src/entry/read.ts
+++ b/src/entry/read.ts
@@ -18,6 +18,15 @@
 
 type Attempt = {readonly server: member.Member; readonly reply: statement.Reply | undefined};
 
+/** What the attempts of one read share. */
+type Race = {
+	readonly minPosition: statement.Position;
+	/** Servers that may have run the read: it was sent to them, and no reply said that it did not run. */
+	readonly sent: Set<string>;
+	/** Aborts once the read is decided. */
+	readonly signal: AbortSignal;
+};
+
 /** Executes reads. */
 export class Reader {
 	readonly #context: jobs.Context;
@@ -111,12 +120,13 @@
 
 		const cancellation = new AbortController();
 		const running = new Map<string, Promise<Attempt>>();
+		const sent = new Set<string>();
 		const untried = this.candidates(job, minPosition);
 		let refused: statement.Reply | undefined;
 		while (jobs.remainingMs(this.#context, job) > 1 && (untried.length > 0 || running.size > 0)) {
 			const next = untried.shift();
 			if (next) {
-				running.set(next.id, this.#attempt(next, job, minPosition, cancellation.signal));
+				running.set(next.id, this.#attempt(next, job, {minPosition, sent, signal: cancellation.signal}));
 			}
 
 			const result = await this.#context.clock.limit(Promise.race(running.values()), untried.length > 0 ? hedgeDelayMs : jobs.remainingMs(this.#context, job));
@@ -131,7 +141,7 @@
 		}
 
 		cancellation.abort('decided');
-		return refused
+		return refused && sent.size === 0
 			? jobs.refuse(this.#context, job, `${refused.refusal ?? ''} ${refused.message}`)
 			: this.#fail(job, 'no server replied in time');
 	}
@@ -146,7 +156,7 @@
 		});
 	}
 
-	async #attempt(server: member.Member, job: jobs.StatementJob, minPosition: statement.Position, signal: AbortSignal): Promise<Attempt> {
+	async #attempt(server: member.Member, job: jobs.StatementJob, {minPosition, sent, signal}: Race): Promise<Attempt> {
 		const lease = await leases.acquire(server, job.state, this.#context.clock, {timeoutMs: jobs.remainingMs(this.#context, job), signal});
 		if (Either.isLeft(lease)) {
 			return {server, reply: undefined};
@@ -157,7 +167,12 @@
 			return {server, reply: undefined};
 		}
 
+		sent.add(server.id);
 		const outcome = await lease.right.run(job.work, minPosition, jobs.remainingMs(this.#context, job));
+		if (Either.isRight(outcome) ? statement.isNotRun(outcome.right) : outcome.left.kind === 'not-run') {
+			sent.delete(server.id);
+		}
+
 		await lease.right.release();
 		if (Either.isRight(outcome) && outcome.right.refusal === 'lagging') {
 			server.recordLag();
--- a/src/entry/tests/read.test.ts
+++ b/src/entry/tests/read.test.ts
@@ -135,3 +135,39 @@
 	assert.deepEqual(replies.filter(({refusal}) => refusal !== null), []);
 	await harness.stop();
 });
+
+test.test('guards against "not run" for a read that a server executed without a reply before the others refused it', async () => {
+	const harness = new fixture.Fixture();
+	await harness.start();
+	harness.cluster.get('b').responseMode = 'answer-lost';
+	harness.cluster.get('a').responseMode = 'busy';
+	harness.cluster.get('c').responseMode = 'busy';
+	const reply = await harness.runFor(1000, new read.Reader(harness.context).execute(harness.statementJob('READ 1')));
+	assert.equal(harness.cluster.executions.length, 1);
+	assert.equal(reply.refusal, 'failed');
+	await harness.stop();
+});
+
+test.test('guards against "not run" for a read whose reply is on its way when the time of the read ends', async () => {
+	const harness = new fixture.Fixture();
+	await harness.start(['b', 'a']);
+	harness.cluster.get('a').responseMode = 'busy';
+	const job = harness.statementJob('READ 1');
+	const reading = new read.Reader(harness.context).execute({...job, deadline: harness.time.now() + 300});
+	harness.cluster.get('b').isUnresponsive = true;
+	const reply = await harness.runFor(1000, reading);
+	assert.equal(reply.refusal, 'failed');
+	await harness.stop();
+});
+
+test.test('guards against "may have run" for a read that every server refused', async () => {
+	const harness = new fixture.Fixture();
+	await harness.start();
+	for (const server of harness.cluster.servers) {
+		server.responseMode = 'busy';
+	}
+
+	const reply = await harness.runFor(1000, new read.Reader(harness.context).execute(harness.statementJob('READ 1')));
+	assert.equal(reply.refusal, 'busy');
+	await harness.stop();
+});
