--- a/src/cli/tests/inspect.test.ts
+++ b/src/platform/tests/inspect.test.ts
@@ -7,7 +7,7 @@
 import * as test from 'node:test';
 import * as url from 'node:url';
 
-const main = path.join(path.dirname(url.fileURLToPath(import.meta.url)), '..', 'main.js');
+const main = path.join(path.dirname(url.fileURLToPath(import.meta.url)), '..', '..', 'cli', 'main.js');
 const key = 'rth5mgjy5rcpihhacrud';
 
 type Result = {readonly code: number; readonly output: string};
--- a/src/soak/tests/soak.test.ts
+++ b/src/soak/tests/soak.test.ts
@@ -58,3 +58,15 @@
 		assert.ok(report.sentAtShutdown > 0);
 	});
 }
+
+const customersMs = 6000;
+/** Seeds in which keys are replaced while hosts are stopped, paused or cut off. */
+const customerSeeds = [1, 2];
+
+for (const seed of customerSeeds) {
+	test.test(`soak of seed ${seed} with customers: statements run on connections of their own customer, under keys in force and within the quota`, {timeout: testTimeoutMs}, async () => {
+		const report = await soak.run(seed, {faultsMs: customersMs, plan: 'customers'});
+		assert.deepEqual(report.violations, [], report.events.join('\n'));
+		assert.ok(report.served > 0);
+	});
+}
