Read at a server to which the customer has an idle connection, if it costs no more

A read went to the server with the least expected cost, also where that meant a new connection for the customer, which takes 12 ms of one of the server's slots. A server with an idle connection of the customer now comes first if it costs at most 20 ms more by the same measure, and if it is avoided no more than the first one. Traffic between places counts 40 ms, so no read leaves its place for this.

The new test fails without the preference, without the bound, and if connections of other customers count.

--- a/src/core/pool.ts
+++ b/src/core/pool.ts
@@ -107,6 +107,12 @@
 		return this.#held.size + this.#idle.length + this.#attempts.size;
 	}
 
+	/** Whether a request of the customer would get an idle connection, after its validation if it was idle for long. */
+	hasIdle(customer: string | undefined): boolean {
+		const since = this.#clock.now() - this.#limits.idleLimitMs;
+		return this.#idle.some(idle => idle.since >= since && idle.connection.isOpen && this.#origin(idle.connection).customer === customer);
+	}
+
 	/** Whether this pool has no connection and the server recently refused one at its limit. */
 	get isBlockedByLimit(): boolean {
 		return this.#held.size + this.#idle.length === 0 && this.wasRefused;
--- a/src/entry/read.ts
+++ b/src/entry/read.ts
@@ -4,6 +4,7 @@
 import * as Either from 'fp-ts/lib/Either.js';
 import * as position from '../core/position.js';
 import type * as errors from '../core/errors.js';
+import * as affinity from './customers/affinity.js';
 import * as jobs from './job.js';
 import * as leaders from './leader.js';
 import * as leases from './lease.js';
@@ -54,7 +55,8 @@
 		const ready = job.group.members.filter(server => server.isReady && server.missingSince === undefined);
 		const usable = ready.length > 0 ? ready : job.group.members;
 		const isAvoided = (server: member.Member): number => Number(server.isAvoided || server.isLagging(minPosition));
-		return usable.toSorted((one, other) => isAvoided(one) - isAvoided(other) || cost(one) - cost(other));
+		const servers = usable.toSorted((one, other) => isAvoided(one) - isAvoided(other) || cost(one) - cost(other));
+		return affinity.prefer(servers, job.customer, (server, first) => isAvoided(server) === isAvoided(first) && cost(server) - cost(first) <= affinity.connectionCostMs);
 	}
 
 	/** Executes a read in a transaction of its own at the leader. A server that no longer leads refuses the BEGIN. */
--- a/src/entry/tests/customers.test.ts
+++ b/src/entry/tests/customers.test.ts
@@ -1,9 +1,14 @@
 import * as assert from 'node:assert/strict';
 import * as test from 'node:test';
+import * as Either from 'fp-ts/lib/Either.js';
 import * as executor from '../executor.js';
 import * as local from '../local.js';
+import * as read from '../read.js';
 import * as fixture from './fixture.js';
 
+/** Position that every server's log contains. */
+const start = {term: 1, index: 0};
+
 /** A group whose servers are used by customers through this host's own connections. */
 class Harness extends fixture.Fixture {
 	readonly local = new local.Local(this.context, () => this.group);
@@ -14,6 +19,19 @@
 		return reply.refusal;
 	}
 
+	/** Opens an idle connection of a customer at a server. */
+	async open(name: string, customer: string): Promise<void> {
+		const server = this.group.members.find(({id}) => id === name);
+		const acquired = server && await this.runFor(50, server.pool.acquire(50, {customer}));
+		assert.ok(acquired && Either.isRight(acquired));
+		await server.pool.release(acquired.right, 'clean');
+	}
+
+	/** Servers for a read of a customer, in the order of preference. */
+	candidates(customer: string | undefined): string[] {
+		return new read.Reader(this.context).candidates(this.job({customer}), start).map(({id}) => id);
+	}
+
 	async transact(mode: 'read' | 'write', customer: string): Promise<void> {
 		const opened = await this.runFor(200, this.local.begin(this.job({customer}), mode));
 		assert.ok(opened instanceof executor.Transaction);
@@ -88,3 +106,18 @@
 	assert.deepEqual(await harness.runFor(800, replies), [null, null, null]);
 	await harness.stop();
 });
+
+test.test('guards against reads that open a connection though an equivalent server has an idle one of their customer', async () => {
+	const harness = new Harness();
+	await harness.start();
+	await harness.open('c', 'one');
+	await harness.open('b', 'two');
+	// Server b is in this host's place. An open connection doesn't outweigh traffic between places.
+	assert.deepEqual(harness.candidates('one'), ['b', 'a', 'c']);
+	await harness.time.advance(1);
+	harness.group.members.find(({id}) => id === 'b')?.recordFailure(harness.time.now());
+	assert.deepEqual(harness.candidates('one'), ['c', 'a', 'b']);
+	assert.deepEqual(harness.candidates('two'), ['a', 'c', 'b']);
+	assert.deepEqual(harness.candidates(undefined), ['a', 'c', 'b']);
+	await harness.stop();
+});
