Learn versions from another region while the store can't be reached

The observer of a region that can't reach the store kept its last version, and so did the hosts that subscribe to it, while links to other hosts were open and keys were served. It now subscribes to a host of another region once its configuration is older than 2/3 of the bound; only where there are customers.

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -28,6 +28,7 @@
 import type * as jobs from './job.js';
 import * as local from './local.js';
 import type * as objects from './objects.js';
+import type * as peers from './peer.js';
 import type * as notices from './notice.js';
 import * as caches from './cache.js';
 import * as recorders from './recorder.js';
@@ -76,6 +77,12 @@
 */
 const staleConnectionMs = 3000;
 
+/**
+Fraction of `configurationMs` after which an observer that can't reach the store asks another region for the configuration.
+It is above that of the longest watch, and below that at which the observer's own subscribers turn to another host.
+*/
+const distantAgeFraction = 2 / 3;
+
 /** Maximum wait at the start for the store to list the other hosts. Without the list, the seeds are queried for them. */
 const discoveryTimeoutMs = 1000;
 const discoveryPollMs = 20;
@@ -207,7 +214,7 @@
 			clock: this.#options.clock,
 			decisions: log,
 			configurationMs: this.#options.settings.consistency.configurationMs,
-			observer: excluded => this.#canOpenLinks ? this.#fleet.observer(excluded) ?? this.#fleet.seed(excluded) : undefined,
+			observer: excluded => this.#canOpenLinks ? this.#fleet.observer(excluded) ?? this.#fleet.seed(excluded) ?? this.#findDistantObserver(excluded) : undefined,
 			hasSubscribers: () => [...this.#responders].some(({isSubscribed}) => isSubscribed),
 			follow: followSignal => {
 				this.#followStore(followSignal);
@@ -330,6 +337,15 @@
 		});
 	}
 
+	/**
+	A host of another region to learn the configuration from. Removed keys must be known in time, also in a region from which
+	the store can't be reached.
+	*/
+	#findDistantObserver(excluded: ReadonlySet<string>): peers.Peer | undefined {
+		const isOld = this.#caches.configuration.ageMs > this.#options.settings.consistency.configurationMs * distantAgeFraction;
+		return isOld && this.#deployment.customers !== undefined ? this.#fleet.distant(excluded) : undefined;
+	}
+
 	/** Keeps every cache current from the store until `signal` aborts. */
 	#followStore(signal: AbortSignal): void {
 		const {store, clock: time, random: source, decisions: log} = this.#options;
--- a/src/entry/fleet.ts
+++ b/src/entry/fleet.ts
@@ -31,6 +31,9 @@
 /** Lower bound of the assumed number of owners, used until other hosts are discovered. */
 const minOwners = 4;
 
+/** Hosts of each other region that may be asked for the store's objects. */
+const distantCandidates = 3;
+
 /** Rank key of the observer of the store. Service names contain no space, so it can't collide with one. */
 const observerKey = 'store observer';
 
@@ -164,6 +167,19 @@
 		return undefined;
 	}
 
+	/** A usable host of another region that is not `excluded`, among the first in rank of each. Opens links to those that failed. */
+	distant(excluded: ReadonlySet<string>): peers.Peer | undefined {
+		const {self} = this.#options;
+		const candidates = this.#regions.filter(region => region !== self.region).flatMap(region => placement.rank({
+			hosts: [...this.#hosts.values()], region, service: observerKey, serverPlaces: new Set<string>(), connectionLimit: 0,
+		}).slice(0, distantCandidates)).flatMap(({name}) => this.#peer(name) ?? []);
+		for (const peer of candidates.filter(({isUsable}) => !isUsable)) {
+			peer.connect();
+		}
+
+		return candidates.find(peer => peer.isUsable && !excluded.has(peer.name));
+	}
+
 	/** A seed to discover other hosts from; `undefined` if other hosts are already known or no seed is usable. */
 	seed(excluded: ReadonlySet<string>): peers.Peer | undefined {
 		return this.#hosts.size > 1 ? undefined : this.#seeds.find(peer => peer.isUsable && !excluded.has(peer.name));
--- a/src/entry/tests/forwarder.test.ts
+++ b/src/entry/tests/forwarder.test.ts
@@ -148,6 +148,33 @@
 	await harness.fixture.stop();
 });
 
+// Guards against a hedged read that another host runs after the version that removed the session's key.
+test.test('a read is not sent to a further host once the key of its session is removed', async () => {
+	const harness = new Harness();
+	await harness.start();
+	await harness.run('READ 1');
+	await harness.run('READ 1');
+	const executed = harness.executedTexts.length;
+	for (const end of harness.network.ends) {
+		end.dropsOutput = true;
+	}
+
+	let isRevoked = false;
+	const sent = harness.network.ends.length;
+	const {work, ...job} = harness.fixture.statementJob('READ 2');
+	const running = harness.forwarder.run({...job, isRevoked: () => isRevoked}, work);
+	await harness.fixture.time.advance(100);
+	isRevoked = true;
+	for (const end of harness.network.ends) {
+		end.dropsOutput = false;
+	}
+
+	const reply = await harness.fixture.runFor(1500, running);
+	assert.equal(reply.refusal, 'failed');
+	assert.deepEqual([harness.executedTexts.length, harness.network.ends.length], [executed, sent]);
+	await harness.fixture.stop();
+});
+
 test.test('a forwarded transaction keeps its connection at the other host and commits there', async () => {
 	const harness = new Harness();
 	await harness.start();
--- a/src/entry/tests/revocation.test.ts
+++ b/src/entry/tests/revocation.test.ts
@@ -355,6 +355,21 @@
 	await host.request(valid, write);
 	assert.deepEqual([valid.isClosed, unknown.isClosed], [false, true]);
 	assert.deepEqual(recorded.map(({customer}) => customer), [undefined, 'wind']);
+	assert.deepEqual(host.activity.sessions, [{labels: {customer: 'wind'}, value: 1}]);
+	host.configure({tide: key});
+	assert.equal(valid.isClosed, true);
+	await host.fixture.stop();
+});
+
+test.test('when the first customers appear, a transaction that was opened without a customer is rolled back', async () => {
+	const host = new Host();
+	await host.start('none', 1);
+	const client = await host.open();
+	await host.request(client, begin, write);
+	host.configure(wind);
+	assert.equal(client.isClosed, true);
+	await host.fixture.time.advance(replyMs);
+	assert.equal(host.executed.includes('COMMIT'), false);
 	await host.fixture.stop();
 });
 
