Don't go by links after a stop of the process when keys may have been removed

A host that was stopped for longer than the bound found its links open when it went on, and served requests that had waited for it before it read newer versions. It now refuses customers for 1 s, or until it has heard of a newer state.

--- a/src/entry/customers/freshness.ts
+++ b/src/entry/customers/freshness.ts
@@ -31,10 +31,19 @@
 /** Fraction of the bound from which links are opened, so that they are open by the time at which the bound is reached. */
 const connectFraction = 5 / 6;
 
+/** Delay of a tick after which the process counts as stopped meanwhile. Links that were lost in that time still seem open. */
+const stopMs = 800;
+/** Time after a stop until links that were lost are closed, and those that are open have delivered what was sent meanwhile. */
+const linkSettleMs = 1000;
+
 /** Judges the age of the configuration. */
 export class Freshness {
 	readonly #options: Options;
 	#wasCurrent = true;
+	/** Clock time of the last tick; `undefined` before the first. */
+	#tickedAt: number | undefined;
+	/** Clock time until which an open link doesn't prove that another host can be reached. */
+	#distrustsLinksUntil = Number.NEGATIVE_INFINITY;
 
 	constructor(options: Options) {
 		this.#options = options;
@@ -42,14 +51,28 @@
 
 	/** Whether keys may be served. While the store is down for all hosts, the links between them remain open. */
 	get isCurrent(): boolean {
-		const {configurationMs, ageMs, hasLink, knowsHosts} = this.#options;
-		return ageMs() <= configurationMs - marginMs || hasLink() || !knowsHosts();
+		const {clock: time, configurationMs, ageMs, hasLink, knowsHosts} = this.#options;
+		if (ageMs() <= configurationMs - marginMs || !knowsHosts()) {
+			return true;
+		}
+
+		return hasLink() && !this.#isStopped && time.now() >= this.#distrustsLinksUntil;
+	}
+
+	/** Whether the process was stopped since the last tick. */
+	get #isStopped(): boolean {
+		return this.#tickedAt !== undefined && this.#options.clock.now() - this.#tickedAt > tickMs + stopMs;
 	}
 
 	/** Opens links in time, and records when keys are no longer served and when they are again; runs until `signal` aborts. */
 	async run(signal: AbortSignal): Promise<void> {
 		const {clock: time, configurationMs, ageMs, hasCustomers, hasLink, connect} = this.#options;
 		while (!signal.aborted) {
+			if (this.#isStopped) {
+				this.#distrustsLinksUntil = time.now() + linkSettleMs;
+			}
+
+			this.#tickedAt = time.now();
 			if (hasCustomers() && ageMs() > (configurationMs - marginMs) * connectFraction && !hasLink()) {
 				connect();
 			}
--- a/src/entry/customers/tests/freshness.test.ts
+++ b/src/entry/customers/tests/freshness.test.ts
@@ -2,6 +2,7 @@
 import * as test from 'node:test';
 import * as clock from '../../../core/clock.js';
 import * as decisions from '../../decisions.js';
+import * as fleet from '../../tests/fake-fleet.js';
 import * as freshnesses from '../freshness.js';
 
 class Recording extends decisions.Silent {
@@ -15,6 +16,7 @@
 /** A host whose configuration was last confirmed at time 0. */
 class Host {
 	readonly time = new clock.Manual();
+	readonly clock = new fleet.HostClock(this.time);
 	readonly decisions = new Recording();
 	readonly stopped = new AbortController();
 	confirmedAt = 0;
@@ -25,7 +27,7 @@
 	isReachable = false;
 	connectedAt: number | undefined;
 	readonly freshness = new freshnesses.Freshness({
-		clock: this.time,
+		clock: this.clock,
 		decisions: this.decisions,
 		configurationMs: 5000,
 		ageMs: () => this.time.now() - this.confirmedAt,
@@ -101,3 +103,23 @@
 	assert.equal(host.connectedAt, undefined);
 	await host.stop();
 });
+
+// Guards against requests that wait in a stopped process and run under removed keys before it reads what other hosts sent.
+test.test('a host that was stopped for longer than the bound trusts its links only after some time, or a newer configuration', async () => {
+	const host = new Host();
+	host.hasLink = true;
+	await host.advance(10_000);
+	assert.equal(host.freshness.isCurrent, true);
+	host.clock.stop(6000);
+	await host.advance(5990);
+	assert.equal(host.freshness.isCurrent, false);
+	await host.advance(300);
+	assert.equal(host.freshness.isCurrent, false);
+	const {confirmedAt} = host;
+	host.confirmedAt = host.time.now();
+	assert.equal(host.freshness.isCurrent, true);
+	host.confirmedAt = confirmedAt;
+	await host.advance(1200);
+	assert.equal(host.freshness.isCurrent, true);
+	await host.stop();
+});
--- a/src/entry/tests/fake-fleet.ts
+++ b/src/entry/tests/fake-fleet.ts
@@ -195,7 +195,7 @@
 }
 
 /** The clock of one host: nothing that the host waits for ends while its process is stopped. */
-class HostClock extends clock.Clock {
+export class HostClock extends clock.Clock {
 	readonly #time: clock.Clock;
 	#stoppedUntil = 0;
 
--- a/src/platform/tests/decode.test.ts
+++ b/src/platform/tests/decode.test.ts
@@ -160,6 +160,13 @@
 test.test('if all entries are invalid there are customers, but none is served', () => {
 	assert.deepEqual(names(decodeTenants({}, null)), []);
 	assert.deepEqual(names(decodeTenants()), []);
+	for (const tenants of [null, {}, 'none']) {
+		// The last version stays in force.
+		assert.match(decode.decoders.configuration('main', {
+			version: 9, routes: [], services: [], tenants,
+		}).fault, /tenants/v);
+	}
+
 	const absent = decode.decoders.configuration('main', {version: 9, routes: [], services: []});
 	assert.deepEqual([absent.value && 'customers' in absent.value, absent.omitted], [false, []]);
 });
