Use the balancer for reads, and back off from a busy leader

Reads and read-only transactions take the order of the group's balancer; writes and statements in transactions count as requests in progress. A read that a server failed is sent to one other server, within 10% of the reads. A write or a read at the leader that is refused as busy is sent again after a random delay of 10 to 20 ms that doubles up to 160 ms, instead of each 10 ms. The moving average of the latency in member.ts, which also counted refusals, is gone.

The new read and write tests failed with the change reverted in the build (fixed delay, no second attempt, no ejection).

--- a/src/entry/decisions.ts
+++ b/src/entry/decisions.ts
@@ -7,8 +7,16 @@
 /** The inputs and the outcome of a decision. */
 export type Fields = Readonly<Record<string, string | number | boolean>>;
 
+/** How an attempt at a backend server ended; `undecided` if that shows nothing about the server, such as a cancelled attempt. */
+export type Attempt = 'answered' | 'busy' | 'failed' | 'silent' | 'undecided';
+
 /** Records decisions. Names are a fixed set of identifiers in kebab case. */
 export abstract class Decisions {
+	/** Records how an attempt at a backend server ended: counted, never logged. */
+	attempted(_service: string, _server: string, _result: Attempt): void {
+		// Counted only where metrics are served.
+	}
+
 	/** Records a state change or an action of the host: infrequent, and always logged. */
 	abstract record(name: string, fields: Fields): void;
 
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -342,7 +342,7 @@
 	#addGroup(name: string): void {
 		const {clock: time, random: source, decisions: log, connect, authority: promotionAuthority, settings: {host}} = this.#options;
 		const added = new groups.Group({
-			name, clock: time, decisions: log, connect, isIsolated: () => this.#isIsolated(name),
+			name, clock: time, decisions: log, connect, isIsolated: () => this.#isIsolated(name), random: source,
 		});
 		this.#groups.set(name, added);
 		this.#updateQuotas();
--- a/src/entry/group.ts
+++ b/src/entry/group.ts
@@ -11,12 +11,15 @@
 import * as clock from '../core/clock.js';
 import type * as errors from '../core/errors.js';
 import * as notifier from '../core/notifier.js';
+import * as random from '../core/random.js';
 import * as position from '../core/position.js';
 import type * as backend from './backend.js';
 import type * as completeness from './completeness.js';
 import * as confirmations from './confirmation.js';
 import type * as decisions from './decisions.js';
 import * as insync from './insync.js';
+import * as backoffs from './load/backoff.js';
+import * as balancer from './load/balancer.js';
 import * as member from './member.js';
 import type * as statement from './statement.js';
 
@@ -34,6 +37,8 @@
 	readonly connect: (registration: types.Registration) => backend.Server;
 	/** Whether this host can neither see the store nor be reached by another host. */
 	readonly isIsolated: () => boolean;
+	/** Random numbers for the choice of servers; by default those of the operating system. */
+	readonly random?: random.Source;
 };
 
 /** Age at which the read index is refreshed, so that bounded-staleness reads find a recent one without a round trip. */
@@ -73,7 +78,10 @@
 	readonly changed = new notifier.Notifier();
 	/** Decides which commits may be confirmed to their callers. */
 	readonly confirmations: confirmations.Confirmations;
+	/** Orders the servers for reads. */
+	readonly balancer: balancer.Balancer<member.Member>;
 	readonly #options: Options;
+	readonly #random: random.Source;
 	readonly #members = new Map<string, member.Member>();
 	/** Ids of servers with a leader probe in flight. */
 	readonly #probes = new Set<string>();
@@ -103,6 +111,8 @@
 		this.#options = options;
 		this.#inSync = new insync.InSync(options.clock);
 		this.confirmations = new confirmations.Confirmations(options);
+		this.#random = options.random ?? new random.System();
+		this.balancer = new balancer.Balancer<member.Member>({...options, service: options.name, random: this.#random});
 		this.#leaderlessSince = options.clock.now();
 	}
 
@@ -189,6 +199,11 @@
 		return this.#lastAddedAt;
 	}
 
+	/** The delays between attempts of one request at a server that is busy. */
+	createBackoff(): backoffs.Backoff {
+		return new backoffs.Backoff(this.#random);
+	}
+
 	/** Marks the group as active. After an idle period, earlier failures of its servers are cleared. */
 	touch(): void {
 		const wasActive = this.isActive;
--- a/src/entry/lease.ts
+++ b/src/entry/lease.ts
@@ -57,7 +57,7 @@
 				this.member.recordFailure(startedAt);
 			}
 		} else {
-			this.member.recordResponse(this.#clock.now() - startedAt);
+			this.member.recordResponse();
 			this.member.recordPosition(outcome.right.position);
 			if (outcome.right.refusal === 'not-prepared') {
 				// The server has lost prepared statements that were recorded for this connection.
--- a/src/entry/load/balancer.ts
+++ b/src/entry/load/balancer.ts
@@ -26,6 +26,8 @@
 	readonly place: string;
 	/** The leader, which also carries the writes. */
 	readonly leader: S | undefined;
+	/** Only reads are trial requests: the BEGIN of a transaction takes no slot, so it doesn't show whether a server executes work. */
+	readonly purpose: 'read' | 'transaction';
 };
 
 export type Options = {
@@ -35,6 +37,9 @@
 	readonly decisions: decisions.Decisions;
 };
 
+const results = {
+	read: 'answered', write: 'answered', busy: 'busy', failed: 'failed', silent: 'silent', none: 'undecided',
+} as const;
 const reasons = {busy: 'refusing', failed: 'failing', silent: 'silent'} as const;
 
 type Ejection = {readonly reason: Reason; readonly at: number; backoffMs: number; trialAt: number; goodTrials: number; isTrialInFlight: boolean};
@@ -93,7 +98,7 @@
 
 	@example
 	```
-	const [first, ...others] = balancer.order(servers, {place: 'west', leader});
+	const [first, ...others] = balancer.order(servers, {place: 'west', leader, purpose: 'read'});
 	```
 	*/
 	order(servers: readonly S[], view: View<S>): readonly S[] {
@@ -105,7 +110,7 @@
 		const ranked = servers.map(server => ({server, cost: cost(server), isExcluded: excluded.has(server)}));
 		ranked.sort((one, other) => Number(one.isExcluded) - Number(other.isExcluded) || one.cost - other.cost);
 		const ordered = ranked.map(({server}) => server);
-		const trial = ordered.find(server => this.#isTrialDue(server, now));
+		const trial = view.purpose === 'read' ? ordered.find(server => this.#isTrialDue(server, now)) : undefined;
 		return trial ? [trial, ...ordered.filter(server => server !== trial)] : ordered;
 	}
 
@@ -121,6 +126,7 @@
 
 	/** Records how a request ended that was started. */
 	ended(server: S, outcome: tracks.Outcome): void {
+		this.#options.decisions.attempted(this.#options.service, server.id, results[outcome.kind]);
 		const state = this.#state(server);
 		const now = this.#options.clock.now();
 		state.track.inFlight = Math.max(0, state.track.inFlight - 1);
@@ -134,6 +140,11 @@
 		}
 	}
 
+	/** Records that a read has had no reply for `elapsedMs`, which is the least that its latency will be. */
+	overdue(server: S, elapsedMs: number): void {
+		this.#state(server).track.sample(elapsedMs, this.#options.clock.now());
+	}
+
 	/** Number of requests that this host has sent to a server. */
 	requests(server: S): number {
 		return this.#state(server).track.requests;
--- a/src/entry/load/tests/balancer.test.ts
+++ b/src/entry/load/tests/balancer.test.ts
@@ -46,8 +46,8 @@
 		return [this.near, ...this.far];
 	}
 
-	order(leader?: Server, servers = this.servers): readonly Server[] {
-		return this.balancer.order(servers, {place: 'west', leader});
+	order(leader?: Server, servers = this.servers, purpose: 'read' | 'transaction' = 'read'): readonly Server[] {
+		return this.balancer.order(servers, {place: 'west', leader, purpose});
 	}
 
 	/** Sends a request that takes `ms`. */
@@ -159,6 +159,7 @@
 	harness.send(harness.near, {kind: 'silent'});
 	assert.equal(harness.order().at(-1), harness.near);
 	harness.now += 1300;
+	assert.equal(harness.order(undefined, harness.servers, 'transaction').at(-1), harness.near);
 	assert.equal(harness.order()[0], harness.near);
 	harness.balancer.started(harness.near);
 	assert.equal(harness.order().at(-1), harness.near);
--- a/src/entry/load/tests/rules.ts
+++ b/src/entry/load/tests/rules.ts
@@ -115,7 +115,7 @@
 	}
 
 	override order(servers: readonly model.Server[], place: string): readonly model.Server[] {
-		return this.#balancer.order(servers, {place, leader: undefined});
+		return this.#balancer.order(servers, {place, leader: undefined, purpose: 'read'});
 	}
 
 	override started(server: model.Server): void {
--- a/src/entry/load/track.ts
+++ b/src/entry/load/track.ts
@@ -66,11 +66,24 @@
 			this.badInRow++;
 		}
 
-		if (outcome.kind === 'read' && outcome.latencyMs >= 0 && outcome.latencyMs <= maxLatencyMs) {
-			this.#sample(outcome.latencyMs, now);
+		if (outcome.kind === 'read') {
+			this.sample(outcome.latencyMs, now);
 		}
 	}
 
+	/** Adds a latency of a read. Implausible ones are ignored. */
+	sample(latencyMs: number, now: number): void {
+		if (!(latencyMs >= 0 && latencyMs <= maxLatencyMs)) {
+			return;
+		}
+
+		const weight = this.#hasSample ? Math.max(minWeight, 1 - Math.exp((this.#sampledAt - now) / latencyMemoryMs)) : 1;
+		this.#latencyMs += weight * (latencyMs - this.#latencyMs);
+		this.#floorMs += floorWeights[latencyMs < this.#floorMs ? 'below' : 'above'] * (latencyMs - this.#floorMs);
+		this.#sampledAt = now;
+		this.#hasSample = true;
+	}
+
 	/** Forgets earlier refusals and latencies, when the server counts as usable again. `latencyMs` is that of its last reply. */
 	reset(latencyMs: number | undefined): void {
 		this.#good = 0;
@@ -101,14 +114,6 @@
 		return Math.max(measuredMs, predictedMs) + (floorMs * this.inFlight / (2 * slots));
 	}
 
-	#sample(latencyMs: number, now: number): void {
-		const weight = this.#hasSample ? Math.max(minWeight, 1 - Math.exp((this.#sampledAt - now) / latencyMemoryMs)) : 1;
-		this.#latencyMs += weight * (latencyMs - this.#latencyMs);
-		this.#floorMs += floorWeights[latencyMs < this.#floorMs ? 'below' : 'above'] * (latencyMs - this.#floorMs);
-		this.#sampledAt = now;
-		this.#hasSample = true;
-	}
-
 	#decay(now: number): void {
 		const remembered = Math.exp(Math.min(0, this.#countedAt - now) / countMemoryMs);
 		this.#good *= remembered;
--- a/src/entry/member.ts
+++ b/src/entry/member.ts
@@ -17,10 +17,6 @@
 const hedgeAfterMs = 300;
 const resetTimeoutMs = 500;
 export const connectTimeoutMs = 600;
-/** Weight of the newest sample in the moving average of the latency. */
-const latencyWeight = 0.1;
-/** Latency assumed for a server before its first response. */
-const initialLatencyMs = 20;
 /** Time after a failure during which reads prefer other servers. */
 const avoidAfterFailureMs = 1000;
 /** Time after a read refused as `lagging` during which reads prefer other servers, unless the position has been reached since. */
@@ -40,7 +36,6 @@
 	missingSince: number | undefined;
 	readonly #clock: clock.Clock;
 	#registration: types.Registration;
-	#latencyMs = initialLatencyMs;
 	#lastResponseAt = Number.NEGATIVE_INFINITY;
 	#failingSince: number | undefined;
 	#lastFailureAt = Number.NEGATIVE_INFINITY;
@@ -136,11 +131,6 @@
 		return isBehind && this.#clock.now() - this.#lastLagAt < avoidAfterLagMs;
 	}
 
-	/** Expected latency of a statement, from recent latencies and the number of running and queued requests. */
-	get expectedLatencyMs(): number {
-		return this.#latencyMs * (1 + this.pool.busy + this.pool.waiting);
-	}
-
 	/** Clock time at which the oldest commit without a response was sent; `undefined` if there is none or a later commit got a response. */
 	get stalledSince(): number | undefined {
 		const oldest = this.#unansweredCommitAt ?? Math.min(...this.#pendingCommits);
@@ -175,13 +165,10 @@
 		this.missingSince = undefined;
 	}
 
-	/** Records a response, with the latency if it was to a statement. */
-	recordResponse(latencyMs?: number): void {
+	/** Records a response. */
+	recordResponse(): void {
 		this.#lastResponseAt = this.#clock.now();
 		this.#failingSince = undefined;
-		if (latencyMs !== undefined) {
-			this.#latencyMs += latencyWeight * (latencyMs - this.#latencyMs);
-		}
 	}
 
 	/** Records that the server refused a read because its log had not reached the required position. */
--- a/src/entry/read.ts
+++ b/src/entry/read.ts
@@ -3,17 +3,17 @@
 */
 import * as Either from 'fp-ts/lib/Either.js';
 import * as position from '../core/position.js';
+import * as retry from '../core/retry.js';
 import type * as errors from '../core/errors.js';
 import * as jobs from './job.js';
 import * as leaders from './leader.js';
 import * as leases from './lease.js';
+import * as outcomes from './load/outcome.js';
 import type * as member from './member.js';
 import * as statement from './statement.js';
 
 /** Delay after which a read without a reply is sent to another server as well. */
 const hedgeDelayMs = 250;
-/** Latency in ms that is added for a server in another place, since traffic between places is billed. */
-const remotePenaltyMs = 40;
 const retryDelayMs = 10;
 
 type Attempt = {readonly server: member.Member; readonly reply: statement.Reply | undefined};
@@ -30,6 +30,8 @@
 /** Executes reads. */
 export class Reader {
 	readonly #context: jobs.Context;
+	/** Limits the reads that are sent to another server after one failed them. */
+	readonly #retries = new retry.Budget();
 
 	constructor(context: jobs.Context) {
 		this.#context = context;
@@ -58,18 +60,19 @@
 	}
 
 	/** Servers for a read at a minimum position, in order of preference. The leader's log contains every position. */
-	candidates(job: jobs.GroupJob, minPosition: statement.Position): member.Member[] {
-		const cost = (server: member.Member): number => server.expectedLatencyMs + (server.registration.place === this.#context.place ? 0 : remotePenaltyMs);
+	candidates(job: jobs.GroupJob, minPosition: statement.Position, purpose: 'read' | 'transaction'): member.Member[] {
 		const ready = job.group.members.filter(server => server.isReady && server.missingSince === undefined);
 		const usable = ready.length > 0 ? ready : job.group.members;
 		const isAvoided = (server: member.Member): number => Number(server.isAvoided || server.isLagging(minPosition));
-		return usable.toSorted((one, other) => isAvoided(one) - isAvoided(other) || cost(one) - cost(other));
+		const ordered = job.group.balancer.order(usable, {place: this.#context.place, leader: job.group.leader, purpose});
+		return ordered.toSorted((one, other) => isAvoided(one) - isAvoided(other));
 	}
 
 	/** Executes a read in a transaction of its own at the leader. A server that no longer leads refuses the BEGIN. */
 	async #executeAtLeader(job: jobs.StatementJob): Promise<statement.Reply> {
 		let reason = 'too little time is left for an attempt';
 		let mayHaveRun = false;
+		const backoff = job.group.createBackoff();
 		while (jobs.hasTime(this.#context, job)) {
 			const lease = await leaders.acquire(this.#context, job);
 			if (Either.isLeft(lease)) {
@@ -84,7 +87,7 @@
 
 			mayHaveRun ||= Either.isLeft(reply) && reply.left.kind === 'outcome-unknown';
 			reason = Either.isLeft(reply) ? reply.left.message : `${reply.right.refusal ?? ''} ${reply.right.message}`;
-			await this.#context.clock.sleep(retryDelayMs);
+			await this.#context.clock.sleep(Either.isRight(reply) && reply.right.refusal === 'busy' ? backoff.next() : retryDelayMs);
 		}
 
 		return mayHaveRun ? this.#fail(job, reason) : jobs.refuse(this.#context, job, reason);
@@ -99,9 +102,13 @@
 			return begun;
 		}
 
-		const running = lease.run(job.work, null, jobs.remainingMs(this.#context, job));
+		const timeoutMs = jobs.remainingMs(this.#context, job);
+		const startedAt = this.#context.clock.now();
+		job.group.balancer.started(lease.member);
+		const running = lease.run(job.work, null, timeoutMs);
 		void this.#endTransaction(lease);
 		const outcome = await running;
+		job.group.balancer.ended(lease.member, outcomes.classify(outcome, {kind: 'write', elapsedMs: this.#context.clock.now() - startedAt, timeoutMs}));
 		return Either.map((reply: statement.Reply): statement.Reply => ({...reply, state: 'none'}))(outcome);
 	}
 
@@ -119,31 +126,50 @@
 		}
 
 		const cancellation = new AbortController();
+		const race = {minPosition, sent: new Set<string>(), signal: cancellation.signal};
+		const outcome = await this.#race(job, race);
+		cancellation.abort('decided');
+		if (outcome && !statement.isNotRun(outcome)) {
+			return {...outcome, state: 'none'};
+		}
+
+		return outcome && race.sent.size === 0
+			? jobs.refuse(this.#context, job, `${outcome.refusal ?? ''} ${outcome.message}`)
+			: this.#fail(job, 'no server replied in time');
+	}
+
+	/** Returns the first reply of a server that ran the read, else a failure, a refusal, or `undefined` without any reply. */
+	async #race(job: jobs.StatementJob, race: Race): Promise<statement.Reply | undefined> {
 		const running = new Map<string, Promise<Attempt>>();
-		const sent = new Set<string>();
-		const untried = this.candidates(job, minPosition);
+		const untried = this.candidates(job, race.minPosition, 'read');
 		let refused: statement.Reply | undefined;
+		let failed: statement.Reply | undefined;
+		this.#retries.startRequest();
 		while (jobs.remainingMs(this.#context, job) > 1 && (untried.length > 0 || running.size > 0)) {
 			const next = untried.shift();
 			if (next) {
-				running.set(next.id, this.#attempt(next, job, {minPosition, sent, signal: cancellation.signal}));
+				running.set(next.id, this.#attempt(next, job, race));
 			}
 
 			const result = await this.#context.clock.limit(Promise.race(running.values()), untried.length > 0 ? hedgeDelayMs : jobs.remainingMs(this.#context, job));
 			if (result?.reply && !statement.isNotRun(result.reply)) {
-				cancellation.abort('decided');
-				return {...result.reply, state: 'none'};
+				const isRetried = result.reply.refusal === 'failed' && !failed && untried.length > 0 && this.#retries.tryAcquire();
+				if (!isRetried) {
+					return result.reply;
+				}
+
+				failed = result.reply;
+			} else if (result) {
+				refused = result.reply ?? refused;
+			} else if (next && race.sent.has(next.id)) {
+				job.group.balancer.overdue(next, hedgeDelayMs);
 			}
 
-			refused = result?.reply ?? refused;
-			this.#recordRedirect(job, minPosition, result);
+			this.#recordRedirect(job, race.minPosition, result);
 			running.delete(result?.server.id ?? '');
 		}
 
-		cancellation.abort('decided');
-		return refused && sent.size === 0
-			? jobs.refuse(this.#context, job, `${refused.refusal ?? ''} ${refused.message}`)
-			: this.#fail(job, 'no server replied in time');
+		return failed ?? refused;
 	}
 
 	/** Records that a read is sent to another server, with the reason. */
@@ -157,18 +183,26 @@
 	}
 
 	async #attempt(server: member.Member, job: jobs.StatementJob, {minPosition, sent, signal}: Race): Promise<Attempt> {
+		const {balancer} = job.group;
+		balancer.started(server);
 		const lease = await leases.acquire(server, job.state, this.#context.clock, {timeoutMs: jobs.remainingMs(this.#context, job), signal});
 		if (Either.isLeft(lease)) {
+			const isUnreachable = !signal.aborted && server.pool.open === 0 && lease.left.step === 'connect';
+			balancer.ended(server, {kind: isUnreachable ? 'silent' : 'none'});
 			return {server, reply: undefined};
 		}
 
 		if (signal.aborted) {
+			balancer.ended(server, {kind: 'none'});
 			await lease.right.release();
 			return {server, reply: undefined};
 		}
 
 		sent.add(server.id);
-		const outcome = await lease.right.run(job.work, minPosition, jobs.remainingMs(this.#context, job));
+		const timeoutMs = jobs.remainingMs(this.#context, job);
+		const startedAt = this.#context.clock.now();
+		const outcome = await lease.right.run(job.work, minPosition, timeoutMs);
+		balancer.ended(server, outcomes.classify(outcome, {kind: 'read', elapsedMs: this.#context.clock.now() - startedAt, timeoutMs}));
 		if (Either.isRight(outcome) ? statement.isNotRun(outcome.right) : outcome.left.kind === 'not-run') {
 			sent.delete(server.id);
 		}
--- a/src/entry/tests/fake-cluster.ts
+++ b/src/entry/tests/fake-cluster.ts
@@ -16,8 +16,8 @@
 /** A caller's statement that was executed. */
 export type Execution = {readonly server: string; readonly id: string; readonly text: string; readonly index: number; readonly values: Record<string, string>};
 
-/** How a server handles a caller's statement: normally, executing it but losing the response, or refusing it as busy. */
-export type ResponseMode = 'usual' | 'answer-lost' | 'busy';
+/** How a server handles a caller's statement: normally, executing it but losing the response, refusing it as busy, or failing it. */
+export type ResponseMode = 'usual' | 'answer-lost' | 'busy' | 'failed';
 
 const oneWayLatencyMs = 4;
 const executionMs = 3;
@@ -338,8 +338,8 @@
 			return this.#reply('not-prepared');
 		}
 
-		if (server.responseMode === 'busy') {
-			return this.#reply('busy');
+		if (server.responseMode === 'busy' || server.responseMode === 'failed') {
+			return this.#reply(server.responseMode);
 		}
 
 		if (this.#isBehind(command.minPosition)) {
--- a/src/entry/tests/fixture.ts
+++ b/src/entry/tests/fixture.ts
@@ -33,7 +33,7 @@
 	readonly decisions = new decisions.Silent();
 	readonly stopped = new AbortController();
 	readonly group = new groups.Group({
-		name: 'ledgers', clock: this.time, decisions: this.decisions, connect: ({id}) => this.cluster.get(id), isIsolated: () => false,
+		name: 'ledgers', clock: this.time, decisions: this.decisions, connect: ({id}) => this.cluster.get(id), isIsolated: () => false, random: new random.Seeded(3),
 	});
 
 	readonly claims = new claims.Claims({
--- a/src/entry/tests/read.test.ts
+++ b/src/entry/tests/read.test.ts
@@ -171,3 +171,43 @@
 	assert.equal(reply.refusal, 'busy');
 	await harness.stop();
 });
+
+test.test('guards against a read that fails at a faulty server although another one would answer it', async () => {
+	const harness = new fixture.Fixture();
+	await harness.start();
+	harness.cluster.get('b').responseMode = 'failed';
+	const reader = new read.Reader(harness.context);
+	const reply = await harness.runFor(200, reader.execute(harness.statementJob('READ 1')));
+	assert.equal(reply.refusal, null);
+	for (const server of harness.cluster.servers) {
+		server.responseMode = 'failed';
+	}
+
+	const requests = (): number => harness.group.members.reduce((sum, server) => sum + harness.group.balancer.requests(server), 0);
+	const before = requests();
+	const faulty = await harness.runFor(200, reader.execute(harness.statementJob('READ 2')));
+	assert.equal(faulty.refusal, 'failed');
+	assert.equal(requests() - before, 2);
+	await harness.stop();
+});
+
+test.test('guards against every read of a host being sent first to a server that refuses them', async () => {
+	const harness = new fixture.Fixture();
+	await harness.start();
+	harness.cluster.get('b').responseMode = 'busy';
+	const reader = new read.Reader(harness.context);
+	for (let index = 0; index < 20; index++) {
+		const reply = await harness.runFor(40, reader.execute(harness.statementJob(`READ ${index}`)));
+		assert.equal(reply.refusal, null);
+	}
+
+	const refusing = harness.group.members.find(({id}) => id === 'b');
+	assert.ok(refusing && harness.group.balancer.requests(refusing) <= 3);
+	harness.cluster.get('b').responseMode = 'usual';
+	for (let index = 0; index < 60; index++) {
+		await harness.runFor(40, reader.execute(harness.statementJob(`READ again ${index}`)));
+	}
+
+	assert.equal(harness.cluster.executions.at(-1)?.server, 'b');
+	await harness.stop();
+});
--- a/src/entry/tests/write.test.ts
+++ b/src/entry/tests/write.test.ts
@@ -60,3 +60,15 @@
 	assert.match(reply.message, /retry after \d+ ms/v);
 	await harness.stop();
 });
+
+test.test('guards against a write that is sent to a busy leader every few milliseconds', async () => {
+	const harness = new fixture.Fixture();
+	await harness.start();
+	harness.cluster.get('a').responseMode = 'busy';
+	const reply = await harness.runFor(1000, new write.Writer(harness.context).execute(harness.statementJob('WRITE 1')));
+	assert.equal(reply.refusal, 'busy');
+	const leader = harness.group.members.find(({id}) => id === 'a');
+	const attempts = leader ? harness.group.balancer.requests(leader) : 0;
+	assert.ok(attempts >= 4 && attempts <= 10, `${attempts} attempts`);
+	await harness.stop();
+});
--- a/src/entry/transaction.ts
+++ b/src/entry/transaction.ts
@@ -9,6 +9,7 @@
 import * as jobs from './job.js';
 import * as leaders from './leader.js';
 import * as leases from './lease.js';
+import * as outcomes from './load/outcome.js';
 import type * as read from './read.js';
 import * as statement from './statement.js';
 
@@ -46,7 +47,10 @@
 		}
 
 		this.#hasWritten ||= work.mode === 'write';
+		const startedAt = this.#context.clock.now();
+		this.#group.balancer.started(this.#lease.member);
 		const outcome = await this.#lease.run(work, null, timeoutMs);
+		this.#group.balancer.ended(this.#lease.member, outcomes.classify(outcome, {kind: 'write', elapsedMs: this.#context.clock.now() - startedAt, timeoutMs}));
 		if (Either.isLeft(outcome)) {
 			return this.#failStatement(work.id, outcome.left.message);
 		}
@@ -186,7 +190,7 @@
 		}
 
 		let reason = 'no backend server is known';
-		for (const server of this.#reader.candidates(job, minPosition)) {
+		for (const server of this.#reader.candidates(job, minPosition, 'transaction')) {
 			const lease = await leases.acquire(server, job.state, this.#context.clock, {timeoutMs: jobs.connectionWaitMs(this.#context, job)});
 			if (Either.isLeft(lease)) {
 				reason = lease.left.message;
--- a/src/entry/write.ts
+++ b/src/entry/write.ts
@@ -6,6 +6,7 @@
 import * as jobs from './job.js';
 import * as leaders from './leader.js';
 import type * as leases from './lease.js';
+import * as outcomes from './load/outcome.js';
 import * as statement from './statement.js';
 
 const retryDelayMs = 10;
@@ -21,6 +22,7 @@
 	/** Executes a write at the leader. */
 	async execute(job: jobs.StatementJob): Promise<statement.Reply> {
 		let reason = 'too little time is left for an attempt';
+		const backoff = job.group.createBackoff();
 		while (jobs.hasTime(this.#context, job)) {
 			const lease = await leaders.acquire(this.#context, job);
 			if (Either.isLeft(lease)) {
@@ -34,7 +36,7 @@
 			}
 
 			reason = `${reply.refusal ?? ''} ${reply.message}`;
-			await this.#context.clock.sleep(retryDelayMs);
+			await this.#context.clock.sleep(reply.refusal === 'busy' ? backoff.next() : retryDelayMs);
 		}
 
 		return jobs.refuse(this.#context, job, reason);
@@ -44,7 +46,10 @@
 		const sentAt = this.#context.clock.mark();
 		const before = lease.member.position;
 		lease.member.commitSent(sentAt.monotonicMs);
-		const outcome = await lease.run(job.work, null, jobs.remainingMs(this.#context, job));
+		const timeoutMs = jobs.remainingMs(this.#context, job);
+		job.group.balancer.started(lease.member);
+		const outcome = await lease.run(job.work, null, timeoutMs);
+		job.group.balancer.ended(lease.member, outcomes.classify(outcome, {kind: 'write', elapsedMs: this.#context.clock.now() - sentAt.monotonicMs, timeoutMs}));
 		await lease.release();
 		lease.member.commitEnded(sentAt.monotonicMs, Either.isRight(outcome) || outcome.left.kind === 'not-run');
 		if (Either.isRight(outcome)) {
