--- a/src/entry/customers/affinity.ts
+++ b/src/entry/customers/affinity.ts
@@ -5,21 +5,16 @@
 import type * as member from '../member.js';
 
 /** Time that a new connection costs: 12 ms of a slot at the server, and two round trips to another place. */
-export const connectionCostMs = 20;
+const openingCostMs = 20;
 
 /**
-Moves the first server with an idle connection of the customer to the front of a list in the order of preference, if
-`isEquivalent` accepts it in place of the first one. Without customers the order stays.
+Time in ms that a request of a customer adds at a server because no connection is idle there. Without customers it is 0.
 
 @example
 ```
-const ordered = affinity.prefer(servers, job.customer, (server, first) => cost(server) - cost(first) <= affinity.connectionCostMs);
+const extraMs = affinity.openingMs(server, job.customer);
 ```
 */
-export function prefer(servers: readonly member.Member[], customer: string | undefined, isEquivalent: (server: member.Member, first: member.Member) => boolean): member.Member[] {
-	const [first] = servers;
-	const preferred = customer === undefined || !first
-		? undefined
-		: servers.find(server => isEquivalent(server, first) && server.pool.hasIdle(customer));
-	return preferred ? [preferred, ...servers.filter(server => server !== preferred)] : [...servers];
+export function openingMs({pool}: Pick<member.Member, 'pool'>, customer: string | undefined): number {
+	return customer === undefined || pool.hasIdle(customer) ? 0 : openingCostMs;
 }
--- a/src/entry/decisions.ts
+++ b/src/entry/decisions.ts
@@ -9,6 +9,9 @@
 /** The inputs and the outcome of a decision. */
 export type Fields = Readonly<Record<string, string | number | boolean>>;
 
+/** How an attempt at a backend server ended; `undecided` if that shows nothing about the server, such as a cancelled attempt. */
+export type Attempt = 'answered' | 'busy' | 'failed' | 'silent' | 'undecided';
+
 /** Records decisions. Names are a fixed set of identifiers in kebab case. */
 export abstract class Decisions {
 	/** Reports the counts by customer as metrics. Does nothing where there are no metrics. */
@@ -21,6 +24,11 @@
 		// Only an implementation that exports metrics counts them.
 	}
 
+	/** Records how an attempt at a backend server ended: counted, never logged. */
+	attempted(_service: string, _server: string, _result: Attempt): void {
+		// Counted only where metrics are served.
+	}
+
 	/** Records a state change or an action of the host: infrequent, and always logged. */
 	abstract record(name: string, fields: Fields): void;
 
