--- a/src/soak/server.ts
+++ b/src/soak/server.ts
@@ -18,6 +18,8 @@
 export type Limits = {readonly connections: number; readonly slots: number; readonly maxWorkMs: number};
 
 const maxSlotWaitMs = 300;
+/** Begin of a read whose reply has a further row of as many bytes as the number after it. */
+const paddedRead = 'READ pad ';
 
 /** Accepts the connections of one server. */
 export class Listener {
@@ -283,7 +285,7 @@
 
 		const signature = this.#options.checker.recordExecution(id, text, {server, values: this.#values, isWrite});
 		if (!isWrite) {
-			return {rows: [signature], signature};
+			return {rows: text.startsWith(paddedRead) ? [signature, 'x'.repeat(Number(text.slice(paddedRead.length)))] : [signature], signature};
 		}
 
 		if (this.#transaction) {
--- a/src/soak/site.ts
+++ b/src/soak/site.ts
@@ -416,14 +416,14 @@
 
 const addressBase = 250;
 /** Address of the hosts' listeners, which differs between soak tests at the same time: a host that restarts needs its ports again. */
-const hostAddress = `127.${[addressBase ** 2, addressBase, 1].map(unit => 1 + (Math.floor(process.pid / unit) % addressBase)).join('.')}`;
+export const hostAddress = `127.${[addressBase ** 2, addressBase, 1].map(unit => 1 + (Math.floor(process.pid / unit) % addressBase)).join('.')}`;
 /** Bounds below the ephemeral port range, so that no outgoing connection takes a port before its host listens on it. */
 const lowestPort = 15_000;
 const highestPort = 31_000;
 const ports = new randoms.System();
 
-/** Finds a port on which no process listens at the moment. */
-async function findFreePort(): Promise<number> {
+/** Finds a port of `hostAddress` on which no process listens at the moment. */
+export async function findFreePort(): Promise<number> {
 	for (;;) {
 		const port = ports.integer(lowestPort, highestPort);
 		const server = net.createServer();
