--- a/src/entry/customers/freshness.ts
+++ b/src/entry/customers/freshness.ts
@@ -28,8 +28,11 @@
 it also covers the time of that answer.
 */
 const marginMs = 250;
-/** Fraction of the bound from which links are opened, so that they are open by the time at which the bound is reached. */
-const connectFraction = 5 / 6;
+/**
+Fraction of the bound from which links are opened, so that they are open by the time at which the bound is reached. It is
+above that of the longest watch.
+*/
+const connectFraction = 2 / 3;
 
 /** Delay of a tick after which the process counts as stopped meanwhile. Links that were lost in that time still seem open. */
 const stopMs = 800;
@@ -49,14 +52,17 @@
 		this.#options = options;
 	}
 
-	/** Whether keys may be served. While the store is down for all hosts, the links between them remain open. */
+	/**
+	Whether keys may be served. While the store is down for all hosts, the links between them remain open. A host that was cut
+	off doesn't serve as soon as a link opens, but once that link has had the time to deliver a newer version.
+	*/
 	get isCurrent(): boolean {
-		const {clock: time, configurationMs, ageMs, hasLink, knowsHosts} = this.#options;
-		if (ageMs() <= configurationMs - marginMs || !knowsHosts()) {
-			return true;
-		}
+		this.#updateTrust();
+		return this.#isRecent || !this.#options.knowsHosts() || this.#options.clock.now() >= this.#distrustsLinksUntil;
+	}
 
-		return hasLink() && !this.#isStopped && time.now() >= this.#distrustsLinksUntil;
+	get #isRecent(): boolean {
+		return this.#options.ageMs() <= this.#options.configurationMs - marginMs;
 	}
 
 	/** Whether the process was stopped since the last tick. */
@@ -68,12 +74,9 @@
 	async run(signal: AbortSignal): Promise<void> {
 		const {clock: time, configurationMs, ageMs, hasCustomers, hasLink, connect} = this.#options;
 		while (!signal.aborted) {
-			if (this.#isStopped) {
-				this.#distrustsLinksUntil = time.now() + linkSettleMs;
-			}
-
+			this.#updateTrust();
 			this.#tickedAt = time.now();
-			if (hasCustomers() && ageMs() > (configurationMs - marginMs) * connectFraction && !hasLink()) {
+			if (hasCustomers() && ageMs() > configurationMs * connectFraction && !hasLink()) {
 				connect();
 			}
 
@@ -82,6 +85,18 @@
 		}
 	}
 
+	/** Updates the time from which an open link proves that another host can be reached. */
+	#updateTrust(): void {
+		const {clock: time, configurationMs, hasLink} = this.#options;
+		if (this.#isRecent) {
+			this.#distrustsLinksUntil = Number.NEGATIVE_INFINITY;
+		} else if (!hasLink()) {
+			this.#distrustsLinksUntil = time.now() + configurationMs;
+		} else if (this.#isStopped) {
+			this.#distrustsLinksUntil = Math.max(this.#distrustsLinksUntil, time.now() + linkSettleMs);
+		}
+	}
+
 	#recordChange(): void {
 		const {decisions: record, hasCustomers, ageMs} = this.#options;
 		const isCurrent = !hasCustomers() || this.isCurrent;
--- a/src/entry/customers/tests/freshness.test.ts
+++ b/src/entry/customers/tests/freshness.test.ts
@@ -123,3 +123,20 @@
 	assert.equal(host.freshness.isCurrent, true);
 	await host.stop();
 });
+
+// Guards against a host that serves removed keys between the end of its isolation and the arrival of newer versions.
+test.test('a host that was cut off serves again with a newer configuration, or with a link for as long as a version may take', async () => {
+	const host = new Host();
+	await host.advance(10_000);
+	host.hasLink = true;
+	await host.advance(4000);
+	assert.equal(host.freshness.isCurrent, false);
+	host.hasLink = false;
+	await host.advance(1000);
+	host.hasLink = true;
+	await host.advance(4500);
+	assert.equal(host.freshness.isCurrent, false);
+	await host.advance(1000);
+	assert.equal(host.freshness.isCurrent, true);
+	await host.stop();
+});
