Serve requests that wait for a connection by priority, then fairly between customers

Requests waited in the order of arrival, so that a burst of one customer, or idle transactions, kept all connections of a host from the others. A customer with more than its share yields connections; the transactions of one customer may hold at most half of a pool's connections, and all transactions three quarters.

Without customers the order is that of arrival.

--- a/src/core/admission.ts
+++ b/src/core/admission.ts
@@ -10,58 +10,65 @@
 /** Permission for a request to be in service. Only the first call of `release` has an effect. */
 export type Permit = {readonly release: () => void};
 
+/** What the order of a waiting request depends on. */
+export type Key = {readonly class: string; readonly tenant: string};
 /** A waiting request. `admit` and `evict` are called when it is admitted or evicted from a full queue. */
-export type Entry = {readonly class: string; readonly tenant: string; readonly admit: () => void; readonly evict: () => void};
+export type Entry = Key & {readonly admit: () => void; readonly evict: () => void};
 
 /** Number of requests that were admitted, refused or evicted at a full queue, and expired while waiting. */
 export type Counts = {admitted: number; full: number; expired: number};
 
 /** The order in which waiting requests are served. */
-export abstract class Queue {
+export abstract class Queue<E extends Key = Entry> {
 	/** Number of waiting requests. */
 	abstract get size(): number;
 
-	abstract add(entry: Entry): void;
+	/** Removes and returns the request to serve next. */
+	next(): E | undefined {
+		const entry = this.choose();
+		if (entry) {
+			this.remove(entry);
+		}
+
+		return entry;
+	}
+
+	abstract add(entry: E): void;
 
 	/** Removes a request that no longer waits. */
-	abstract remove(entry: Entry): void;
+	abstract remove(entry: E): void;
 
-	/** Removes and returns the request to serve next. */
-	abstract next(): Entry | undefined;
+	/** Returns the request to serve next among those that `accepts` allows, by default all. It counts as a turn of its tenant, and stays in the queue. */
+	abstract choose(accepts?: (entry: E) => boolean): E | undefined;
 
 	/** Removes and returns a request to evict for one of `tenant` when the queue of the class is full, if any. */
-	abstract evict(className: string, tenant: string): Entry | undefined;
+	abstract evict(className: string, tenant: string): E | undefined;
 
 	/** Accounts for the time that a request was in service. */
-	abstract charge(entry: Entry, serviceMs: number): void;
+	abstract charge(key: Key, serviceMs: number): void;
 }
 
 /** One queue for all tenants in the order of arrival; the baseline of measurements. */
-export class Fifo extends Queue {
-	readonly #entries = new Set<Entry>();
+export class Fifo<E extends Key = Entry> extends Queue<E> {
+	readonly #entries = new Set<E>();
 
 	override get size(): number {
 		return this.#entries.size;
 	}
 
-	override add(entry: Entry): void {
+	override add(entry: E): void {
 		this.#entries.add(entry);
 	}
 
-	override remove(entry: Entry): void {
+	override remove(entry: E): void {
 		this.#entries.delete(entry);
 	}
 
-	override next(): Entry | undefined {
-		const [first] = this.#entries;
-		if (first) {
-			this.#entries.delete(first);
-		}
-
-		return first;
+	override choose(accepts: (entry: E) => boolean = () => true): E | undefined {
+		return [...this.#entries].find(entry => accepts(entry));
 	}
 
-	override evict(): Entry | undefined {
+	override evict(): E | undefined {
 		return undefined;
 	}
 
@@ -80,15 +87,15 @@
 /** Weight of the newest service time in the moving average. */
 const costWeight = 0.2;
 
-type Flow = {readonly tenant: string; readonly entries: Set<Entry>; deficitMs: number};
+type Flow<E> = {readonly tenant: string; readonly entries: Set<E>; deficitMs: number};
 
 /**
 Classes take turns. Within a class, tenants share the service time by deficit round robin. The cost of a request is its
 tenant's recent average service time, so that a tenant with slow statements gets no larger share of the connections.
 */
-export class DeficitRoundRobin extends Queue {
+export class DeficitRoundRobin<E extends Key = Entry> extends Queue<E> {
 	/** Tenants with waiting requests, by class; classes and tenants are in the order of service. */
-	readonly #classes = new Map<string, Flow[]>();
+	readonly #classes = new Map<string, Array<Flow<E>>>();
 	readonly #costs = new Map<string, number>();
 	#size = 0;
 
@@ -96,7 +103,7 @@
 		return this.#size;
 	}
 
-	override add(entry: Entry): void {
+	override add(entry: E): void {
 		const flows = this.#classes.get(entry.class) ?? [];
 		this.#classes.set(entry.class, flows);
 		let flow = flows.find(({tenant}) => tenant === entry.tenant);
@@ -109,7 +116,7 @@
 		this.#size++;
 	}
 
-	override remove(entry: Entry): void {
+	override remove(entry: E): void {
 		const flows = this.#classes.get(entry.class) ?? [];
 		const index = flows.findIndex(({tenant}) => tenant === entry.tenant);
 		const flow = flows[index];
@@ -127,25 +134,21 @@
 		}
 	}
 
-	override next(): Entry | undefined {
-		const [first] = this.#classes;
-		if (!first) {
-			return undefined;
-		}
-
-		const [className, flows] = first;
-		const entry = this.#select(className, flows);
-		this.#classes.delete(className);
-		this.#classes.set(className, flows);
-		if (entry) {
-			this.remove(entry);
+	override choose(accepts: (entry: E) => boolean = () => true): E | undefined {
+		for (const [className, flows] of this.#classes) {
+			const entry = this.#select(className, flows, accepts);
+			if (entry) {
+				this.#classes.delete(className);
+				this.#classes.set(className, flows);
+				return entry;
+			}
 		}
 
-		return entry;
+		return undefined;
 	}
 
 	/** The newest request of the tenant with the most waiting requests, if it has at least two more than `tenant`. */
-	override evict(className: string, tenant: string): Entry | undefined {
+	override evict(className: string, tenant: string): E | undefined {
 		const flows = this.#classes.get(className) ?? [];
 		const ownCount = flows.find(flow => flow.tenant === tenant)?.entries.size ?? 0;
 		const longest = flows.toSorted((left, right) => right.entries.size - left.entries.size)[0];
@@ -157,23 +160,35 @@
 		return entry;
 	}
 
-	override charge(entry: Entry, serviceMs: number): void {
-		const key = `${entry.class}/${entry.tenant}`;
+	override charge({class: className, tenant}: Key, serviceMs: number): void {
+		const key = `${className}/${tenant}`;
 		const average = this.#costs.get(key) ?? serviceMs;
 		this.#costs.set(key, average + (costWeight * (serviceMs - average)));
 	}
 
-	/** Each round adds a quantum to every flow, so that the loop ends after at most `maxCostMs / quantumMs` rounds. */
-	#select(className: string, flows: Flow[]): Entry | undefined {
-		for (let flow = flows[0]; flow; flow = flows[0]) {
-			const cost = this.#cost(className, flow.tenant);
-			if (flow.deficitMs >= cost) {
-				flow.deficitMs -= cost;
-				const [entry] = flow.entries;
-				return entry;
+	/** Each round adds a quantum to every flow with an accepted entry, so that the loop ends after at most `maxCostMs / quantumMs` rounds. */
+	#select(className: string, flows: Array<Flow<E>>, accepts: (entry: E) => boolean): E | undefined {
+		const accepted = new Map<Flow<E>, E>();
+		for (const flow of flows) {
+			const entry = [...flow.entries].find(candidate => accepts(candidate));
+			if (entry) {
+				accepted.set(flow, entry);
+			}
+		}
+
+		while (accepted.size > 0) {
+			const [flow] = flows;
+			const entry = flow && accepted.get(flow);
+			if (entry) {
+				const cost = this.#cost(className, flow.tenant);
+				if (flow.deficitMs >= cost) {
+					flow.deficitMs -= cost;
+					return entry;
+				}
+
+				flow.deficitMs += quantumMs;
 			}
 
-			flow.deficitMs += quantumMs;
 			flows.push(...flows.splice(0, 1));
 		}
 
--- a/src/core/pool.ts
+++ b/src/core/pool.ts
@@ -3,9 +3,11 @@
 serves only requests of the customer that it was opened for.
 */
 import * as Either from 'fp-ts/lib/Either.js';
+import type * as admission from './admission.js';
 import type * as clock from './clock.js';
 import type * as connections from './connection.js';
 import * as errors from './errors.js';
+import * as priorities from './priority.js';
 
 /** Limits of a pool. */
 export type Limits = {
@@ -31,6 +33,10 @@
 export type Request<C> = {
 	/** Customer whose statement needs the connection; `undefined` without customers and for work in the proxy's own name. */
 	readonly customer?: string;
+	/** Priority among waiting requests, 0 first and by default. */
+	readonly priority?: number;
+	/** Whether a customer's request holds the connection for a transaction, also while its caller is idle. */
+	readonly isTransaction?: boolean;
 	/** Whether the request runs no caller's statement, as polls and orders, so that it may use a connection of any customer. */
 	readonly isInternal?: boolean;
 	/** Ends the wait when it aborts. */
@@ -51,7 +57,9 @@
 type Origin = {readonly customer: string | undefined; readonly openedAt: number; usedAt: number};
 /** An attempt to open or validate a connection of a customer. A hedge was started in parallel with a slow attempt. */
 type Attempt = {readonly customer: string | undefined; readonly order: 'first' | 'hedge'; readonly startedAt: number};
-type Waiter<C> = {
+/** A waiting request. Its class is its priority, its tenant the customer; requests of a group need the same connections. */
+type Waiter<C> = admission.Key & {
+	readonly group: string;
 	readonly since: number;
 	readonly request: Request<C>;
 	readonly settle: (outcome: errors.Outcome<C>) => void;
@@ -67,6 +75,12 @@
 12 ms of an execution slot, so that alternating customers cost at most an eighth of a connection's time.
 */
 const minTenureMs = 100;
+/**
+Largest parts of a pool's connections that the transactions of one customer, and those of all customers, may hold, since
+their callers may be idle for seconds. The rest serves statements and the transactions of others.
+*/
+const maxTransactionsOfOne = 0.5;
+const maxTransactions = 0.75;
 /** Time for which a refusal at the connection limit counts as recent: several attempts. */
 const limitMemoryMs = 400;
 
@@ -74,9 +88,12 @@
 	readonly server: connections.Server<C>;
 	readonly #clock: clock.Clock;
 	readonly #limits: Limits;
-	readonly #held = new Set<C>();
+	/** The connections in use, with the requests that hold them since the times of the clock. */
+	readonly #held = new Map<C, {readonly waiter: Waiter<C>; readonly since: number}>();
 	#idle: Array<Idle<C>> = [];
+	/** In the order of arrival, those for probes and orders first. The others are in `#queue` as well. */
 	#waiters: Array<Waiter<C>> = [];
+	readonly #queue = new priorities.Priorities<Waiter<C>>();
 	readonly #origins = new WeakMap<C, Origin>();
 	/** Attempts to open or validate a connection. They count towards the limit until they end. */
 	readonly #attempts = new Set<Attempt>();
@@ -123,6 +140,11 @@
 		return this.#clock.now() - this.#refusedAt < limitMemoryMs;
 	}
 
+	/** The connections in use and the idle ones. */
+	get #connections(): C[] {
+		return [...this.#held.keys(), ...this.#idle.map(({connection}) => connection)];
+	}
+
 	/** The limit, with one more connection while a probe or an order waits. */
 	get #effectiveLimit(): number {
 		return this.#connectionLimit + (this.#waiters[0]?.request.isControl ? 1 : 0);
@@ -163,7 +185,8 @@
 	so that a second release doesn't list it as idle twice.
 	*/
 	async release(connection: C, residue: Residue): Promise<void> {
-		if (!this.#held.has(connection)) {
+		const hold = this.#held.get(connection);
+		if (!hold) {
 			return;
 		}
 
@@ -174,8 +197,11 @@
 			}
 		}
 
-		this.#held.delete(connection);
-		this.#makeAvailable(connection);
+		// A second release during the reset has no effect.
+		if (this.#held.delete(connection)) {
+			this.#queue.charge(hold.waiter, this.#clock.now() - hold.since);
+			this.#makeAvailable(connection, 'released');
+		}
 	}
 
 	/** Changes the maximum number of connections. Those above it are closed as they become idle. */
@@ -206,7 +232,7 @@
 			waiter.settle(this.#refuse('the server has been replaced or removed'));
 		}
 
-		for (const connection of [...this.#held, ...this.#idle.map(idle => idle.connection)]) {
+		for (const connection of this.#connections) {
 			connection.close();
 		}
 	}
@@ -234,10 +260,14 @@
 
 			// A settled waiter is removed from the list, so that it is not assigned a connection after its timeout.
 			const waiter: Waiter<C> = {
+				class: String(request.priority ?? 0),
+				tenant: request.customer ?? '',
+				group: request.isInternal ? 'internal' : `customer ${request.customer ?? ''}`,
 				since: this.#clock.now(),
 				request,
 				settle: outcome => {
 					this.#waiters = this.#waiters.filter(other => other !== waiter);
+					this.#queue.remove(waiter);
 					signal?.removeEventListener('abort', cancel);
 					settled.abort('settled');
 					resolve(outcome);
@@ -262,6 +292,10 @@
 
 	/** Adds a waiter: those for probes and orders before the others. */
 	#enqueue(waiter: Waiter<C>): void {
+		if (!waiter.request.isControl) {
+			this.#queue.add(waiter);
+		}
+
 		const index = waiter.request.isControl ? this.#waiters.findIndex(({request}) => !request.isControl) : -1;
 		this.#waiters.splice(index === -1 ? this.#waiters.length : index, 0, waiter);
 	}
@@ -272,10 +306,7 @@
 			this.#useIdle(next.idle, next.waiter);
 		}
 
-		for (let waiter = this.#nextUncovered(); waiter && this.#makeRoom(waiter.request); waiter = this.#nextUncovered()) {
-			const {customer} = waiter.request;
-			void this.#obtain(async () => this.#connect(customer), customer, 'first');
-		}
+		this.#openConnections();
 	}
 
 	/**
@@ -305,60 +336,86 @@
 		return preferred ?? usable.at(-1);
 	}
 
-	/** The first waiter of each customer and the first internal one, in the order of service. */
+	/** The first waiter of each group that may hold a connection now, in the order of arrival. */
 	#firstWaiters(): Array<Waiter<C>> {
-		const first = new Map<string | undefined, Waiter<C>>();
-		let internal: Waiter<C> | undefined;
+		const first = new Map<string, Waiter<C>>();
 		for (const waiter of this.#waiters) {
-			const {customer, isInternal} = waiter.request;
-			if (isInternal) {
-				internal ??= waiter;
-			} else if (!first.has(customer)) {
-				first.set(customer, waiter);
+			if (!first.has(waiter.group) && this.#mayHold(waiter.request)) {
+				first.set(waiter.group, waiter);
 			}
 		}
 
-		const kept = new Set([...first.values(), internal]);
-		return this.#waiters.filter(waiter => kept.has(waiter));
+		return [...first.values()];
 	}
 
-	/** The first waiter that no pending attempt will serve, those of customers with less than their share before the others. */
-	#nextUncovered(): Waiter<C> | undefined {
-		if (this.#isClosed) {
-			return undefined;
+	/** Whether pending attempts will serve all waiters of a request's customer. A hedge and the attempt that it hedges count once. */
+	#isCovered({customer, isInternal}: Request<C>): boolean {
+		const attempts = [...this.#attempts].filter(({order}) => order === 'first');
+		if (isInternal) {
+			return this.#waiters.length <= attempts.length;
 		}
 
-		const uncovered = this.#firstWaiters().filter(({request}) => !this.#isCovered(request));
-		return uncovered.length > 1
-			? uncovered.find(({request: {isInternal, customer}}) => isInternal === true || this.#count(customer) < this.#share(customer)) ?? uncovered[0]
-			: uncovered[0];
+		const waiting = this.#waiters.filter(({request}) => !request.isInternal && request.customer === customer);
+		const transactions = waiting.filter(({request}) => request.isTransaction);
+		const needed = waiting.length - Math.max(0, transactions.length - this.#transactionRoom(customer));
+		return needed <= attempts.filter(attempt => attempt.customer === customer).length;
 	}
 
-	/** Whether pending attempts will serve all waiters of a request's customer. A hedge and the attempt that it hedges count once. */
-	#isCovered({customer, isInternal}: Request<C>): boolean {
-		const attempts = [...this.#attempts].filter(({order}) => order === 'first');
-		return isInternal
-			? this.#waiters.length <= attempts.length
-			: this.#waiters.filter(({request}) => !request.isInternal && request.customer === customer).length <= attempts.filter(attempt => attempt.customer === customer).length;
+	/** Opens connections for waiters that no pending attempt will serve, up to the limit. */
+	#openConnections(): void {
+		for (let waiter = this.#nextUncovered(); waiter; waiter = this.#nextUncovered()) {
+			this.#open(waiter.request);
+		}
+	}
+
+	#open({customer}: Request<C>): void {
+		void this.#obtain(async () => this.#connect(customer), customer, 'first');
 	}
 
 	/**
-	Whether a connection may be opened for a request. At the limit, or while the server refuses connections at its own limit,
-	the least recently used idle connection of another customer is closed for it.
+	The waiter to open a connection for, of a customer with less than its share if there is one. At the limit, or while the
+	server refuses connections at its own limit, the least recently used idle connection of another customer is closed first.
 	*/
-	#makeRoom(request: Request<C>): boolean {
-		if (this.open < this.#effectiveLimit && !this.#isBackingOff) {
-			return true;
+	#nextUncovered(): Waiter<C> | undefined {
+		if (this.#isClosed) {
+			return undefined;
 		}
 
-		const evicted = this.open <= this.#effectiveLimit ? this.#findEvictable(request) : undefined;
-		if (!evicted) {
-			return false;
+		const hasRoom = this.open < this.#effectiveLimit && !this.#isBackingOff;
+		const mayEvict = this.open <= this.#effectiveLimit;
+		const candidates = this.#firstWaiters().filter(({request}) => !this.#isCovered(request) && (hasRoom || (mayEvict && this.#findEvictable(request) !== undefined)));
+		const poor = candidates.filter(({request}) => this.#isBelowShare(request));
+		const waiter = this.#choose(poor.length > 0 ? poor : candidates);
+		const evicted = waiter && !hasRoom ? this.#findEvictable(waiter.request) : undefined;
+		if (evicted) {
+			this.#idle.splice(this.#idle.indexOf(evicted), 1);
+			evicted.connection.close();
 		}
 
-		this.#idle.splice(this.#idle.indexOf(evicted), 1);
-		evicted.connection.close();
-		return true;
+		return waiter;
+	}
+
+	/** The waiter to serve next of the groups of `candidates`: one for a probe or an order, or the next in the queue. */
+	#choose(candidates: ReadonlyArray<Waiter<C>>): Waiter<C> | undefined {
+		const groups = new Set(candidates.map(({group}) => group));
+		return candidates.find(({request}) => request.isControl) ?? this.#queue.choose(({group, request}) => groups.has(group) && this.#mayHold(request));
+	}
+
+	/** Whether a request may hold a connection now. Transactions may hold only a part of them. */
+	#mayHold({customer, isTransaction}: Request<C>): boolean {
+		return !isTransaction || this.#transactionRoom(customer) > 0;
+	}
+
+	/** Number of further connections that transactions of a customer may hold. */
+	#transactionRoom(customer: string | undefined): number {
+		const held = [...this.#held.values()].filter(({waiter}) => waiter.request.isTransaction);
+		const ofCustomer = held.filter(({waiter}) => waiter.request.customer === customer).length;
+		const bound = (part: number): number => Math.max(1, Math.floor(this.#connectionLimit * part));
+		return Math.max(0, Math.min(bound(maxTransactionsOfOne) - ofCustomer, bound(maxTransactions) - held.length));
+	}
+
+	#isBelowShare({customer, isInternal}: Request<C>): boolean {
+		return isInternal === true || this.#count(customer) < this.#share(customer);
 	}
 
 	/** The idle connection of another customer that was not used for a caller for the longest time. */
@@ -373,8 +430,7 @@
 
 	/** Whether the server recently refused a connection at its limit, and this pool has none that the request could use. */
 	#isRefusing(request: Request<C>): boolean {
-		const connections = [...this.#held, ...this.#idle.map(({connection}) => connection)];
-		return this.#isBackingOff && !connections.some(connection => this.#accepts(request, this.#origin(connection).customer)) && !this.#findEvictable(request);
+		return this.#isBackingOff && !this.#connections.some(connection => this.#accepts(request, this.#origin(connection).customer)) && !this.#findEvictable(request);
 	}
 
 	#accepts(request: Request<C>, customer: string | undefined): boolean {
@@ -423,7 +479,7 @@
 		if (Either.isLeft(outcome)) {
 			this.#failWaiters(outcome, attempt);
 		} else if (outcome.right.isOpen) {
-			this.#makeAvailable(outcome.right);
+			this.#makeAvailable(outcome.right, 'obtained');
 		} else {
 			this.#failWaiters(this.#refuse('the connection was closed while it was being opened or validated'), attempt);
 		}
@@ -457,7 +513,7 @@
 			return;
 		}
 
-		const isInUse = [...this.#held].some(connection => this.#origin(connection).customer === customer);
+		const isInUse = [...this.#held.keys()].some(connection => this.#origin(connection).customer === customer);
 		const servedWaiters = isInUse ? Number.POSITIVE_INFINITY : [...this.#attempts].filter(attempt => attempt.customer === customer).length;
 		const failed = this.#waiters
 			.filter(({request}) => this.#accepts(request, customer))
@@ -517,57 +573,77 @@
 		return this.#connect(customer);
 	}
 
-	#makeAvailable(connection: C): void {
-		const waiter = this.#waiters.find(({request}) => this.#accepts(request, this.#origin(connection).customer));
-		if (!connection.isOpen || this.#isClosed || this.open >= this.#effectiveLimit || (waiter && this.#mustYield(connection, waiter))) {
+	#makeAvailable(connection: C, event: 'obtained' | 'released'): void {
+		if (!connection.isOpen || this.#isClosed || this.open >= this.#effectiveLimit) {
 			connection.close();
-		} else if (waiter) {
-			this.#assign(connection, waiter);
 		} else {
-			this.#idle.push({connection, since: this.#clock.now()});
+			this.#serveFrom(connection, event);
 		}
 
 		this.#serveWaiters();
 	}
 
+	/** Assigns a connection, closes it to open one for another customer, or lists it as idle. */
+	#serveFrom(connection: C, event: 'obtained' | 'released'): void {
+		const waiter = this.#nextFor(connection, event);
+		if (!waiter) {
+			this.#idle.push({connection, since: this.#clock.now()});
+		} else if (this.#accepts(waiter.request, this.#origin(connection).customer)) {
+			this.#assign(connection, waiter);
+		} else {
+			connection.close();
+			this.#open(waiter.request);
+		}
+	}
+
 	/**
-	Whether a connection is to be closed so that one can be opened for another customer's request, which can't get one
-	otherwise: if the connection's customer has more than its share, or if its next request came after the other one and the
-	connection has served it for some time.
+	The waiter to serve next when a connection becomes available. After a release it may be of another customer that has less
+	than its share and can't get a connection otherwise: if the connection's customer has more than its share, or if the
+	other's turn comes first and has a higher priority or the connection has been open for some time.
 	*/
-	#mustYield(connection: C, next: Waiter<C>): boolean {
+	#nextFor(connection: C, event: 'obtained' | 'released'): Waiter<C> | undefined {
 		const {customer, openedAt} = this.#origin(connection);
-		const other = this.#firstWaiters().find(({request}) => !this.#accepts(request, customer) && !this.#isCovered(request));
+		const waiters = this.#firstWaiters();
+		const own = waiters.filter(({request}) => this.#accepts(request, customer));
 		const canOpen = this.open + 1 < this.#effectiveLimit && !this.#isBackingOff;
-		if (!other || canOpen || next.request.isInternal === true || this.#findEvictable(other.request)) {
-			return false;
+		const others = canOpen ? [] : waiters.filter(({request}) => !this.#accepts(request, customer) && this.#isBelowShare(request) && !this.#isCovered(request) && !this.#findEvictable(request));
+		if (event === 'obtained' || own.length === 0 || others.length === 0 || own.some(({request}) => request.isControl)) {
+			return this.#choose(own);
+		}
+
+		if (this.#count(customer) + 1 > Math.ceil(this.#share(customer))) {
+			return this.#choose(others);
 		}
 
-		const isFirst = this.#waiters.indexOf(next) < this.#waiters.indexOf(other);
-		const isOverShare = this.#count(customer) + 1 > this.#share(customer);
-		const isDue = !isFirst && this.#clock.now() - openedAt >= minTenureMs;
-		return isOverShare || isDue;
+		const isDue = this.#clock.now() - openedAt >= minTenureMs;
+		const ownClass = this.#bestClass(own);
+		return this.#choose([...own, ...others.filter(other => isDue || this.#bestClass([other]) < ownClass)]);
+	}
+
+	/** The highest priority, which is the lowest number, of the waiters of some groups. */
+	#bestClass(waiters: ReadonlyArray<Waiter<C>>): number {
+		const groups = new Set(waiters.map(({group}) => group));
+		return Math.min(...this.#waiters.filter(({group, request}) => groups.has(group) && this.#mayHold(request)).map(waiter => Number(waiter.class)));
 	}
 
 	/** Number of connections of a customer that are in use, idle or being opened. */
 	#count(customer: string | undefined): number {
-		const connections = [...this.#held, ...this.#idle.map(idle => idle.connection)];
-		return connections.filter(connection => this.#origin(connection).customer === customer).length + [...this.#attempts].filter(attempt => attempt.customer === customer).length;
+		return this.#connections.filter(connection => this.#origin(connection).customer === customer).length + [...this.#attempts].filter(attempt => attempt.customer === customer).length;
 	}
 
-	/** Number of connections for each customer if the limit is shared equally between those that use connections or wait for one. */
+	/** Connections for each customer, as a fraction, if the limit is shared equally between those that use one or wait for one. */
 	#share(customer: string | undefined): number {
 		const active = new Set([
 			customer,
-			...[...this.#held].map(connection => this.#origin(connection).customer),
+			...[...this.#held.keys()].map(connection => this.#origin(connection).customer),
 			...[...this.#attempts].map(attempt => attempt.customer),
 			...this.#waiters.filter(({request}) => !request.isInternal).map(({request}) => request.customer),
 		]);
-		return Math.max(1, Math.floor(this.#connectionLimit / active.size));
+		return this.#connectionLimit / active.size;
 	}
 
 	#assign(connection: C, waiter: Waiter<C>): void {
-		this.#held.add(connection);
+		this.#held.set(connection, {waiter, since: this.#clock.now()});
 		if (!waiter.request.isInternal) {
 			this.#origin(connection).usedAt = this.#clock.now();
 		}
--- a/src/core/tests/pool.test.ts
+++ b/src/core/tests/pool.test.ts
@@ -4,6 +4,7 @@
 import * as Either from 'fp-ts/lib/Either.js';
 import type * as backend from '../backend.js';
 import * as clock from '../clock.js';
+import type * as errors from '../errors.js';
 import * as pool from '../pool.js';
 import * as fakes from './fake-server.js';
 
@@ -20,7 +21,7 @@
 type Step =
 	| {
 		readonly kind: 'use'; readonly timeoutMs: number; readonly holdMs: number; readonly residue: pool.Residue; readonly end: 'keep' | 'lose';
-		readonly customer: string | undefined; readonly isInternal: boolean;
+		readonly customer: string | undefined; readonly isInternal: boolean; readonly priority: number; readonly isTransaction: boolean;
 	}
 	| {readonly kind: 'resize'; readonly connections: number}
 	| {readonly kind: 'silence'};
@@ -42,6 +43,8 @@
 				residue: fc.constantFrom('clean' as const, 'dirty' as const),
 				end: fc.constantFrom('keep' as const, 'lose' as const),
 				customer: fc.constantFrom(...customers),
+				priority: customers.length > 1 ? fc.integer({min: 0, max: 2}) : fc.constant(0),
+				isTransaction: customers.length > 1 ? fc.boolean() : fc.constant(false),
 				isInternal: customers.length > 1 ? fc.integer({min: 0, max: 5}).map(value => value === 0) : fc.constant(false),
 			}),
 		},
@@ -63,8 +66,10 @@
 	let maxLimit = limits.connections;
 	server.onConnect = () => connectResults[server.connectAttempts % connectResults.length] ?? {kind: 'open', delayMs: 1};
 	const use = async (step: Step & {kind: 'use'}): Promise<void> => {
-		const {customer, isInternal} = step;
-		const outcome = await connections.acquire(step.timeoutMs, {customer, isInternal});
+		const {customer, isInternal, priority, isTransaction} = step;
+		const outcome = await connections.acquire(step.timeoutMs, {
+			customer, isInternal, priority, isTransaction: isTransaction && !isInternal,
+		});
 		if (Either.isRight(outcome)) {
 			const connection = outcome.right;
 			assert.ok(isInternal || customerOf(connection) === customer, 'a connection of another customer');
@@ -413,3 +418,114 @@
 	const outcome = await Promise.race([acquired, Promise.resolve()]);
 	assert.ok(outcome && Either.isLeft(outcome) && outcome.left.step === 'admit');
 });
+
+test.test('guards against transactions of one customer, or of several, that hold all connections while their callers are idle', async () => {
+	const {time, server, connections} = make({connections: 4});
+	const begin = async (customer: string): Promise<errors.Outcome<backend.Connection>> => connections.acquire(300, {customer, isTransaction: true});
+	const begun = Promise.all(['large', 'large', 'large', 'large', 'other', 'third'].map(async customer => begin(customer)));
+	await time.advance(10);
+	assert.equal(connections.busy, 3);
+	const statement = await take(time, connections, 'small');
+	await connections.release(statement, 'clean');
+	assert.ok(await take(time, connections, 'large'), 'a statement of the same customer');
+	await time.advance(300);
+	const outcomes = await begun;
+	assert.deepEqual(outcomes.map(outcome => Either.isRight(outcome)), [true, true, false, false, true, false]);
+	assert.ok(server.peakConnections <= 4);
+});
+
+test.test('guards against a transaction that waits although another one of its customer has ended', async () => {
+	const {time, connections} = make({connections: 2});
+	const first = connections.acquire(100, {customer: 'one', isTransaction: true});
+	const second = connections.acquire(1000, {customer: 'one', isTransaction: true});
+	await time.advance(10);
+	const held = await first;
+	assert.ok(Either.isRight(held));
+	assert.equal(connections.waiting, 1);
+	await connections.release(held.right, 'clean');
+	await time.advance(10);
+	assert.ok(Either.isRight(await second));
+});
+
+/** Lets requests of several customers use a pool for some time, and returns the number served of each. */
+async function contend(connectionCount: number, users: ReadonlyArray<{readonly customer: string; readonly priority: number; readonly count: number}>): Promise<Map<string, number>> {
+	const {time, server, connections} = make({connections: connectionCount});
+	server.onConnect = () => ({kind: 'open', delayMs: 12});
+	const served = new Map(users.map(({customer}) => [customer, 0]));
+	const stopped = new AbortController();
+	const use = async (customer: string, priority: number): Promise<void> => {
+		while (!stopped.signal.aborted) {
+			const outcome = await connections.acquire(400, {customer, priority});
+			if (Either.isRight(outcome)) {
+				await time.sleep(10);
+				served.set(customer, (served.get(customer) ?? 0) + 1);
+				await connections.release(outcome.right, 'clean');
+			}
+		}
+	};
+
+	const running = users.flatMap(({customer, priority, count}) => Array.from({length: count}, async () => use(customer, priority)));
+	await time.advance(6000);
+	stopped.abort();
+	await time.advance(1000);
+	await Promise.all(running);
+	return served;
+}
+
+test.test('guards against a customer whose many requests reduce the share of others', async () => {
+	for (const connectionCount of [1, 2, 4]) {
+		const served = await contend(connectionCount, [
+			{customer: 'large', priority: 1, count: 60}, {customer: 'one', priority: 1, count: 4}, {customer: 'two', priority: 1, count: 4},
+		]);
+		const counts = [...served.values()];
+		assert.ok(Math.min(...counts) >= 0.6 * Math.max(...counts), `${connectionCount}: ${JSON.stringify([...served])}`);
+	}
+});
+
+test.test('guards against priorities that don\'t count between customers or within one, and against one that starves', async () => {
+	for (const {high, low} of [{high: 'one', low: 'two'}, {high: 'one', low: 'one'}]) {
+		const {time, connections} = make({connections: 1});
+		const order: number[] = [];
+		const use = async (customer: string, priority: number): Promise<void> => {
+			const outcome = await connections.acquire(20_000, {customer, priority});
+			assert.ok(Either.isRight(outcome));
+			order.push(priority);
+			await time.sleep(150);
+			await connections.release(outcome.right, 'clean');
+		};
+
+		const uses = Array.from({length: 40}, async (_, index) => use(index % 2 === 0 ? low : high, index % 2 === 0 ? 2 : 0));
+		await time.advance(20_000);
+		await Promise.all(uses);
+		const early = order.slice(0, 16).filter(priority => priority === 2).length;
+		assert.ok(early >= 1 && early <= 4, `${high} and ${low}: ${order.join(' ')}`);
+	}
+});
+
+test.test('guards against a request of a higher priority that waits until the connection of another customer is due', async () => {
+	const {time, connections} = make({connections: 1});
+	const held = await take(time, connections, 'one');
+	const next = connections.acquire(1000, {customer: 'one', priority: 2});
+	const urgent = connections.acquire(1000, {customer: 'two', priority: 0});
+	await connections.release(held, 'clean');
+	await time.advance(10);
+	const outcome = await urgent;
+	assert.ok(Either.isRight(outcome));
+	assert.equal(connections.waiting, 1);
+	await connections.release(outcome.right, 'clean');
+	await time.advance(10);
+	assert.ok(Either.isRight(await next));
+});
+
+test.test('guards against a new connection for a customer with its share while one without any waits', async () => {
+	const {time, connections} = make({connections: 2});
+	await take(time, connections, 'large');
+	await take(time, connections, 'large');
+	void connections.acquire(1000, {customer: 'large'});
+	const waiting = connections.acquire(1000, {customer: 'small'});
+	connections.resize(3);
+	await time.advance(10);
+	const outcome = await Promise.race([waiting, Promise.resolve()]);
+	assert.ok(outcome && Either.isRight(outcome));
+	await time.advance(1000);
+});
--- a/src/entry/job.ts
+++ b/src/entry/job.ts
@@ -92,6 +92,15 @@
 	return Math.max(1, Math.min((job.route.targetMs * connectionWaitRatio) - elapsedMs(context, job), remainingMs(context, job)));
 }
 
+/** What a job needs a connection for: one statement, or a transaction, which holds it while the caller is idle. */
+export type Purpose = 'statement' | 'transaction';
+
+/** The customer and the order of a job's request for a connection. Without customers, requests wait in the order of arrival. */
+export function connectionRequest({customer, route}: Job, purpose: Purpose): {customer: string | undefined; priority: number; isTransaction: boolean} {
+	const hasCustomers = customer !== undefined || route.isPublic === true;
+	return {customer, priority: hasCustomers ? route.priority : 0, isTransaction: hasCustomers && purpose === 'transaction'};
+}
+
 /** Time that a job may wait while connections are scarce after a start: the limits of the servers free up within seconds. */
 function limitWaitMs(context: Context, job: Job): number {
 	return Math.max(1, remainingMs(context, job) - minAttemptMs);
--- a/src/entry/leader.ts
+++ b/src/entry/leader.ts
@@ -23,9 +23,9 @@
 const lease = await leaders.acquire(context, job);
 ```
 */
-export async function acquire(context: jobs.Context, job: jobs.GroupJob): Promise<errors.Outcome<leases.Lease>> {
+export async function acquire(context: jobs.Context, job: jobs.GroupJob, purpose: jobs.Purpose = 'statement'): Promise<errors.Outcome<leases.Lease>> {
 	for (;;) {
-		const outcome = await attempt(context, job);
+		const outcome = await attempt(context, job, purpose);
 		if (Either.isRight(outcome) || !job.group.isBlockedByLimit || !jobs.hasTime(context, job)) {
 			return outcome;
 		}
@@ -34,9 +34,9 @@
 	}
 }
 
-async function attempt(context: jobs.Context, job: jobs.GroupJob): Promise<errors.Outcome<leases.Lease>> {
+async function attempt(context: jobs.Context, job: jobs.GroupJob, purpose: jobs.Purpose): Promise<errors.Outcome<leases.Lease>> {
 	const leader = await job.group.awaitLeader(jobs.serverWaitMs(context, job));
 	return leader
-		? leases.acquire(leader, job.state, context.clock, {customer: job.customer, timeoutMs: jobs.connectionWaitMs(context, job), atLimit: 'wait'})
+		? leases.acquire(leader, job.state, context.clock, {...jobs.connectionRequest(job, purpose), timeoutMs: jobs.connectionWaitMs(context, job), atLimit: 'wait'})
 		: errors.fail('not-run', 'route', job.group.name, 'no leader is known');
 }
--- a/src/entry/read.ts
+++ b/src/entry/read.ts
@@ -149,7 +149,7 @@
 	}
 
 	async #attempt(server: member.Member, job: jobs.StatementJob, minPosition: statement.Position, signal: AbortSignal): Promise<Attempt> {
-		const lease = await leases.acquire(server, job.state, this.#context.clock, {customer: job.customer, timeoutMs: jobs.remainingMs(this.#context, job), signal});
+		const lease = await leases.acquire(server, job.state, this.#context.clock, {...jobs.connectionRequest(job, 'statement'), timeoutMs: jobs.remainingMs(this.#context, job), signal});
 		if (Either.isLeft(lease)) {
 			return {server, reply: undefined};
 		}
--- a/src/entry/transaction.ts
+++ b/src/entry/transaction.ts
@@ -158,7 +158,7 @@
 	async #openAtLeader(job: jobs.GroupJob): Promise<Transaction | statement.Reply> {
 		let reason = 'too little time is left for an attempt';
 		while (jobs.hasTime(this.#context, job)) {
-			const lease = await leaders.acquire(this.#context, job);
+			const lease = await leaders.acquire(this.#context, job, 'transaction');
 			if (Either.isLeft(lease)) {
 				reason = lease.left.message;
 				break;
@@ -187,7 +187,7 @@
 
 		let reason = 'no backend server is known';
 		for (const server of this.#reader.candidates(job, minPosition)) {
-			const lease = await leases.acquire(server, job.state, this.#context.clock, {customer: job.customer, timeoutMs: jobs.connectionWaitMs(this.#context, job)});
+			const lease = await leases.acquire(server, job.state, this.#context.clock, {...jobs.connectionRequest(job, 'transaction'), timeoutMs: jobs.connectionWaitMs(this.#context, job)});
 			if (Either.isLeft(lease)) {
 				reason = lease.left.message;
 				continue;
