--- a/src/cli/process.ts
+++ b/src/cli/process.ts
@@ -8,6 +8,7 @@
 import * as random from '../core/random.js';
 import * as settings from '../core/settings.js';
 import * as entry from '../entry/entry.js';
+import * as usages from '../entry/customers/usage.js';
 import * as journal from '../entry/journal.js';
 import type * as types from '../generated/types.js';
 import type * as metrics from '../host/metrics.js';
@@ -48,7 +49,7 @@
 		random: new random.System(),
 		decisions,
 		async metrics() {
-			const loadedMetrics = await loadMetrics(decisions);
+			const loadedMetrics = await loadMetrics(decisions, host);
 			return loadedMetrics.text();
 		},
 		store: new objects.Objects(clients[0]),
@@ -66,7 +67,7 @@
 	});
 	await host.start();
 	await time.sleep(metricsDelayMs);
-	await loadMetrics(decisions);
+	await loadMetrics(decisions, host);
 }
 
 async function loadTransport(time: clock.Clock, decisions: journal.Journal): Promise<link.Transport<types.EntryMessage>> {
@@ -84,11 +85,12 @@
 let processMetrics: metrics.Metrics | undefined;
 
 /** Returns the metrics of this process, which are created on first use. */
-async function loadMetrics(decisions: journal.Journal): Promise<metrics.Metrics> {
+async function loadMetrics(decisions: journal.Journal, host: entry.Entry): Promise<metrics.Metrics> {
 	const metricsModule = await import('../host/metrics.js');
 	if (!processMetrics) {
 		processMetrics = new metricsModule.Metrics();
 		decisions.attach(processMetrics);
+		usages.register(processMetrics, () => host.usage);
 	}
 
 	return processMetrics;
--- a/src/core/pool.ts
+++ b/src/core/pool.ts
@@ -52,6 +52,9 @@
 	readonly isControl?: boolean;
 };
 
+/** Connections of one customer: open now, and opened, and closed for another customer since the pool was created; and requests that wait. */
+export type Usage = {readonly open: number; readonly opened: number; readonly evicted: number; readonly waiting: number};
+
 type Idle<C> = {readonly connection: C; readonly since: number};
 /** The customer that a connection was opened for, and the clock times of its opening and of its last use for a caller. */
 type Origin = {readonly customer: string | undefined; readonly openedAt: number; usedAt: number};
@@ -95,6 +98,8 @@
 	#waiters: Array<Waiter<C>> = [];
 	readonly #queue = new priorities.Priorities<Waiter<C>>();
 	readonly #origins = new WeakMap<C, Origin>();
+	/** Numbers of connections that were opened, and closed for another customer, by customer. */
+	readonly #counts = new Map<string | undefined, {opened: number; evicted: number}>();
 	/** Attempts to open or validate a connection. They count towards the limit until they end. */
 	readonly #attempts = new Set<Attempt>();
 	#connectionLimit: number;
@@ -124,6 +129,27 @@
 		return this.#held.size + this.#idle.length + this.#attempts.size;
 	}
 
+	/** The use of this pool by customer. */
+	get usage(): ReadonlyMap<string | undefined, Usage> {
+		const usage = new Map([...this.#counts].map(([customer, counts]) => [customer, {...counts, open: 0, waiting: 0}]));
+		for (const connection of this.#connections) {
+			const own = usage.get(this.#origin(connection).customer);
+			if (own) {
+				own.open++;
+			}
+		}
+
+		for (const {request} of this.#waiters) {
+			const own = usage.get(request.customer) ?? {
+				opened: 0, evicted: 0, open: 0, waiting: 0,
+			};
+			own.waiting++;
+			usage.set(request.customer, own);
+		}
+
+		return usage;
+	}
+
 	/** Whether a request of the customer would get an idle connection, after its validation if it was idle for long. */
 	hasIdle(customer: string | undefined): boolean {
 		const since = this.#clock.now() - this.#limits.idleLimitMs;
@@ -389,12 +415,24 @@
 		const evicted = waiter && !hasRoom ? this.#findEvictable(waiter.request) : undefined;
 		if (evicted) {
 			this.#idle.splice(this.#idle.indexOf(evicted), 1);
-			evicted.connection.close();
+			this.#evict(evicted.connection);
 		}
 
 		return waiter;
 	}
 
+	/** Closes a connection for another customer. */
+	#evict(connection: C): void {
+		this.#count(this.#origin(connection).customer).evicted++;
+		connection.close();
+	}
+
+	#count(customer: string | undefined): {opened: number; evicted: number} {
+		const counts = this.#counts.get(customer) ?? {opened: 0, evicted: 0};
+		this.#counts.set(customer, counts);
+		return counts;
+	}
+
 	/** The waiter to serve next of the groups of `candidates`: one for a probe or an order, or the next in the queue. */
 	#choose(candidates: ReadonlyArray<Waiter<C>>): Waiter<C> | undefined {
 		const groups = new Set(candidates.map(({group}) => group));
@@ -415,7 +453,7 @@
 	}
 
 	#isBelowShare({customer, isInternal}: Request<C>): boolean {
-		return isInternal === true || this.#count(customer) < this.#share(customer);
+		return isInternal === true || this.#size(customer) < this.#share(customer);
 	}
 
 	/** The idle connection of another customer that was not used for a caller for the longest time. */
@@ -557,6 +595,7 @@
 		if (Either.isRight(outcome)) {
 			const openedAt = this.#clock.now();
 			this.#origins.set(outcome.right, {customer, openedAt, usedAt: openedAt});
+			this.#count(customer).opened++;
 		}
 
 		return outcome;
@@ -591,7 +630,7 @@
 		} else if (this.#accepts(waiter.request, this.#origin(connection).customer)) {
 			this.#assign(connection, waiter);
 		} else {
-			connection.close();
+			this.#evict(connection);
 			this.#open(waiter.request);
 		}
 	}
@@ -611,7 +650,7 @@
 			return this.#choose(own);
 		}
 
-		if (this.#count(customer) + 1 > Math.ceil(this.#share(customer))) {
+		if (this.#size(customer) + 1 > Math.ceil(this.#share(customer))) {
 			return this.#choose(others);
 		}
 
@@ -627,7 +666,7 @@
 	}
 
 	/** Number of connections of a customer that are in use, idle or being opened. */
-	#count(customer: string | undefined): number {
+	#size(customer: string | undefined): number {
 		return this.#connections.filter(connection => this.#origin(connection).customer === customer).length + [...this.#attempts].filter(attempt => attempt.customer === customer).length;
 	}
 
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -6,6 +6,7 @@
 import type * as types from '../generated/types.js';
 import * as address from '../core/address.js';
 import type * as clock from '../core/clock.js';
+import type * as pool from '../core/pool.js';
 import type * as random from '../core/random.js';
 import type * as link from '../peer/link.js';
 import * as announcer from './announcer.js';
@@ -14,6 +15,7 @@
 import type * as caller from './caller.js';
 import * as claims from './claims.js';
 import * as limiters from './customers/limiter.js';
+import * as usages from './customers/usage.js';
 import type * as decisions from './decisions.js';
 import * as deployments from './deployment.js';
 import * as failover from './failover.js';
@@ -172,6 +174,13 @@
 		return !this.#isDraining && this.#deployment.content !== undefined && this.#caches.servers.revision !== undefined && this.#caches.hosts.revision !== undefined;
 	}
 
+	/** Use of this host's connections by customer, for metrics; empty without customers. */
+	get usage(): ReadonlyMap<string, pool.Usage> {
+		const {customers} = this.#deployment;
+		const pools = [...this.#groups.values()].flatMap(({members}) => members.map(server => server.pool));
+		return customers ? usages.summarize(pools, customers) : new Map();
+	}
+
 	/** Starts the tasks and the listeners. */
 	async start(): Promise<void> {
 		const {settings: {listen}, decisions: log} = this.#options;
