--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -6,6 +6,7 @@
 import type * as types from '../generated/types.js';
 import * as address from '../core/address.js';
 import type * as clock from '../core/clock.js';
+import type * as pool from '../core/pool.js';
 import type * as random from '../core/random.js';
 import type * as link from '../peer/link.js';
 import * as announcer from './announcer.js';
@@ -16,6 +17,7 @@
 import * as activities from './customers/activity.js';
 import * as freshnesses from './customers/freshness.js';
 import * as limiters from './customers/limiter.js';
+import * as holdings from './customers/connections.js';
 import type * as counters from './customers/quota/counters.js';
 import * as quotas from './customers/quota/quotas.js';
 import * as sources from './customers/quota/source.js';
@@ -220,6 +222,13 @@
 		return this.#fleet.hasOpenLink || this.#responders.size > 0;
 	}
 
+	/** Use of this host's connections by customer, for metrics; empty without customers. */
+	get usage(): ReadonlyMap<string, pool.Usage> {
+		const {customers} = this.#deployment;
+		const pools = [...this.#groups.values()].flatMap(({members}) => members.map(server => server.pool));
+		return customers ? holdings.summarize(pools, customers) : new Map();
+	}
+
 	/** Starts the tasks and the listeners. */
 	async start(): Promise<void> {
 		const {settings: {listen}, decisions: log} = this.#options;
--- a/src/entry/read.ts
+++ b/src/entry/read.ts
@@ -191,7 +191,7 @@
 	async #attempt(server: member.Member, job: jobs.StatementJob, {minPosition, sent, signal}: Race): Promise<Attempt> {
 		const {balancer} = job.group;
 		balancer.started(server);
-		const lease = await leases.acquire(server, job.state, this.#context.clock, {customer: job.customer, timeoutMs: jobs.remainingMs(this.#context, job), signal});
+		const lease = await leases.acquire(server, job.state, this.#context.clock, {...jobs.connectionRequest(job, 'statement'), timeoutMs: jobs.remainingMs(this.#context, job), signal});
 		if (Either.isLeft(lease)) {
 			const isUnreachable = !signal.aborted && server.pool.open === 0 && lease.left.step === 'connect';
 			balancer.ended(server, {kind: isUnreachable ? 'silent' : 'none'});
