--- a/src/entry/customers/quota/bucket.ts
+++ b/src/entry/customers/quota/bucket.ts
@@ -41,12 +41,6 @@
 		this.#level = Math.min(limits.size, this.#level);
 	}
 
-	/** Adds operations up to the size. */
-	add(operations: number, now: number): void {
-		this.#refill(now);
-		this.#level = Math.min(this.#limits.size, this.#level + operations);
-	}
-
 	#refill(now: number): void {
 		const elapsedMs = Math.max(0, now - this.#updatedAt);
 		this.#level = Math.min(this.#limits.size, this.#level + (elapsedMs * this.#limits.operationsPerMs));
--- a/src/entry/customers/quota/leasing.ts
+++ b/src/entry/customers/quota/leasing.ts
@@ -14,21 +14,27 @@
 import type * as counters from './counters.js';
 import type * as sources from './source.js';
 
-/** Wait for the answer of one counter: a round trip between regions takes 16 ms, and small hosts answer late under load. */
-const answerTimeoutMs = 40;
+/** Wait for the answer of one counter: a round trip takes 7 ms between places and 16 ms between regions, and small hosts answer late under load. */
+const answerTimeoutMs: Readonly<Record<counters.Distance, number>> = {
+	'same host': 20, 'same place': 20, 'same region': 25, 'other region': 40,
+};
 /** Longest wait for operations. A caller tries other hosts after a refusal. */
 const admissionTimeoutMs = 90;
 /** Time for which a counter that didn't answer isn't asked. */
 const silenceMs = 1000;
-/** Longest time for which a counter that had no operations left isn't asked. */
-const maxExhaustedMs = 1000;
 /**
-Shortest such time, by distance: messages between regions are billed most, and a counter of another place has operations
-left for this one only while its own place needs fewer than its share.
+Time for which a counter that had no operations left isn't asked, by distance: at least `min`, and twice as long after each
+further time, up to `max`; an answer with operations takes one step back. Messages between regions are billed most, and a counter of another place has operations left for
+this one only while its own place needs fewer than its share.
 */
-const minExhaustedMs: Readonly<Record<counters.Distance, number>> = {
-	'same host': 0, 'same place': 60, 'same region': 250, 'other region': 750,
+const exhaustedMs: Readonly<Record<counters.Distance, {readonly min: number; readonly max: number}>> = {
+	'same host': {min: 0, max: 0},
+	'same place': {min: 50, max: 200},
+	'same region': {min: 125, max: 1000},
+	'other region': {min: 250, max: 4000},
 };
+/** Longest such time that a counter can ask for. */
+const maxExhaustedMs = 1000;
 /** Time to come back after a refusal because no counter could be reached. */
 const unknownRetryMs = 200;
 /** Part of a lease's time whose expected demand is leased in advance. */
@@ -36,12 +42,15 @@
 /** Most operations in one request. */
 const maxBatch = 64;
 
+/** A counter that isn't asked until a clock time, and how often it had no operations left, less how often it had some. */
+type Exhaustion = {readonly until: number; readonly times: number};
+
 /** What this host knows about one customer. */
 type Known = {
 	customer: directories.Customer;
 	readonly account: accounts.Account;
-	/** Clock times until which counters aren't asked, by name. */
-	readonly exhaustedUntil: Map<string, number>;
+	/** Counters that had no operations left, by name. */
+	readonly exhausted: Map<string, Exhaustion>;
 	waiting: number;
 	asking: Promise<void> | undefined;
 };
@@ -122,7 +131,7 @@
 			return undefined;
 		}
 
-		const waits = candidates.flatMap(({name}) => known.exhaustedUntil.get(name) ?? []).filter(until => until > now).map(until => until - now);
+		const waits = candidates.flatMap(({name}) => known.exhausted.get(name) ?? []).filter(({until}) => until > now).map(({until}) => until - now);
 		return waits.length === candidates.length && waits.length > 0
 			? {kind: 'limited', retryAfterMs: Math.min(...waits)}
 			: {kind: 'unknown', retryAfterMs: unknownRetryMs};
@@ -139,7 +148,7 @@
 		}
 
 		const request = this.#request(known, source);
-		if (await this.#options.clock.limit(request, answerTimeoutMs) === undefined) {
+		if (await this.#options.clock.limit(request, answerTimeoutMs[source.distance]) === undefined) {
 			this.#silentUntil.set(source.name, this.#options.clock.now() + silenceMs);
 		}
 
@@ -157,9 +166,11 @@
 
 		this.#silentUntil.delete(source.name);
 		known.account.add(grant.granted, requestedAt);
-		if (grant.granted === 0) {
-			const exhaustedMs = Math.max(minExhaustedMs[source.distance], Math.min(maxExhaustedMs, grant.retryAfterMs));
-			known.exhaustedUntil.set(source.name, time.now() + exhaustedMs);
+		const times = known.exhausted.get(source.name)?.times ?? 0;
+		if (grant.granted > 0) {
+			known.exhausted.set(source.name, {until: requestedAt.monotonicMs, times: Math.max(0, times - 1)});
+		} else {
+			known.exhausted.set(source.name, {until: time.now() + exhaustionMs(source.distance, times, grant.retryAfterMs), times: times + 1});
 		}
 
 		return 'answered';
@@ -171,27 +182,33 @@
 		return Math.min(maxBatch, Math.max(1, waiting) + Math.floor(expected));
 	}
 
-	#canAsk({exhaustedUntil}: Known, source: sources.Source, now: number): boolean {
+	#canAsk({exhausted}: Known, source: sources.Source, now: number): boolean {
 		if (!source.isUsable && !source.isOpen) {
 			source.connect();
 			return false;
 		}
 
 		const isSilent = (this.#silentUntil.get(source.name) ?? Number.NEGATIVE_INFINITY) > now;
-		return !isSilent && (exhaustedUntil.get(source.name) ?? Number.NEGATIVE_INFINITY) <= now;
+		return !isSilent && (exhausted.get(source.name)?.until ?? Number.NEGATIVE_INFINITY) <= now;
 	}
 
 	#find(customer: directories.Customer): Known {
 		const known = this.#known.get(customer.name) ?? {
-			customer, account: new accounts.Account(this.#leaseMs), exhaustedUntil: new Map<string, number>(), waiting: 0, asking: undefined,
+			customer, account: new accounts.Account(this.#leaseMs), exhausted: new Map<string, Exhaustion>(), waiting: 0, asking: undefined,
 		};
 		this.#known.set(customer.name, known);
 		if (known.customer.operationsPerS !== customer.operationsPerS || known.customer.burst !== customer.burst) {
 			// A higher quota applies at once.
-			known.exhaustedUntil.clear();
+			known.exhausted.clear();
 		}
 
 		known.customer = customer;
 		return known;
 	}
 }
+
+/** Time for which a counter without operations isn't asked after it had none `times` times before. */
+function exhaustionMs(distance: counters.Distance, times: number, retryAfterMs: number): number {
+	const {min, max} = exhaustedMs[distance];
+	return Math.max(Math.min(max, min * (2 ** times)), Math.min(maxExhaustedMs, retryAfterMs));
+}
--- a/src/entry/customers/quota/standing.ts
+++ b/src/entry/customers/quota/standing.ts
@@ -7,6 +7,7 @@
 */
 import type * as directories from '../directory.js';
 import type * as types from '../../../generated/types.js';
+import type * as buckets from './bucket.js';
 import * as budget from './budget.js';
 import * as counters from './counters.js';
 
@@ -70,7 +71,7 @@
 	}
 
 	/** The share that this host counts now; `undefined` if it doesn't count the customer. */
-	share(customer: directories.Customer, now: number): budget.Share | undefined {
+	share(customer: directories.Customer, now: number): buckets.Limits | undefined {
 		const {self, bound} = this.#options;
 		const count = budget.countCounters(bound, customer);
 		const current = this.#view?.counters(customer.name, count) ?? [];
