Check that at most half of the servers come last

The test of the panic threshold passed without it: its condition was always true. It now fails if all ejected servers come last (seen with the limit removed).

--- a/src/entry/load/tests/balancer.test.ts
+++ b/src/entry/load/tests/balancer.test.ts
@@ -213,15 +213,18 @@
 	assert.deepEqual(harness.servers.filter(server => harness.balancer.ejected(server)), []);
 	const other = new Harness();
 	other.warmUp();
-	for (const server of [other.near, other.far[0]]) {
-		for (let index = 0; index < 4; index++) {
-			other.send(server, {kind: 'failed'});
+	const [worst] = other.far;
+	assert.ok(worst);
+	for (const [server, count] of [[other.near, 4], [worst, 12]] as const) {
+		for (let index = 0; index < count; index++) {
+			other.send(server, {kind: 'failed'}, 1);
 		}
 	}
 
-	const ordered = Array.from({length: 50}, () => other.order().map(({id}) => id));
-	assert.ok(ordered.every(ids => ids.length === 3));
-	assert.ok(ordered.some(ids => ids[0] !== 'far-2') || ordered.some(ids => ids[1] !== 'far-2'));
+	// Both are ejected, but only the one that fails more comes last.
+	assert.deepEqual(other.order().map(({id}) => id), ['near', 'far-2', 'far-1']);
+	assert.equal(other.balancer.ejected(other.near), 'failing');
+	assert.equal(other.balancer.ejected(worst), 'failing');
 	const alone = new Server('alone', 'west');
 	for (let index = 0; index < 10; index++) {
 		other.send(alone, {kind: 'failed'});
