Divide ample connection limits without overcommitment

The hard limits of six owners summed up to 96 connections of a server that accepts 46, so servers reset connections whenever requests waited at a slow one. A server with 4 slots and a queue of 32 takes 36 requests, so connections beyond these were of no use.

From an even share of 6 connections on, the soft limit is the maximum: 36 of 46, and 42 while a lost owner's connections still count. Smaller shares keep the factor of 2, so 7, 9 and 81 hosts with 16, 39 and 30 connections have the limits that they had.

The tests of 28 and 64 hosts failed before the change (7 times 16 of 46, 7 times 24 of 70).

--- a/src/entry/fleet.ts
+++ b/src/entry/fleet.ts
@@ -28,6 +28,11 @@
 unevenly over hosts; the server refuses connections beyond its limit.
 */
 const overcommitFactor = 2;
+/**
+Even share from which on there is no overcommitment: with six owners, such shares use all 4 slots and the queue of 32 of a
+server, which refuses further requests anyway. The rest of its limit is for lost connections and changes of owners.
+*/
+const amplyShared = 6;
 /** Lower bound of the assumed number of owners, used until other hosts are discovered. */
 const minOwners = 4;
 
@@ -87,9 +92,10 @@
 	quota(service: string): group.Quota {
 		const connectionLimit = this.#options.connectionLimit(service);
 		const owners = Math.max(minOwners, placement.countOwners({hosts: [...this.#hosts.values()], connectionLimit}));
+		const softLimit = Math.max(1, Math.floor(connectionLimit * placement.quotaFraction / owners));
 		return {
-			softLimit: Math.max(1, Math.floor(connectionLimit * placement.quotaFraction / owners)),
-			hardLimit: Math.max(2, Math.ceil(connectionLimit * overcommitFactor / owners)),
+			softLimit,
+			hardLimit: softLimit >= amplyShared ? softLimit : Math.max(2, Math.ceil(connectionLimit * overcommitFactor / owners)),
 		};
 	}
 
--- /dev/null
+++ b/src/entry/tests/fleet.test.ts
@@ -0,0 +1,57 @@
+import * as assert from 'node:assert/strict';
+import * as test from 'node:test';
+import * as clock from '../../core/clock.js';
+import * as decisions from '../decisions.js';
+import * as fleets from '../fleet.js';
+import type * as placement from '../placement.js';
+import * as transports from './fake-transport.js';
+
+const places = ['west-a', 'west-b', 'east-a', 'east-b', 'south-a', 'south-b'];
+
+/** The fleets of a deployment as each of its hosts sees it. */
+function build(count: number, connectionLimit: number): fleets.Fleet[] {
+	const time = new clock.Manual();
+	const hosts: placement.Host[] = Array.from({length: count}, (_, index) => {
+		const place = places[index % places.length] ?? '';
+		return {
+			name: `h${index}`, place, region: place.slice(0, -2), peer: `10.0.0.${index}:7000`, capacity: 1,
+		};
+	});
+	return hosts.map(self => {
+		const fleet = new fleets.Fleet({
+			self,
+			clock: time,
+			transport: new transports.Transport(new transports.Network(time)),
+			decisions: new decisions.Silent(),
+			seeds: [],
+			connectionLimit: () => connectionLimit,
+			serverPlaces: () => new Set(['west-a', 'east-a', 'south-a']),
+		});
+		for (const {name, ...announcement} of hosts) {
+			fleet.update(name, announcement);
+		}
+
+		return fleet;
+	});
+}
+
+for (const [count, connectionLimit] of [[28, 46], [64, 70]] as const) {
+	test.test(`guards against connections over a server's limit: the hard limits of ${count} hosts fit into ${connectionLimit}, also while one owner is replaced`, () => {
+		const [fleet] = build(count, connectionLimit);
+		assert.ok(fleet);
+		const {softLimit, hardLimit} = fleet.quota('ledgers');
+		const owners = 6;
+		// A lost owner's connections count for 3 s more, while its successor opens its own. Four are left for probes and orders.
+		assert.ok(((owners + 1) * hardLimit) + 4 <= connectionLimit, `${owners + 1} times ${hardLimit} of ${connectionLimit}`);
+		assert.ok(hardLimit >= softLimit);
+		// A server with 4 slots and a queue of 32 refuses further requests, so its owners need no more than these together.
+		assert.ok(owners * hardLimit >= 36, `${owners} times ${hardLimit}`);
+	});
+}
+
+test.test('guards against hosts with few connections and many callers: they may exceed an even share that is small', () => {
+	const expected: Array<[hosts: number, connections: number, soft: number, hard: number]> = [[7, 16, 1, 5], [9, 39, 3, 9], [81, 30, 4, 10]];
+	for (const [hosts, connections, softLimit, hardLimit] of expected) {
+		assert.deepEqual(build(hosts, connections)[0]?.quota('ledgers'), {softLimit, hardLimit});
+	}
+});
