--- a/src/entry/fleet.ts
+++ b/src/entry/fleet.ts
@@ -32,7 +32,7 @@
 Even share from which on there is no overcommitment: with six owners, such shares use all 4 slots and the queue of 32 of a
 server, which refuses further requests anyway. The rest of its limit is for lost connections and changes of owners.
 */
-const amplyShared = 6;
+const ampleShare = 6;
 /** Lower bound of the assumed number of owners, used until other hosts are discovered. */
 const minOwners = 4;
 
@@ -95,7 +95,7 @@
 		const softLimit = Math.max(1, Math.floor(connectionLimit * placement.quotaFraction / owners));
 		return {
 			softLimit,
-			hardLimit: softLimit >= amplyShared ? softLimit : Math.max(2, Math.ceil(connectionLimit * overcommitFactor / owners)),
+			hardLimit: softLimit >= ampleShare ? softLimit : Math.max(2, Math.ceil(connectionLimit * overcommitFactor / owners)),
 		};
 	}
 
--- a/src/entry/journal.ts
+++ b/src/entry/journal.ts
@@ -37,6 +37,10 @@
 /** Limit on ended requests that are kept until metrics are attached. */
 const maxEarlyRequests = 10_000;
 
+/** Combinations of service, server and result that are counted apart; further ones count as server `other`. */
+const maxServerCounts = 2048;
+const otherServer = 'other';
+
 type EndedRequest = {readonly database: string; readonly result: 'answered' | types.Refusal; readonly latencyMs: number};
 
 /** Writes decisions to standard output and counts them. */
@@ -49,6 +53,8 @@
 	readonly #counts = new Map<string, number>();
 	/** Failover attempts by reason and result. */
 	readonly #attempts = new Map<string, {readonly labels: {readonly reason: string; readonly result: string}; value: number}>();
+	/** Attempts at backend servers by service, server and result. */
+	readonly #serverCounts = new Map<string, {readonly labels: {readonly service: string; readonly server: string; readonly result: decisions.Attempt}; value: number}>();
 	#windowStart = Number.NEGATIVE_INFINITY;
 	#windowLines = 0;
 	#distinctLines = 0;
@@ -79,9 +85,21 @@
 		target.addGauge('decisions', 'Decisions since the start, by name', ['name'], () =>
 			[...this.#counts].map(([name, value]) => ({labels: {name}, value})));
 		target.addGauge('failover_attempts', 'Failover attempts of this host since the start, by reason and result', ['reason', 'result'], () => [...this.#attempts.values()]);
+		target.addGauge('server_attempts', 'Statements sent to backend servers since the start', ['service', 'server', 'result'], () => [...this.#serverCounts.values()]);
 		target.addGauge('log_lines_omitted', 'Log lines omitted since the start', [], () => [{labels: {}, value: this.#omitted}]);
 	}
 
+	override attempted(service: string, server: string, result: decisions.Attempt): void {
+		const known = this.#serverCounts.get(`${service} ${server} ${result}`);
+		if (known) {
+			known.value++;
+		} else if (server === otherServer || this.#serverCounts.size < maxServerCounts) {
+			this.#serverCounts.set(`${service} ${server} ${result}`, {labels: {service, server, result}, value: 1});
+		} else {
+			this.attempted(otherServer, otherServer, result);
+		}
+	}
+
 	override record(name: string, fields: decisions.Fields): void {
 		this.#count(name);
 		if (name === attemptName) {
--- a/src/entry/tests/journal.test.ts
+++ b/src/entry/tests/journal.test.ts
@@ -171,3 +171,22 @@
 	assert.match(text, /^sycamorering_failover_attempts\{reason="silent",result="given up"\} 2$/mv);
 	await output.release();
 });
+
+test.test('guards against metrics that grow with each server that was ever seen', async () => {
+	const {output, journal} = await start();
+	const target = new metrics.Metrics();
+	journal.attach(target);
+	for (let index = 0; index < 3000; index++) {
+		journal.attempted('ledgers', `server-${index}`, 'answered');
+	}
+
+	journal.attempted('ledgers', 'server-0', 'answered');
+	journal.attempted('ledgers', 'server-0', 'busy');
+	const text = await target.text();
+	const lines = text.split('\n').filter(line => line.startsWith('sycamorering_server_attempts{'));
+	assert.equal(lines.length, 2050);
+	assert.ok(lines.includes('sycamorering_server_attempts{service="ledgers",server="server-0",result="answered"} 2'));
+	assert.ok(lines.includes('sycamorering_server_attempts{service="other",server="other",result="answered"} 952'));
+	assert.ok(lines.includes('sycamorering_server_attempts{service="other",server="other",result="busy"} 1'));
+	await output.release();
+});
