Ask a server at its connection limit for more connections less often

A pool that had some connections opened one for each waiting request again each 100 ms while the server refused them at its limit: 87 attempts in 2.9 s for a host with two connections and six allowed. Servers count and reset each of them.

After a refusal there is one attempt at a time, each 100 ms without connections as before, and up to 300 ms apart while the pool has some that serve its requests.

The new test failed before the change with 87 attempts; the bound is 16.

--- a/src/core/pool.ts
+++ b/src/core/pool.ts
@@ -53,6 +53,11 @@
 stands for all waiting requests: after a power loss every host finds the limit reached by lost connections.
 */
 const limitBackoffMs = 100;
+/**
+Longest delay, reached by further refusals while this pool has connections that serve its requests. It is shorter than
+`limitMemoryMs`, so that a shortage of connections is not taken for a failure between two attempts.
+*/
+const maxLimitBackoffMs = 300;
 /** Time for which a refusal at the connection limit counts as recent: several attempts. */
 const limitMemoryMs = 400;
 
@@ -71,6 +76,8 @@
 	#isClosed = false;
 	/** Time of the clock at which the server last refused a connection at its limit. */
 	#refusedAt = Number.NEGATIVE_INFINITY;
+	/** Number of refusals at the server's limit since the last attempt that ended otherwise. */
+	#refusals = 0;
 
 	constructor(server: connections.Server<C>, time: clock.Clock, limits: Limits) {
 		this.server = server;
@@ -110,7 +117,11 @@
 	}
 
 	get #isBackingOff(): boolean {
-		return this.#clock.now() - this.#refusedAt < limitBackoffMs;
+		return this.#clock.now() - this.#refusedAt < this.#backoffMs;
+	}
+
+	get #backoffMs(): number {
+		return this.#held.size + this.#idle.length === 0 ? limitBackoffMs : Math.min(maxLimitBackoffMs, limitBackoffMs * this.#refusals);
 	}
 
 	/** Number of connections that pending attempts will provide; a hedge and the attempt that it hedges count once. */
@@ -304,7 +315,9 @@
 	}
 
 	#needsConnection(expectedConnections: number): boolean {
-		return !this.#isClosed && this.#waiters.length > expectedConnections && this.open < this.#effectiveLimit && !this.#isBackingOff;
+		// After a refusal, one attempt at a time finds out whether the limit has freed up.
+		const mayAttempt = this.#refusals === 0 || this.#pending === 0;
+		return !this.#isClosed && mayAttempt && this.#waiters.length > expectedConnections && this.open < this.#effectiveLimit && !this.#isBackingOff;
 	}
 
 	/** Obtains a connection for the waiters, and opens a second one in parallel if a `first` attempt is slow. */
@@ -324,6 +337,7 @@
 		if (Either.isLeft(outcome)) {
 			this.#failWaiters(outcome, startedAt);
 		} else if (outcome.right.isOpen) {
+			this.#refusals = 0;
 			this.#makeAvailable(outcome.right);
 		} else {
 			this.#failWaiters(this.#refuse('the connection was closed while it was being opened or validated'), startedAt);
@@ -357,6 +371,8 @@
 			return;
 		}
 
+		this.#refusals = 0;
+
 		const servedWaiters = this.#held.size === 0 ? this.#pending : Number.POSITIVE_INFINITY;
 		const failed = this.#waiters.filter((waiter, index) => index === 0 || (index > servedWaiters && waiter.since <= startedAt));
 		for (const waiter of failed) {
@@ -372,6 +388,7 @@
 	*/
 	#backOff(outcome: errors.Outcome<never>): void {
 		this.#refusedAt = this.#clock.now();
+		this.#refusals++;
 		if (this.open === 0) {
 			for (const waiter of this.#waiters.filter(({request}) => request.atLimit !== 'wait')) {
 				waiter.settle(outcome);
@@ -382,7 +399,7 @@
 	}
 
 	async #retryLater(): Promise<void> {
-		await this.#clock.sleep(limitBackoffMs);
+		await this.#clock.sleep(this.#backoffMs);
 		this.#serveWaiters();
 	}
 
--- a/src/core/tests/pool.test.ts
+++ b/src/core/tests/pool.test.ts
@@ -262,3 +262,30 @@
 	assert.equal(connections.open, 0);
 	await time.advance(500);
 });
+
+// Pattern: connection storm. After a stop of all hosts each of them asks for more connections until the lost ones are gone.
+test.test('guards against a host with connections that asks a server at its limit for more ten times a second', async () => {
+	const {time, server, connections} = make({connections: 6});
+	server.onConnect = () => ({kind: server.connectAttempts > 2 && time.now() < 3000 ? 'at-limit' : 'open', delayMs: 5});
+	let served = 0;
+	const caller = async (): Promise<void> => {
+		while (time.now() < 4000) {
+			const outcome = await connections.acquire(1000);
+			if (Either.isRight(outcome)) {
+				await time.sleep(30);
+				await connections.release(outcome.right, 'clean');
+				served++;
+			}
+		}
+	};
+
+	const callers = Array.from({length: 10}, async () => caller());
+	await time.advance(2900);
+	// Six at the start, of which two succeed, and one each 300 ms.
+	assert.ok(server.connectAttempts <= 6 + 10, `${server.connectAttempts} attempts`);
+	assert.ok(served > 100, `${served} requests served by two connections`);
+	await time.advance(500);
+	assert.equal(connections.open, 6);
+	await time.advance(2000);
+	await Promise.all(callers);
+});
