--- a/src/core/pool.ts
+++ b/src/core/pool.ts
@@ -84,6 +84,11 @@
 */
 const maxTransactionsOfOne = 0.5;
 const maxTransactions = 0.75;
+/**
+Longest delay, reached by further refusals while this pool has connections that serve its requests. It is shorter than
+`limitMemoryMs`, so that a shortage of connections is not taken for a failure between two attempts.
+*/
+const maxLimitBackoffMs = 300;
 /** Time for which a refusal at the connection limit counts as recent: several attempts. */
 const limitMemoryMs = 400;
 
@@ -106,6 +111,8 @@
 	#isClosed = false;
 	/** Time of the clock at which the server last refused a connection at its limit. */
 	#refusedAt = Number.NEGATIVE_INFINITY;
+	/** Number of refusals at the server's limit since the last attempt that ended otherwise. */
+	#refusals = 0;
 
 	constructor(server: connections.Server<C>, time: clock.Clock, limits: Limits) {
 		this.server = server;
@@ -177,7 +184,16 @@
 	}
 
 	get #isBackingOff(): boolean {
-		return this.#clock.now() - this.#refusedAt < limitBackoffMs;
+		return this.#clock.now() - this.#refusedAt < this.#backoffMs;
+	}
+
+	/** Whether an attempt to connect may start. After a refusal, one at a time finds out whether the limit has freed up. */
+	get #mayConnect(): boolean {
+		return !this.#isBackingOff && (this.#refusals === 0 || this.#attempts.size === 0);
+	}
+
+	get #backoffMs(): number {
+		return this.#held.size + this.#idle.length === 0 ? limitBackoffMs : Math.min(maxLimitBackoffMs, limitBackoffMs * this.#refusals);
 	}
 
 	/**
@@ -407,7 +423,7 @@
 			return undefined;
 		}
 
-		const hasRoom = this.open < this.#effectiveLimit && !this.#isBackingOff;
+		const hasRoom = this.open < this.#effectiveLimit && this.#mayConnect;
 		const mayEvict = this.open <= this.#effectiveLimit;
 		const candidates = this.#firstWaiters().filter(({request}) => !this.#isCovered(request) && (hasRoom || (mayEvict && this.#findEvictable(request) !== undefined)));
 		const poor = candidates.filter(({request}) => this.#isBelowShare(request));
@@ -517,6 +533,7 @@
 		if (Either.isLeft(outcome)) {
 			this.#failWaiters(outcome, attempt);
 		} else if (outcome.right.isOpen) {
+			this.#refusals = 0;
 			this.#makeAvailable(outcome.right, 'obtained');
 		} else {
 			this.#failWaiters(this.#refuse('the connection was closed while it was being opened or validated'), attempt);
@@ -535,7 +552,7 @@
 	async #hedge(customer: string | undefined, ended: AbortSignal): Promise<void> {
 		await this.#clock.sleep(this.#limits.hedgeAfterMs, ended);
 		const isNeeded = !this.#isClosed && this.#waiters.some(({request}) => this.#accepts(request, customer));
-		if (!ended.aborted && isNeeded && this.open < this.#effectiveLimit && !this.#isBackingOff) {
+		if (!ended.aborted && isNeeded && this.open < this.#effectiveLimit && this.#mayConnect) {
 			void this.#obtain(async () => this.#connect(customer), customer, 'hedge');
 		}
 	}
@@ -551,6 +568,7 @@
 			return;
 		}
 
+		this.#refusals = 0;
 		const isInUse = [...this.#held.keys()].some(connection => this.#origin(connection).customer === customer);
 		const servedWaiters = isInUse ? Number.POSITIVE_INFINITY : [...this.#attempts].filter(attempt => attempt.customer === customer).length;
 		const failed = this.#waiters
@@ -569,6 +587,7 @@
 	*/
 	#backOff(outcome: errors.Outcome<never>): void {
 		this.#refusedAt = this.#clock.now();
+		this.#refusals++;
 		if (this.#waiters.some(({request}) => this.#findEvictable(request))) {
 			this.#serveWaiters();
 		}
@@ -586,7 +605,7 @@
 	}
 
 	async #retryLater(): Promise<void> {
-		await this.#clock.sleep(limitBackoffMs);
+		await this.#clock.sleep(this.#backoffMs);
 		this.#serveWaiters();
 	}
 
--- a/src/entry/tests/journal.test.ts
+++ b/src/entry/tests/journal.test.ts
@@ -188,3 +188,22 @@
 	assert.match(text, /^sycamorering_customer_sessions\{customer="other"\} 1$/mv);
 	assert.match(text, /^sycamorering_customer_refusals\{customer="unknown",cause="unauthorized"\} 1$/mv);
 });
+
+test.test('guards against metrics that grow with each server that was ever seen', async () => {
+	const {output, journal} = await start();
+	const target = new metrics.Metrics();
+	journal.attach(target);
+	for (let index = 0; index < 3000; index++) {
+		journal.attempted('ledgers', `server-${index}`, 'answered');
+	}
+
+	journal.attempted('ledgers', 'server-0', 'answered');
+	journal.attempted('ledgers', 'server-0', 'busy');
+	const text = await target.text();
+	const lines = text.split('\n').filter(line => line.startsWith('sycamorering_server_attempts{'));
+	assert.equal(lines.length, 2050);
+	assert.ok(lines.includes('sycamorering_server_attempts{service="ledgers",server="server-0",result="answered"} 2'));
+	assert.ok(lines.includes('sycamorering_server_attempts{service="other",server="other",result="answered"} 952'));
+	assert.ok(lines.includes('sycamorering_server_attempts{service="other",server="other",result="busy"} 1'));
+	await output.release();
+});
