Bound the memory, the time and the descriptors of callers, links and probes

A few callers could end a host: input and replies were held without limit, an incomplete line was scanned again at each piece, and sessions kept values without end. Lines are now split in linear time and refused above 1 MiB. One memory budget for the process counts input, requests in execution, replies and session state; large holders stop reading first, then those that hold most are closed. Openings, messages and readers have bounds on time, checked by one task.

--- a/src/cli/process.ts
+++ b/src/cli/process.ts
@@ -2,6 +2,7 @@
 Runs an entry host on the users' platform, for the command line and for the daemon.
 */
 import process from 'node:process';
+import * as v8 from 'node:v8';
 import * as Either from 'fp-ts/lib/Either.js';
 import * as clock from '../core/clock.js';
 import type * as errors from '../core/errors.js';
@@ -10,6 +11,8 @@
 import * as entry from '../entry/entry.js';
 import * as journal from '../entry/journal.js';
 import type * as types from '../generated/types.js';
+import * as intakes from '../intake/intake.js';
+import * as sizes from '../intake/sizes.js';
 import type * as metrics from '../host/metrics.js';
 import * as authority from '../platform/authority.js';
 import * as backend from '../platform/backend.js';
@@ -27,6 +30,8 @@
 */
 const metricsDelayMs = 3000;
 
+const bytesPerMb = 1_048_576;
+
 /** Time without a pong after which a link to another host is closed. It allows many round trips between regions. */
 const linkTimeoutMs = 800;
 
@@ -41,6 +46,15 @@
 	const parsed = outcome.right;
 	const time = new clock.System();
 	const decisions = new journal.Journal(parsed.log.level, parsed.host.name, time);
+	const limits = new intakes.Intake({
+		clock: time,
+		decisions,
+		sizes: sizes.derive({
+			memoryBytes: parsed.memory.limitMb * bytesPerMb,
+			heapBytes: v8.getHeapStatistics().heap_size_limit,
+			descriptors: parsed.descriptors.limit,
+		}),
+	});
 	const clients = [new http.Client(parsed.endpoints.store), new http.Client(parsed.endpoints.authority)] as const;
 	const host = new entry.Entry({
 		settings: parsed,
@@ -53,9 +67,10 @@
 		},
 		store: new objects.Objects(clients[0]),
 		authority: new authority.Authority(clients[1]),
-		transport: new deferred.Transport(async () => loadTransport(time, decisions)),
+		transport: new deferred.Transport(async () => loadTransport(time, decisions, limits)),
 		connect: registration => new backend.Server(registration, time),
-		listener: accept => new caller.Listener(accept),
+		listener: accept => new caller.Listener(accept, limits),
+		intake: limits,
 	});
 	process.once('SIGTERM', () => {
 		void stop(host, clients);
@@ -69,12 +84,13 @@
 	await loadMetrics(decisions);
 }
 
-async function loadTransport(time: clock.Clock, decisions: journal.Journal): Promise<link.Transport<types.EntryMessage>> {
+async function loadTransport(time: clock.Clock, decisions: journal.Journal, intake: intakes.Intake): Promise<link.Transport<types.EntryMessage>> {
 	const [socket, messages] = await Promise.all([import('../peer/socket.js'), import('../generated/forwarding.js')]);
 	return new socket.Transport({
 		clock: time,
 		timeoutMs: linkTimeoutMs,
 		isMessage: messages.validateEntryMessage,
+		intake,
 		warn(_message, {reason}) {
 			decisions.record('link-closed', {reason});
 		},
--- a/src/entry/caller.ts
+++ b/src/entry/caller.ts
@@ -14,6 +14,14 @@
 	/** Whether a complete request was received that has no reply yet. */
 	abstract get hasPendingRequest(): boolean;
 
+	/**
+	Counts the bytes of values and prepared statements that the session keeps; false if the process has no memory for them.
+	Implementations without a memory budget keep everything.
+	*/
+	keep(_bytes: number): boolean {
+		return true;
+	}
+
 	/** Waits for the opening message; `undefined` if the connection ends first. */
 	abstract open(): Promise<Opening | undefined>;
 
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -7,6 +7,8 @@
 import * as address from '../core/address.js';
 import type * as clock from '../core/clock.js';
 import type * as random from '../core/random.js';
+import type * as intakes from '../intake/intake.js';
+import * as probes from '../intake/probe.js';
 import type * as link from '../peer/link.js';
 import * as announcer from './announcer.js';
 import type * as authority from './authority.js';
@@ -54,6 +56,8 @@
 	readonly transport: link.Transport<types.EntryMessage>;
 	/** Creates the backend server of a registration. */
 	readonly connect: (registration: types.Registration) => backend.Server;
+	/** Limits on connections that nobody controls; without them nothing is limited. */
+	readonly intake?: intakes.Intake;
 	/** Creates the listener for callers. */
 	readonly listener: (accept: (accepted: caller.Caller) => void) => Listener;
 };
@@ -198,6 +202,11 @@
 		});
 		const monitor = new stalls.Monitor({clock: this.#options.clock, decisions: log});
 		this.#tasks.keep('stall monitor', signal, async () => monitor.run(signal));
+		const {intake} = this.#options;
+		if (intake) {
+			this.#tasks.keep('intake', signal, async () => intake.run(signal));
+		}
+
 		this.#tasks.keep('announcer', signal, async () => hostAnnouncer.run(signal));
 		await this.#serveHttp(listen.readiness, async () => [this.isReady ? 200 : 503, '']);
 		await this.#serveHttp(listen.metrics, async () => [200, await this.#options.metrics()]);
@@ -397,7 +406,7 @@
 
 	async #serveHttp(listenAddress: string, handle: () => Promise<[number, string]>): Promise<void> {
 		const {host, port} = address.parse(listenAddress);
-		const server = http.createServer((_request, response) => {
+		const server = http.createServer(probes.options, (_request, response) => {
 			const respond = async (): Promise<void> => {
 				const [status, body] = await handle();
 				response.writeHead(status);
@@ -406,6 +415,7 @@
 
 			this.#tasks.start('http', respond);
 		});
+		probes.limit(server, this.#options.intake?.sizes.probes ?? Number.POSITIVE_INFINITY);
 		await new Promise<void>((resolve, reject) => {
 			server.once('error', reject);
 			server.listen(port, host, resolve);
--- a/src/entry/responder.ts
+++ b/src/entry/responder.ts
@@ -63,7 +63,7 @@
 	/** Handles requests until the link ends, then rolls back the peer's open transactions. */
 	async run(): Promise<void> {
 		for (let message = await this.#link.next(); message; message = await this.#link.next()) {
-			void this.#handle(message);
+			void this.#settle(message, this.#handle(message));
 		}
 
 		this.#subscribe(undefined);
@@ -86,7 +86,17 @@
 		this.#link.close();
 	}
 
+	async #settle(message: types.EntryMessage, handled: Promise<void>): Promise<void> {
+		await handled;
+		this.#link.settle(message);
+	}
+
 	async #handle(message: types.EntryMessage): Promise<void> {
+		if ((message.kind === 'run' || message.kind === 'begin') && this.#link.isOverloaded) {
+			this.#link.send({kind: 'reply', id: message.id, reply: statement.refuse('busy', 'not run: the requests of this link take too much memory', 'none')});
+			return;
+		}
+
 		switch (message.kind) {
 			case 'run': {
 				await this.#reply(message.id, this.#executor.run(this.#createJob(message.job, createState(message.job.values)), toWork(message.work)));
--- a/src/entry/session.ts
+++ b/src/entry/session.ts
@@ -2,6 +2,7 @@
 The session of one caller: a task that executes the caller's requests one after the other.
 */
 import type * as types from '../generated/types.js';
+import * as keeping from '../intake/keeping.js';
 import type * as caller from './caller.js';
 import * as directories from './customers/directory.js';
 import type * as limiters from './customers/limiter.js';
@@ -175,17 +176,16 @@
 
 		switch (received.kind) {
 			case 'set': {
-				this.#state.values.set(received.name, received.value);
-				return this.#success();
+				return this.#confirmKept(this.#state.setValue(received.name, received.value, size => this.#mayKeep(size)));
 			}
 
 			case 'prepare': {
-				this.#state.prepared.set(received.name, {mode: received.mode, shape: received.shape});
-				return this.#success();
+				return this.#confirmKept(this.#state.prepare(received.name, {mode: received.mode, shape: received.shape}, size => this.#mayKeep(size)));
 			}
 
 			case 'deallocate': {
-				this.#state.prepared.delete(received.name);
+				this.#state.deallocate(received.name);
+				this.#caller.keep(this.#state.size.bytes);
 				return this.#success();
 			}
 
@@ -346,6 +346,21 @@
 		};
 	}
 
+	/** Whether the session may keep values and prepared statements of this size. */
+	#mayKeep(size: keeping.Size): boolean {
+		return keeping.isWithin(size) && this.#caller.keep(size.bytes);
+	}
+
+	#confirmKept(isKept: boolean): statement.Reply {
+		if (isKept) {
+			return this.#success();
+		}
+
+		this.#options.context.decisions.request('intake-state', '-', {database: this.#database, ...this.#state.size});
+		const limit = `a session may keep ${keeping.maxEntries} values and prepared statements of ${keeping.maxBytes} bytes, and the host's memory is limited`;
+		return this.#refuse('busy', `not run and nothing kept: ${limit}`);
+	}
+
 	#success(): statement.Reply {
 		return statement.success(this.#transaction?.state ?? 'none');
 	}
--- a/src/entry/state.ts
+++ b/src/entry/state.ts
@@ -7,6 +7,7 @@
 import * as Either from 'fp-ts/lib/Either.js';
 import type * as types from '../generated/types.js';
 import type * as errors from '../core/errors.js';
+import * as keeping from '../intake/keeping.js';
 import type * as backend from './backend.js';
 import type * as statement from './statement.js';
 
@@ -20,6 +21,7 @@
 export class State {
 	readonly values = new Map<string, string>();
 	readonly prepared = new Map<string, Prepared>();
+	#bytes = 0;
 
 	/** Copies the values for attempts that may still run after the session has its reply and sets other values. */
 	copy(): State {
@@ -36,6 +38,41 @@
 		}
 	}
 
+	/** Size of what the session keeps. */
+	get size(): keeping.Size {
+		return {bytes: this.#bytes, entries: this.values.size + this.prepared.size};
+	}
+
+	/** Sets a value unless `mayKeep` refuses the size that the state would have; returns whether it was set. */
+	setValue(name: string, value: string, mayKeep: (size: keeping.Size) => boolean): boolean {
+		const replaced = this.values.get(name);
+		const isSet = this.#reserve(name, value, replaced, mayKeep);
+		if (isSet) {
+			this.values.set(keeping.detach(name), keeping.detach(value));
+		}
+
+		return isSet;
+	}
+
+	/** Keeps a prepared statement unless `mayKeep` refuses the size that the state would have; returns whether it was kept. */
+	prepare(name: string, {mode, shape}: Prepared, mayKeep: (size: keeping.Size) => boolean): boolean {
+		const isKept = this.#reserve(name, shape, this.prepared.get(name)?.shape, mayKeep);
+		if (isKept) {
+			this.prepared.set(keeping.detach(name), {mode, shape: keeping.detach(shape)});
+		}
+
+		return isKept;
+	}
+
+	/** Removes a prepared statement. */
+	deallocate(name: string): void {
+		const removed = this.prepared.get(name);
+		if (removed) {
+			this.prepared.delete(name);
+			this.#bytes -= keeping.measure(name, removed.shape);
+		}
+	}
+
 	/** Whether this session can use a connection without a reset. */
 	isCompatible(connection: backend.Connection): boolean {
 		for (const [name, value] of connection.values) {
@@ -74,6 +111,13 @@
 
 		return commands.map(async command => connection.send(command, applyTimeoutMs));
 	}
+
+	#reserve(name: string, text: string, replaced: string | undefined, mayKeep: (size: keeping.Size) => boolean): boolean {
+		const bytes = this.#bytes + keeping.measure(name, text) - (replaced === undefined ? 0 : keeping.measure(name, replaced));
+		const isAllowed = mayKeep({bytes, entries: this.size.entries + (replaced === undefined ? 1 : 0)});
+		this.#bytes = isAllowed ? bytes : this.#bytes;
+		return isAllowed;
+	}
 }
 
 /** The name of a statement that was prepared on a connection; empty if it wasn't. */
--- /dev/null
+++ b/src/intake/sizes.ts
@@ -0,0 +1,64 @@
+/**
+Sizes of the limits on untrusted callers, derived from the memory and the descriptors of the host. All sizes are in bytes.
+*/
+
+/** What the process may use. */
+export type Resources = {
+	/** Memory of the host that the process may use. */
+	readonly memoryBytes: number;
+	/** Limit of the V8 heap, with both generations. */
+	readonly heapBytes: number;
+	/** Descriptors that the process may have open. */
+	readonly descriptors: number;
+};
+
+/** Limits of one process. */
+export type Sizes = {
+	/** What all connections together may hold, by the weights of `budget.ts`. */
+	readonly budgetBytes: number;
+	/** Connections of callers. */
+	readonly callers: number;
+	/** Links that other hosts have opened. */
+	readonly links: number;
+	/** Connections to each of the listeners for readiness, metrics and, before a link is open, links. */
+	readonly probes: number;
+};
+
+/** Heap that a host without callers uses with a full fleet of links: 30 MB were measured, and caches grow with the fleet. */
+const ownHeapBytes = 40 * 1_048_576;
+/** Resident size of a host without callers: 75 to 95 MB were measured, with the code and the young generation. */
+const ownMemoryBytes = 120 * 1_048_576;
+/**
+Part of what is left that connections may hold. The remainder is for garbage that isn't collected yet, for the kernel's
+socket buffers, and for copies that exist only while a request is passed on.
+*/
+const budgetRatio = 0.4;
+const minBudgetBytes = 8 * 1_048_576;
+
+/** Descriptors that the platform uses on each host, and the part of the rest that is kept for servers, hosts and the store. */
+const platformDescriptors = 200;
+const reservedRatio = 0.2;
+const linkRatio = 0.1;
+const probeRatio = 0.04;
+const maxProbes = 32;
+const minSlots = 16;
+const minProbes = 8;
+
+/**
+Derives the limits of a process.
+
+@example
+```
+sizes.derive({memoryBytes: 250 * 1_048_576, heapBytes: 208 * 1_048_576, descriptors: 4300}).callers; //=> 2870
+```
+*/
+export function derive({memoryBytes, heapBytes, descriptors}: Resources): Sizes {
+	const free = Math.max(descriptors / 2, descriptors - platformDescriptors);
+	const links = Math.max(minSlots, Math.floor(free * linkRatio));
+	return {
+		budgetBytes: Math.max(minBudgetBytes, Math.floor(Math.min(heapBytes - ownHeapBytes, memoryBytes - ownMemoryBytes) * budgetRatio)),
+		links,
+		probes: Math.max(minProbes, Math.min(maxProbes, Math.floor(free * probeRatio))),
+		callers: Math.max(minSlots, Math.floor(free * (1 - reservedRatio)) - links),
+	};
+}
--- a/src/peer/link.ts
+++ b/src/peer/link.ts
@@ -11,6 +11,16 @@
 	/** Aborts when either side closes the link or the peer does not respond in time. */
 	abstract readonly closed: AbortSignal;
 
+	/** Whether a request that arrives now should be refused, since those of this link in execution take too much memory. */
+	get isOverloaded(): boolean {
+		return false;
+	}
+
+	/** Records that a message which `next` returned has been handled, so that its memory no longer counts. */
+	settle(_message: M): void {
+		// Only links that count memory need it.
+	}
+
 	/** Queues a message. */
 	abstract send(message: M): Delivery;
 
--- a/src/peer/socket.ts
+++ b/src/peer/socket.ts
@@ -2,12 +2,16 @@
 Links over WebSocket. Each message is one binary frame in MessagePack. The first message of a shape carries the names of
 its fields, and later ones refer to it. This encoding relies on WebSocket, which delivers frames in order or not at all.
 */
+import * as http from 'node:http';
 import type * as net from 'node:net';
 import * as msgpackr from 'msgpackr';
 import * as ws from 'ws';
 import * as address from '../core/address.js';
 import type * as clock from '../core/clock.js';
+import type * as intakes from '../intake/intake.js';
+import * as probes from '../intake/probe.js';
 import * as link from './link.js';
+import * as traffics from './traffic.js';
 
 /** Options of a transport and its links. */
 export type Options<M> = {
@@ -18,6 +22,8 @@
 	readonly isMessage: (value: unknown) => value is M;
 	/** Logs the reason why this host closed a link. */
 	readonly warn: (message: string, fields: {readonly reason: string}) => void;
+	/** Limits on links that others open; without them only the size of a frame is limited. */
+	readonly intake?: intakes.Intake;
 };
 
 type Outgoing = {readonly frame: Uint8Array; readonly delivery: link.Delivery};
@@ -28,6 +34,13 @@
 links may have little bandwidth.
 */
 const compressionOptions = {threshold: 16_384, serverNoContextTakeover: true, clientNoContextTakeover: true} as const;
+/**
+Largest message that an accepted link takes, after decompression. The largest request has a text of 1 MiB and 1.25 MiB of
+values and prepared statements, twice as long in UTF-8 at worst.
+*/
+const maxRequestBytes = 6_291_456;
+/** Decompressions at a time: each may hold a message of the largest size before it is known to be invalid. */
+const maxDecompressions = 4;
 const pingsPerTimeout = 4;
 /**
 Pause between pings on an idle link, as a multiple of the timeout. Sending a message resumes pings immediately, so only
@@ -50,9 +63,12 @@
 	#unansweredSince: number | undefined;
 	#lastUsedAt: number;
 	#idle = new AbortController();
+	/** Counts what an accepted link holds. */
+	readonly #traffic: traffics.Traffic | undefined;
 	#wake: (() => void) | undefined;
 
-	constructor(socket: ws.WebSocket, options: Options<M>) {
+	/** `accepted` is the connection below a link that was opened from outside. */
+	constructor(socket: ws.WebSocket, options: Options<M>, accepted?: net.Socket) {
 		super();
 		this.#socket = socket;
 		this.#options = options;
@@ -70,6 +86,10 @@
 		socket.on('close', () => {
 			this.#markClosed();
 		});
+		if (accepted && options.intake) {
+			this.#traffic = this.#createTraffic(accepted, options.intake);
+		}
+
 		void this.#keepAlive();
 	}
 
@@ -77,9 +97,19 @@
 		return this.#closed.signal;
 	}
 
+	override get isOverloaded(): boolean {
+		return this.#traffic?.isOverloaded ?? false;
+	}
+
+	override settle(message: M): void {
+		this.#traffic?.settle(message);
+	}
+
 	override send(message: M): link.Delivery {
 		const delivery: link.Delivery = {state: 'queued'};
-		this.#outgoing.push({frame: this.#packer.pack(message), delivery});
+		const frame = this.#packer.pack(message);
+		this.#outgoing.push({frame, delivery});
+		this.#traffic?.countOutput(frame.length);
 		this.#lastUsedAt = this.#options.clock.now();
 		this.#idle.abort('used');
 		void this.#write();
@@ -118,6 +148,19 @@
 		}
 	}
 
+	#createTraffic(accepted: net.Socket, intake: intakes.Intake): traffics.Traffic {
+		const traffic = new traffics.Traffic(accepted, intake, () => {
+			this.close();
+		});
+		for (const event of ['message', 'ping', 'pong']) {
+			this.#socket.prependListener(event, () => {
+				traffic.receive();
+			});
+		}
+
+		return traffic;
+	}
+
 	/** Writes one frame at a time, so that the frames still queued when the link fails are known to be unwritten. */
 	async #write(): Promise<void> {
 		if (this.#isWriting) {
@@ -133,6 +176,7 @@
 					resolve();
 				});
 			});
+			this.#traffic?.countOutput(-frame.length);
 		}
 
 		this.#isWriting = false;
@@ -165,6 +209,7 @@
 	#receive(frame: Uint8Array): void {
 		const message = this.#decode(frame);
 		if (this.#options.isMessage(message)) {
+			this.#traffic?.begin(message, frame.length);
 			this.#incoming.push(message);
 			this.#wake?.();
 		} else {
@@ -190,7 +235,7 @@
 /** Opens and accepts links over WebSocket. */
 export class Transport<M> extends link.Transport<M> {
 	readonly #options: Options<M>;
-	#server: ws.WebSocketServer | undefined;
+	#servers: ReadonlyArray<ws.WebSocketServer | http.Server> = [];
 
 	constructor(options: Options<M>) {
 		super();
@@ -199,16 +244,24 @@
 
 	override async listen(target: string, accept: (accepted: link.Link<M>) => void): Promise<string> {
 		const {host, port} = address.parse(target);
-		const server = new ws.WebSocketServer({host, port, perMessageDeflate: compressionOptions});
-		this.#server = server;
-		server.on('connection', socket => {
-			accept(new Link(socket, this.#options));
+		const listener = http.createServer(probes.options, (_request, response) => {
+			response.writeHead(426, {connection: 'close'});
+			response.end();
+		});
+		probes.limit(listener, this.#options.intake?.sizes.probes ?? Number.POSITIVE_INFINITY);
+		const server = new ws.WebSocketServer({
+			server: listener, maxPayload: maxRequestBytes, perMessageDeflate: {...compressionOptions, concurrencyLimit: maxDecompressions},
+		});
+		this.#servers = [server, listener];
+		server.on('connection', (socket, request) => {
+			accept(new Link(socket, this.#options, request.socket));
 		});
 		await new Promise<void>((resolve, reject) => {
 			server.once('listening', resolve);
 			server.once('error', reject);
+			listener.listen(port, host);
 		});
-		return target.replace(/:\d+$/v, `:${(server.address() as net.AddressInfo).port}`);
+		return target.replace(/:\d+$/v, `:${(listener.address() as net.AddressInfo).port}`);
 	}
 
 	override async open(target: string): Promise<link.Link<M> | undefined> {
@@ -234,7 +287,9 @@
 	}
 
 	override close(): void {
-		this.#server?.close();
+		for (const server of this.#servers) {
+			server.close();
+		}
 	}
 
 	/** The constructor throws for an address that isn't a URL; addresses come from other hosts. */
--- a/src/platform/caller.ts
+++ b/src/platform/caller.ts
@@ -5,36 +5,21 @@
 import * as address from '../core/address.js';
 import * as caller from '../entry/caller.js';
 import type * as statement from '../entry/statement.js';
+import * as intakes from '../intake/intake.js';
+import * as keeping from '../intake/keeping.js';
 import * as line from './line.js';
-
-/** Maximum number of received lines that wait; a caller that sends more without reading its replies is disconnected. */
-const maxQueuedLines = 64;
+import * as stream from './stream.js';
 
 /** The connection of one caller. */
 export class Caller extends caller.Caller {
 	readonly #socket: net.Socket;
-	readonly #splitter = new line.Splitter();
-	readonly #queue: string[] = [];
-	#isEnded = false;
+	readonly #stream: stream.Stream;
 	#hasPendingRequest = false;
-	#wake: (() => void) | undefined;
 
-	constructor(socket: net.Socket) {
+	constructor(socket: net.Socket, intake: intakes.Intake = new intakes.Intake()) {
 		super();
 		this.#socket = socket;
-		socket.on('data', chunk => {
-			this.#receive(chunk);
-		});
-		// A reset is followed by `close`; for the session both mean that the caller has disconnected.
-		socket.on('error', () => {
-			socket.destroy();
-		});
-		socket.on('end', () => {
-			this.#markEnded();
-		});
-		socket.on('close', () => {
-			this.#markEnded();
-		});
+		this.#stream = new stream.Stream(socket, intake);
 	}
 
 	override get address(): string {
@@ -42,11 +27,11 @@
 	}
 
 	override get hasPendingRequest(): boolean {
-		return this.#hasPendingRequest || this.#queue.length > 0;
+		return this.#hasPendingRequest || this.#stream.hasNext;
 	}
 
 	override async open(): Promise<caller.Opening | undefined> {
-		const text = await this.#readLine();
+		const text = await this.#stream.next();
 		if (text === undefined) {
 			return undefined;
 		}
@@ -57,11 +42,12 @@
 			return undefined;
 		}
 
-		return {database, key: key ?? ''};
+		return {database: keeping.detach(database), key: key ?? ''};
 	}
 
 	override accept(): void {
-		this.#socket.write(line.formatReady('none'), line.encoding);
+		this.#stream.open();
+		this.#stream.write(line.formatReady('none'));
 	}
 
 	override reject(refusal: statement.Refusal, message: string): void {
@@ -70,7 +56,7 @@
 
 	override async next(): Promise<statement.Request | undefined> {
 		this.#hasPendingRequest = false;
-		const text = await this.#readLine();
+		const text = await this.#stream.next();
 		const [command, id, query] = text === undefined ? [] : line.split(text, 2);
 		if (command !== 'QUERY' || id === undefined || query === undefined) {
 			// TERMINATE, the end of the connection and any unknown line end the session.
@@ -79,14 +65,22 @@
 		}
 
 		this.#hasPendingRequest = true;
-		return {id, statement: line.parseStatement(query)};
+		const room = this.#stream.begin(query.length);
+		if (room) {
+			await room;
+			if (this.#socket.destroyed) {
+				this.#hasPendingRequest = false;
+				return undefined;
+			}
+		}
+
+		return {id: keeping.detach(id), statement: line.parseStatement(query)};
 	}
 
 	override reply(reply: statement.Reply): void {
 		this.#hasPendingRequest = false;
-		if (this.#socket.writable) {
-			this.#socket.write(line.formatReply(reply), line.encoding);
-		}
+		this.#stream.write(line.formatReply(reply));
+		this.#stream.finish(reply.state !== 'none');
 	}
 
 	/**
@@ -94,42 +88,11 @@
 	reaches the caller, and each request that is read requires a reply.
 	*/
 	override close(): void {
-		this.#socket.pause();
-		if (this.#socket.writableLength === 0) {
-			// Closing in this turn leaves the caller the least time to send a request between the reply and the close.
-			this.#socket.destroy();
-		} else {
-			this.#socket.destroySoon();
-		}
-
-		this.#markEnded();
-	}
-
-	async #readLine(): Promise<string | undefined> {
-		while (this.#queue.length === 0 && !this.#isEnded) {
-			await new Promise<void>(resolve => {
-				this.#wake = resolve;
-			});
-		}
-
-		return this.#queue.shift();
-	}
-
-	#receive(chunk: Uint8Array): void {
-		const lines = this.#splitter.push(chunk);
-		if (!lines || this.#queue.length + lines.length > maxQueuedLines) {
-			this.#socket.destroy();
-			this.#markEnded();
-			return;
-		}
-
-		this.#queue.push(...lines);
-		this.#wake?.();
+		this.#stream.close();
 	}
 
-	#markEnded(): void {
-		this.#isEnded = true;
-		this.#wake?.();
+	override keep(bytes: number): boolean {
+		return this.#stream.keep(bytes);
 	}
 }
 
@@ -137,9 +100,9 @@
 export class Listener {
 	readonly #server: net.Server;
 
-	constructor(accept: (connection: caller.Caller) => void) {
+	constructor(accept: (connection: caller.Caller) => void, intake: intakes.Intake = new intakes.Intake()) {
 		this.#server = net.createServer({noDelay: true, allowHalfOpen: false}, socket => {
-			accept(new Caller(socket));
+			accept(new Caller(socket, intake));
 		});
 	}
 
--- a/src/platform/line.ts
+++ b/src/platform/line.ts
@@ -34,12 +34,27 @@
 const stateCodes: Readonly<Record<types.TransactionState, string>> = {none: 'I', open: 'T', failed: 'E'};
 const statesByCode = new Map(Object.entries(stateCodes).map(([name, wire]) => [wire, name as types.TransactionState]));
 
-/** Splits a stream of bytes into lines. */
+const terminator = '\r\n';
+const carriageReturn = 0x0D;
+const lineFeed = 0x0A;
+const minHeldBytes = 4096;
+
+/**
+Splits a stream of bytes into lines, in time that is linear in the bytes whatever the size of the chunks. An incomplete
+line is held in one buffer outside the heap, which grows by doubling; only new bytes are searched for the end of the line.
+*/
 export class Splitter {
-	#remainder = '';
+	#held = buffer.Buffer.alloc(0);
+	#length = 0;
+
+	/** Memory held for an incomplete line. */
+	get heldBytes(): number {
+		return this.#held.length;
+	}
 
 	/**
-	Adds a chunk and returns the lines that it completes; `undefined` if an incomplete line exceeds the maximum length.
+	Adds a chunk and returns the lines that it completes; `undefined` if a line exceeds the maximum length, after which the
+	stream can't be used.
 
 	@example
 	```
@@ -47,10 +62,64 @@
 	```
 	*/
 	push(chunk: Uint8Array): string[] | undefined {
-		const text = this.#remainder + buffer.Buffer.from(chunk.buffer, chunk.byteOffset, chunk.byteLength).toString(encoding);
-		const lines = text.split('\r\n');
-		this.#remainder = lines.pop() ?? '';
-		return this.#remainder.length > maxLineBytes ? undefined : lines;
+		const data = buffer.Buffer.from(chunk.buffer, chunk.byteOffset, chunk.byteLength);
+		if (this.#length === 0) {
+			return this.#split(data);
+		}
+
+		const start = this.#complete(data);
+		if (start === undefined) {
+			return this.#hold(data) ? [] : undefined;
+		}
+
+		const first = this.#held.toString(encoding, 0, this.#length);
+		this.#held = buffer.Buffer.alloc(0);
+		this.#length = 0;
+		const further = first.length > maxLineBytes ? undefined : this.#split(data.subarray(start));
+		return further ? [first, ...further] : undefined;
+	}
+
+	/**
+	Adds the rest of the held line without its terminator, and returns the position after the terminator; `undefined` if
+	the line doesn't end in the data.
+	*/
+	#complete(data: buffer.Buffer): number | undefined {
+		if (this.#held[this.#length - 1] === carriageReturn && data[0] === lineFeed) {
+			this.#length--;
+			return 1;
+		}
+
+		const end = data.indexOf(terminator, 0, encoding);
+		return end !== -1 && this.#hold(data.subarray(0, end)) ? end + terminator.length : undefined;
+	}
+
+	/** Splits data that begins with a line, and holds the incomplete last line. */
+	#split(data: buffer.Buffer): string[] | undefined {
+		const end = data.lastIndexOf(terminator, undefined, encoding);
+		if (!this.#hold(end === -1 ? data : data.subarray(end + terminator.length))) {
+			return undefined;
+		}
+
+		const lines = end === -1 ? [] : data.toString(encoding, 0, end).split(terminator);
+		return data.length > maxLineBytes && lines.some(text => text.length > maxLineBytes) ? undefined : lines;
+	}
+
+	/** Appends to the held line. Returns false if it is too long; one byte more may be the begin of the terminator. */
+	#hold(data: buffer.Buffer): boolean {
+		const length = this.#length + data.length;
+		if (length > maxLineBytes + 1 || (length === maxLineBytes + 1 && data.at(-1) !== carriageReturn)) {
+			return false;
+		}
+
+		if (length > this.#held.length) {
+			const grown = buffer.Buffer.allocUnsafeSlow(Math.min(maxLineBytes + 1, Math.max(minHeldBytes, 2 * length)));
+			this.#held.copy(grown, 0, 0, this.#length);
+			this.#held = grown;
+		}
+
+		data.copy(this.#held, this.#length);
+		this.#length = length;
+		return true;
 	}
 }
 
