--- a/src/platform/tests/line.test.ts
+++ b/src/platform/tests/line.test.ts
@@ -1,6 +1,7 @@
 import * as assert from 'node:assert/strict';
 import * as buffer from 'node:buffer';
 import * as test from 'node:test';
+import * as fc from 'fast-check';
 import * as Either from 'fp-ts/lib/Either.js';
 import * as line from '../line.js';
 
@@ -50,3 +51,51 @@
 test.test('a message with line breaks is sent as one line', () => {
 	assert.equal(line.formatError('busy', 'a\r\nREADY I -'), 'ERROR BUSY a  READY I -\r\n');
 });
+
+// Guards against lines that are lost, joined or cut where a chunk ends within a line or its terminator.
+test.test('lines don\'t depend on how a stream is cut into chunks', () => {
+	const texts = fc.array(fc.array(fc.constantFrom('a', 'b', '\r'), {maxLength: 12}).map(characters => characters.join('')), {maxLength: 12});
+	fc.assert(fc.property(texts, fc.array(fc.integer({min: 1, max: 9}), {minLength: 1}), (words, cuts) => {
+		const stream = buffer.Buffer.from(words.map(word => `${word}\r\n`).join(''), line.encoding);
+		const splitter = new line.Splitter();
+		const found: string[] = [];
+		for (let start = 0, turn = 0; start < stream.length; turn++) {
+			const end = start + cuts[turn % cuts.length];
+			found.push(...splitter.push(stream.subarray(start, end)) ?? []);
+			start = end;
+		}
+
+		assert.deepEqual(found, stream.toString(line.encoding).split('\r\n').slice(0, -1));
+	}), {seed: 38, numRuns: 500});
+});
+
+// Guards against a buffer that is copied at each chunk, and against more memory than the longest line needs.
+test.test('a long line in small chunks is held in one buffer, which grows a few times', () => {
+	const splitter = new line.Splitter();
+	const piece = buffer.Buffer.alloc(100, 'x');
+	const sizes = new Set<number>();
+	for (let sent = 0; sent < 1_048_500; sent += piece.length) {
+		assert.deepEqual(splitter.push(piece), []);
+		sizes.add(splitter.heldBytes);
+	}
+
+	assert.ok(sizes.size <= 16);
+	assert.ok(splitter.heldBytes <= 1_048_577);
+	assert.equal(splitter.push(buffer.Buffer.from('\r\n'))?.[0].length, 1_048_500);
+	assert.equal(splitter.heldBytes, 0);
+});
+
+// Guards against a longest line that is refused because of its terminator, and against a longer one that is accepted.
+test.test('a line has at most 1 MiB, however it is cut', () => {
+	const longest = 'x'.repeat(1_048_576);
+	for (const chunks of [[`${longest}\r\n`], [longest, '\r\n'], [`${longest}\r`, '\n'], [longest.slice(1), 'x\r', '\n']]) {
+		const splitter = new line.Splitter();
+		const found = chunks.flatMap(chunk => splitter.push(buffer.Buffer.from(chunk)) ?? []);
+		assert.deepEqual(found.map(text => text.length), [longest.length]);
+	}
+
+	for (const chunks of [[`${longest}x\r\n`], [longest, 'x\r\n'], [longest, 'x'], [`${longest}\r`, 'x']]) {
+		const splitter = new line.Splitter();
+		assert.equal(chunks.map(chunk => splitter.push(buffer.Buffer.from(chunk))).at(-1), undefined);
+	}
+});
