--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -8,6 +8,8 @@
 import type * as clock from '../core/clock.js';
 import type * as pool from '../core/pool.js';
 import type * as random from '../core/random.js';
+import type * as intakes from '../intake/intake.js';
+import * as probes from '../intake/probe.js';
 import type * as link from '../peer/link.js';
 import * as announcer from './announcer.js';
 import type * as authority from './authority.js';
@@ -63,6 +65,8 @@
 	readonly transport: link.Transport<types.EntryMessage>;
 	/** Creates the backend server of a registration. */
 	readonly connect: (registration: types.Registration) => backend.Server;
+	/** Limits on connections that nobody controls; without them nothing is limited. */
+	readonly intake?: intakes.Intake;
 	/** Creates the listener for callers. */
 	readonly listener: (accept: (accepted: caller.Caller) => void) => Listener;
 };
@@ -257,6 +261,11 @@
 		const monitor = new stalls.Monitor({clock: this.#options.clock, decisions: log});
 		this.#tasks.keep('stall monitor', signal, async () => monitor.run(signal));
 		this.#tasks.keep('freshness', signal, async () => this.#freshness.run(signal));
+		const {intake} = this.#options;
+		if (intake) {
+			this.#tasks.keep('intake', signal, async () => intake.run(signal));
+		}
+
 		this.#tasks.keep('announcer', signal, async () => hostAnnouncer.run(signal));
 		this.#tasks.keep('quotas', signal, async () => this.#quotas?.run(signal));
 		await this.#serveHttp(listen.readiness, async () => [this.isReady ? 200 : 503, '']);
@@ -480,7 +489,7 @@
 
 	async #serveHttp(listenAddress: string, handle: () => Promise<[number, string]>): Promise<void> {
 		const {host, port} = address.parse(listenAddress);
-		const server = http.createServer((_request, response) => {
+		const server = http.createServer(probes.options, (_request, response) => {
 			const respond = async (): Promise<void> => {
 				const [status, body] = await handle();
 				response.writeHead(status);
@@ -489,6 +498,7 @@
 
 			this.#tasks.start('http', respond);
 		});
+		probes.limit(server, this.#options.intake?.sizes.probes ?? Number.POSITIVE_INFINITY);
 		await new Promise<void>((resolve, reject) => {
 			server.once('error', reject);
 			server.listen(port, host, resolve);
