Give owners more connections to servers of their own region

With equal limits for all servers, the connections of other regions' owners to a replica were never used: replicas are read mostly from their own region. Owners now count three times for a server in their region; the sums over all hosts stay within 0.8 of the limit for each server.

The new tests fail with equal weights, and if limits by place are ignored or used while a host is starting.

--- a/src/entry/customers/ownership.ts
+++ b/src/entry/customers/ownership.ts
@@ -21,6 +21,12 @@
 /** Connections that each owner has at least, so that one long statement doesn't hold up all of its customers. */
 const minConnections = 2;
 
+/**
+Weight of the owners in a server's own region when its connections are divided. They send it most of their reads, the
+others only what must run at the primary.
+*/
+export const nearWeight = 3;
+
 /** The customers of a configuration with their sizes. */
 export class Sizes {
 	readonly directory: Directory;
--- a/src/entry/customers/tests/ownership.test.ts
+++ b/src/entry/customers/tests/ownership.test.ts
@@ -152,7 +152,12 @@
 			const owners = quotas.filter(({retentionMs}) => retentionMs === 30_000);
 			const sum = owners.reduce((total, {hardLimit}) => total + hardLimit, 0);
 			assert.equal(sum, Math.floor(connectionLimit * 0.8), 'the limits of the owners add up to the budget');
-			assert.ok(owners.every(({hardLimit}) => hardLimit >= 1));
+			for (const place of [...places, 'elsewhere']) {
+				const limits = owners.map(({hardLimit, placeLimits}) => placeLimits?.get(place) ?? hardLimit);
+				assert.equal(limits.reduce((total, limit) => total + limit, 0), sum, `the limits for a server in ${place} add up to the budget`);
+				assert.ok(limits.every(limit => limit >= 1));
+			}
+
 			// Servers count the connections of the previous processes while each opens its share of the reserve.
 			const starting = owners.reduce((total, {startLimit = Number.NaN}) => total + startLimit, 0);
 			assert.ok(sum + starting <= Math.max(connectionLimit, sum + owners.length), `${sum} + ${starting} of ${connectionLimit}`);
@@ -160,6 +165,14 @@
 	), {seed: 20_263, numRuns: 40});
 });
 
+test.test('guards against replicas whose connections are reserved for hosts of other regions', () => {
+	const hosts = createHosts(64);
+	const directory = createCustomers(74);
+	const near = [0, 6].map(index => createView(hosts, index, directory).fleet.quota('ledgers').placeLimits);
+	const sum = (place: string): number => near.reduce((total, limits) => total + (limits?.get(place) ?? 0), 0);
+	assert.ok(sum('west-b') > 2 * sum('mid-a'), `${sum('west-b')} near, ${sum('mid-a')} far`);
+});
+
 test.test('guards against limits that don\'t follow the work that an owner has', () => {
 	assert.deepEqual([...ownership.divide(56, new Map([['one', 30], ['two', 10], ['three', 0]]))], [['one', 40], ['three', 2], ['two', 14]]);
 	assert.deepEqual([...ownership.divide(2, new Map([['one', 30], ['two', 10], ['three', 0]])).values()], [1, 1, 1]);
--- a/src/entry/fleet.ts
+++ b/src/entry/fleet.ts
@@ -220,23 +220,42 @@
 	customers; the rest is for hosts that start, while servers may count their previous connections, and for stand-ins.
 	*/
 	#customerQuota(service: string, connectionLimit: number, sizes: ownership.Sizes): group.Quota {
+		const {name: self} = this.#options.self;
+		const budget = Math.floor(connectionLimit * placement.quotaFraction);
+		const loads = this.#ownerLoads(service, sizes);
+		const reserve = Math.max(1, Math.floor((connectionLimit - budget) / loads.size));
+		const own = ownership.divide(budget, loads).get(self);
+		if (own === undefined) {
+			return {
+				softLimit: reserve, hardLimit: reserve, startLimit: reserve, retentionMs: standInRetentionMs,
+			};
+		}
+
+		const placeLimits = new Map<string, number>();
+		for (const region of this.#regions) {
+			const limit = ownership.divide(budget, this.#ownerLoads(service, sizes, region)).get(self) ?? own;
+			for (const host of this.#hosts.values()) {
+				if (host.region === region) {
+					placeLimits.set(host.place, limit);
+				}
+			}
+		}
+
+		return {
+			softLimit: own, hardLimit: own, startLimit: Math.min(reserve, own), retentionMs: ownerRetentionMs, placeLimits,
+		};
+	}
+
+	/** The loads of the owners of all regions, those of a server's own region with more weight. */
+	#ownerLoads(service: string, sizes: ownership.Sizes, serverRegion?: string): ReadonlyMap<string, number> {
 		const loads = new Map<string, number>();
 		for (const region of this.#regions) {
 			for (const [name, load] of this.#regionLoads(service, region, sizes)) {
-				loads.set(name, load);
+				loads.set(name, region === serverRegion ? load * ownership.nearWeight : load);
 			}
 		}
 
-		const budget = Math.floor(connectionLimit * placement.quotaFraction);
-		const reserve = Math.max(1, Math.floor((connectionLimit - budget) / loads.size));
-		const own = ownership.divide(budget, loads).get(this.#options.self.name);
-		return own === undefined
-			? {
-				softLimit: reserve, hardLimit: reserve, startLimit: reserve, retentionMs: standInRetentionMs,
-			}
-			: {
-				softLimit: own, hardLimit: own, startLimit: Math.min(reserve, own), retentionMs: ownerRetentionMs,
-			};
+		return loads;
 	}
 
 	/** The loads of a region's owners, as parts of that of the region. */
--- a/src/entry/group.ts
+++ b/src/entry/group.ts
@@ -26,9 +26,15 @@
 /**
 Limits on a host's connections to one server. Connections above `softLimit` are closed when unused; `hardLimit` is the maximum,
 `startLimit` that of a host that is starting, by default `softLimit`. Where connections belong to customers, idle ones are kept
-for `retentionMs` instead.
+for `retentionMs` instead, and `placeLimits` is the maximum for servers in its places.
 */
-export type Quota = {readonly softLimit: number; readonly hardLimit: number; readonly startLimit?: number; readonly retentionMs?: number};
+export type Quota = {
+	readonly softLimit: number;
+	readonly hardLimit: number;
+	readonly startLimit?: number;
+	readonly retentionMs?: number;
+	readonly placeLimits?: ReadonlyMap<string, number>;
+};
 
 export type Options = {
 	readonly name: string;
@@ -228,9 +234,9 @@
 	/** Sets the connection limits for each server. */
 	resize(quota: Quota, isStarting = false): void {
 		this.#isStarting = isStarting;
-		this.#quota = {...quota, hardLimit: isStarting ? quota.startLimit ?? quota.softLimit : quota.hardLimit};
-		for (const {pool} of this.#members.values()) {
-			pool.resize(this.#quota.hardLimit);
+		this.#quota = isStarting ? {...quota, hardLimit: quota.startLimit ?? quota.softLimit, placeLimits: undefined} : quota;
+		for (const {pool, registration} of this.#members.values()) {
+			pool.resize(this.#limit(registration));
 		}
 	}
 
@@ -258,7 +264,9 @@
 		}
 
 		const server = this.#options.connect(registration);
-		this.#members.set(id, new member.Member(registration, server, this.#options.clock, {connectionLimit: this.#quota.hardLimit, isSynchronized: this.#inSync.isAssumedComplete(registration, this.members)}));
+		this.#members.set(id, new member.Member(registration, server, this.#options.clock, {
+			connectionLimit: this.#limit(registration), isSynchronized: this.#inSync.isAssumedComplete(registration, this.members),
+		}));
 		this.#lastAddedAt = this.#options.clock.now();
 		this.#absent.delete(id);
 		this.#departures.delete(id);
@@ -452,6 +460,11 @@
 		this.recordBegin(server, sentAt, outcome);
 	}
 
+	/** Maximum number of connections to a server. */
+	#limit({place}: types.Registration): number {
+		return this.#quota.placeLimits?.get(place) ?? this.#quota.hardLimit;
+	}
+
 	/** Closes an idle connection that is not to be kept. */
 	#trim(connections: member.Member['pool'], isActive: boolean): void {
 		const {softLimit, retentionMs} = this.#quota;
--- a/src/entry/tests/customers.test.ts
+++ b/src/entry/tests/customers.test.ts
@@ -121,3 +121,29 @@
 	assert.deepEqual(harness.candidates(undefined), ['a', 'c', 'b']);
 	await harness.stop();
 });
+
+test.test('guards against limits by place that are not applied to servers, or while a host is starting', async () => {
+	const harness = new Harness();
+	const quota = {
+		softLimit: 4, hardLimit: 4, startLimit: 1, retentionMs: 30_000, placeLimits: new Map([['west', 3]]),
+	};
+	await harness.start();
+	const fill = async (isStarting: boolean): Promise<number[]> => {
+		harness.group.resize(quota, isStarting);
+		const acquired = harness.group.members.flatMap(({pool}) => Array.from({length: 6}, async () => pool.acquire(100, {customer: 'one'})));
+		await harness.time.advance(50);
+		const open = harness.group.members.map(({pool}) => pool.open);
+		const outcomes = await harness.runFor(100, Promise.all(acquired));
+		for (const [index, outcome] of outcomes.entries()) {
+			if (Either.isRight(outcome)) {
+				void harness.group.members[Math.floor(index / 6)]?.pool.release(outcome.right, 'clean');
+			}
+		}
+
+		return open;
+	};
+
+	assert.deepEqual(await fill(true), [1, 1, 1]);
+	assert.deepEqual(await fill(false), [4, 3, 4]);
+	await harness.stop();
+});
