Compare failing servers only with those that replied recently

A statement that is itself at fault fails at the nearest server, which was then ejected: the others had no requests, so they counted as faultless. A failed read goes to a second server; only servers with recent replies are compared now.

The new test failed before the change.

--- a/src/entry/load/balancer.ts
+++ b/src/entry/load/balancer.ts
@@ -70,6 +70,11 @@
 /** A server is ejected if its share of refusals exceeds that of the others by this, over at least so many replies. */
 const badMargin = 0.2;
 const minReplies = 3;
+/**
+Replies that a server must have to be compared with: one that is about 4 s old. A read that one server failed is sent to a
+second one, so a statement that is itself at fault shows there.
+*/
+const minComparedReplies = 0.1;
 /** Refusals in a row after which a server is ejected whatever its share. One missing reply suffices, since the caller waits for it. */
 const maxBadInRow = 3;
 /** Time until the first trial request to an ejected server, and the longest time between trials that fail. */
@@ -194,8 +199,8 @@
 
 	#findFault({track, lastBad}: State, others: readonly S[], now: number): Reason | undefined {
 		const {count, badRatio} = track.recent(now);
-		const otherRatios = others.map(other => this.#state(other).track.recent(now).badRatio);
-		const lowestRatio = Math.min(...otherRatios);
+		const compared = others.map(other => this.#state(other).track.recent(now)).filter(recent => recent.count >= minComparedReplies);
+		const lowestRatio = compared.length === 0 ? 0 : Math.min(...compared.map(recent => recent.badRatio));
 		const isBad = count >= minReplies && badRatio > lowestRatio + badMargin;
 		const isDown = track.badInRow >= (lastBad === 'silent' ? 1 : maxBadInRow) && badRatio > lowestRatio;
 		if (isBad || isDown) {
--- a/src/entry/load/tests/balancer.test.ts
+++ b/src/entry/load/tests/balancer.test.ts
@@ -153,6 +153,25 @@
 	assert.equal(harness.balancer.ejected(harness.near), 'failing');
 });
 
+test.test('guards against the ejection of a server for statements that are themselves at fault', () => {
+	const harness = new Harness();
+	const [other] = harness.far;
+	assert.ok(other);
+	for (let index = 0; index < 12; index++) {
+		if (index % 2 === 0) {
+			harness.answer(harness.near);
+		} else {
+			// The next server fails the statement as well; the third one had no requests.
+			harness.send(harness.near, {kind: 'failed'});
+			harness.send(other, {kind: 'failed'});
+		}
+
+		harness.order();
+	}
+
+	assert.equal(harness.balancer.ejected(harness.near), undefined);
+});
+
 test.test('guards against more than one request at a time to an ejected server before it has recovered', () => {
 	const harness = new Harness();
 	harness.warmUp();
