Judge a slow server by reads only

Writes to an ejected slow leader counted as trials that succeeded, so it was readmitted without a read that was fast.

The new test failed before the change. Run: tsc, balancer and read tests, xo on src/entry/load.

--- a/src/entry/load/balancer.ts
+++ b/src/entry/load/balancer.ts
@@ -234,7 +234,7 @@
 	/** Judges an ejected server by the outcome of a trial. */
 	#judge(server: S, state: State, ejection: Ejection, outcome: tracks.Outcome): void {
 		ejection.isTrialInFlight = false;
-		if (outcome.kind === 'none') {
+		if (outcome.kind === 'none' || (outcome.kind === 'write' && ejection.reason === 'slow')) {
 			return;
 		}
 
--- a/src/entry/load/tests/balancer.test.ts
+++ b/src/entry/load/tests/balancer.test.ts
@@ -269,6 +269,20 @@
 	assert.deepEqual(harness.firsts(), {near: 100});
 });
 
+test.test('guards against the readmission of a slow leader by its writes, whose latency shows nothing', () => {
+	const harness = new Harness();
+	harness.warmUp();
+	harness.answer(harness.near, 160, 8);
+	harness.order();
+	assert.equal(harness.balancer.ejected(harness.near), 'slow');
+	harness.now += 1300;
+	for (let index = 0; index < 10; index++) {
+		harness.send(harness.near, {kind: 'write'});
+	}
+
+	assert.equal(harness.balancer.ejected(harness.near), 'slow');
+});
+
 test.test('guards against implausible registrations and latencies shifting traffic', () => {
 	const harness = new Harness();
 	const servers = [0, -4, Number.NaN, 1e9, 2.5].map((slots, index) => new Server(`s${index}`, 'west', slots));
