--- a/src/entry/load/tests/balancer.test.ts
+++ b/src/entry/load/tests/balancer.test.ts
@@ -153,6 +153,25 @@
 	assert.equal(harness.balancer.ejected(harness.near), 'failing');
 });
 
+test.test('guards against the ejection of a server for statements that are themselves at fault', () => {
+	const harness = new Harness();
+	const [other] = harness.far;
+	assert.ok(other);
+	for (let index = 0; index < 12; index++) {
+		if (index % 2 === 0) {
+			harness.answer(harness.near);
+		} else {
+			// The next server fails the statement as well; the third one had no requests.
+			harness.send(harness.near, {kind: 'failed'});
+			harness.send(other, {kind: 'failed'});
+		}
+
+		harness.order();
+	}
+
+	assert.equal(harness.balancer.ejected(harness.near), undefined);
+});
+
 test.test('guards against more than one request at a time to an ejected server before it has recovered', () => {
 	const harness = new Harness();
 	harness.warmUp();
@@ -250,6 +269,20 @@
 	assert.deepEqual(harness.firsts(), {near: 100});
 });
 
+test.test('guards against the readmission of a slow leader by its writes, whose latency shows nothing', () => {
+	const harness = new Harness();
+	harness.warmUp();
+	harness.answer(harness.near, 160, 8);
+	harness.order();
+	assert.equal(harness.balancer.ejected(harness.near), 'slow');
+	harness.now += 1300;
+	for (let index = 0; index < 10; index++) {
+		harness.send(harness.near, {kind: 'write'});
+	}
+
+	assert.equal(harness.balancer.ejected(harness.near), 'slow');
+});
+
 test.test('guards against implausible registrations and latencies shifting traffic', () => {
 	const harness = new Harness();
 	const servers = [0, -4, Number.NaN, 1e9, 2.5].map((slots, index) => new Server(`s${index}`, 'west', slots));
