With customers, send work for the leader to the owners in its region

Owners in the leader's region now run this work, so that a statement takes one way less between places, and a customer needs connections to the leader in one region only. Without customers, routes are as before.

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -154,6 +154,7 @@
 			decisions: log,
 			seeds: options.settings.peers.seeds.split(',').map(seed => seed.trim()).filter(seed => seed !== ''),
 			connectionLimit: service => this.#deployment.content?.databases.find(({name}) => name === service)?.connectionLimit ?? 1,
+			leaderPlace: service => this.#leaderPlace(service),
 			serverPlaces: service => new Set([...this.#registrations.values()].filter(server => server.service === service).map(({place}) => place)),
 			customers: () => this.#deployment.customers,
 		});
@@ -186,7 +187,7 @@
 		this.#sessionOptions = {
 			context: this.#context,
 			deployment: this.#deployment,
-			executor: new forwarder.Forwarder(this.#context, this.#local, (service, customer) => this.#fleet.route(service, customer)),
+			executor: new forwarder.Forwarder(this.#context, this.#local, (service, customer, destination) => this.#fleet.route(service, customer, destination)),
 			limiter: this.#quotas?.limiter ?? new limiters.Unlimited(),
 			activity,
 			isCurrent: () => this.#freshness.isCurrent,
@@ -479,6 +480,11 @@
 		this.#quotas?.updateHosts(items.flatMap(({name, value}) => value ? [{name, ...value}] : []));
 	}
 
+	#leaderPlace(service: string): string | undefined {
+		const leaders = [...this.#registrations.values()].filter(server => server.service === service && server.role === 'primary');
+		return leaders.length === 1 ? leaders[0].place : undefined;
+	}
+
 	/** Recomputes this host's connection quota for each service. */
 	#updateQuotas(): void {
 		this.#fleet.invalidate();
--- a/src/entry/fleet.ts
+++ b/src/entry/fleet.ts
@@ -22,6 +22,8 @@
 	readonly connectionLimit: (service: string) => number;
 	/** Places that have a server of the service. */
 	readonly serverPlaces: (service: string) => ReadonlySet<string>;
+	/** Place of the one server of a service whose registration says that it leads; `undefined` if none or several say so. */
+	readonly leaderPlace: (service: string) => string | undefined;
 	/** The customers of the configuration; `undefined` if the deployment has none. */
 	readonly customers: () => ownership.Directory | undefined;
 };
@@ -124,9 +126,20 @@
 	/**
 	The owners to send a service's work to, in round-robin order to balance the load. The work of a small customer goes to its
 	owner, and to the next host in rank only if the owner is lost.
+
+	With customers, work for the leader goes to the owners in the leader's region first: its statements take one way less
+	between places, and a customer needs connections to the leader at these owners only.
 	*/
-	route(service: string, customer?: string): forwarder.Route {
-		const names = this.#rankFor(service, customer);
+	route(service: string, customer?: string, target: forwarder.Destination = 'any'): forwarder.Route {
+		const {region: own} = this.#options.self;
+		const region = target === 'leader' && this.#sizes ? this.#leaderRegion(service) ?? own : own;
+		const owners = this.#routeIn(own, service, customer);
+		return region === own ? owners : [...this.#routeIn(region, service, customer), ...owners];
+	}
+
+	/** The usable owners in a region; this host itself if there is none in its own one. */
+	#routeIn(region: string, service: string, customer: string | undefined): forwarder.Route {
+		const names = this.#rankFor(region, service, customer);
 		const {name: self} = this.#options.self;
 		const owners: Array<peers.Peer | 'local'> = [];
 		for (const name of names) {
@@ -146,7 +159,7 @@
 
 		const hasOneOwner = customer !== undefined && this.#sizes !== undefined && !this.#sizes.isLarge(customer);
 		if (owners.length < 2 || hasOneOwner) {
-			return owners.length === 0 ? ['local'] : owners;
+			return owners.length === 0 && region === this.#options.self.region ? ['local'] : owners;
 		}
 
 		// If this host is one of the owners, it runs the work locally.
@@ -225,16 +238,17 @@
 		}
 	}
 
-	/** The hosts of this region in their rank for a service, its owners in their rank for the customer. */
-	#rankFor(service: string, customer: string | undefined): readonly string[] {
+	/** The hosts of a region in their rank for a service, its owners in their rank for the customer. */
+	#rankFor(region: string, service: string, customer: string | undefined): readonly string[] {
 		const {self} = this.#options;
-		const hosts = this.#ranks.get(service) ?? (this.isDirect(service) ? [self.name] : this.#rank(service, self.region));
-		this.#ranks.set(service, hosts);
+		const regionKey = `${service} of ${region}`;
+		const hosts = this.#ranks.get(regionKey) ?? (this.isDirect(service) ? [self.name] : this.#rank(service, region));
+		this.#ranks.set(regionKey, hosts);
 		if (customer === undefined || !this.#sizes) {
 			return hosts;
 		}
 
-		const key = `${service} for ${customer}`;
+		const key = `${regionKey} for ${customer}`;
 		const ranked = this.#ranks.get(key) ?? [
 			...ownership.rank(service, customer, hosts.slice(0, placement.ownersPerRegion).map(name => ({name}))).map(({name}) => name),
 			...hosts.slice(placement.ownersPerRegion),
@@ -301,6 +315,11 @@
 		return found;
 	}
 
+	#leaderRegion(service: string): string | undefined {
+		const place = this.#options.leaderPlace(service);
+		return [...this.#hosts.values()].find(host => host.place === place)?.region;
+	}
+
 	get #regions(): string[] {
 		return [...new Set([...this.#hosts.values()].map(({region}) => region))];
 	}
--- a/src/entry/forwarder.ts
+++ b/src/entry/forwarder.ts
@@ -16,6 +16,10 @@
 /** The hosts that serve a service, in order of preference; `local` is this host. */
 export type Route = readonly Target[];
 type Target = peers.Peer | 'local';
+/** Where work has to run: at the leader of its service, or at any server that qualifies. */
+export type Destination = 'leader' | 'any';
+/** Finds the hosts for the work of a customer; without customers, `customer` is `undefined`. */
+type Routing = (service: string, customer: string | undefined, destination: Destination) => Route;
 type Attempt = {readonly target: Target; readonly reply: statement.Reply | undefined; readonly mayHaveRun: boolean};
 
 /** Delay after which a read without a reply is sent to another host as well. It is longer than a slow reply of a backend server takes. */
@@ -27,10 +31,10 @@
 export class Forwarder extends executor.Executor {
 	readonly #context: jobs.Context;
 	readonly #local: executor.Executor;
-	readonly #route: (service: string, customer?: string) => Route;
+	readonly #route: Routing;
 	#lastTransactionId = 0;
 
-	constructor(context: jobs.Context, local: executor.Executor, route: (service: string, customer?: string) => Route) {
+	constructor(context: jobs.Context, local: executor.Executor, route: Routing) {
 		super();
 		this.#context = context;
 		this.#local = local;
@@ -38,7 +42,7 @@
 	}
 
 	override prepare(service: string, customer?: string): void {
-		for (const target of this.#route(service, customer)) {
+		for (const target of new Set([...this.#route(service, customer, 'any'), ...this.#route(service, customer, 'leader')])) {
 			if (target === 'local') {
 				this.#local.prepare(service, customer);
 			} else {
@@ -48,7 +52,7 @@
 	}
 
 	override async run(job: jobs.Job, work: leases.Work): Promise<statement.Reply> {
-		const untried = [...this.#route(job.route.service, job.customer)];
+		const untried = [...this.#route(job.route.service, job.customer, destinationOf(job, work.mode))];
 		const running = new Map<Target, Promise<Attempt>>();
 		let refused: statement.Reply | undefined;
 		let mayHaveRun = false;
@@ -88,7 +92,7 @@
 
 	override async begin(job: jobs.Job, mode: types.AccessMode): Promise<executor.Transaction | statement.Reply> {
 		let refused: statement.Reply | undefined;
-		for (const target of this.#route(job.route.service, job.customer)) {
+		for (const target of this.#route(job.route.service, job.customer, destinationOf(job, mode))) {
 			if (refused && (!jobs.hasTime(this.#context, job) || job.isRevoked?.())) {
 				break;
 			}
@@ -231,6 +235,10 @@
 	}
 }
 
+function destinationOf({route}: jobs.Job, mode: types.AccessMode): Destination {
+	return mode === 'write' || route.kind === 'primary' ? 'leader' : 'any';
+}
+
 function toForwardedJob(context: jobs.Context, job: jobs.Job): types.ForwardedJob {
 	return {
 		id: job.id,
--- a/src/entry/tests/fleet.test.ts
+++ b/src/entry/tests/fleet.test.ts
@@ -24,6 +24,7 @@
 			transport: new transports.Transport(new transports.Network(time)),
 			decisions: new decisions.Silent(),
 			seeds: [],
+			leaderPlace: () => undefined,
 			connectionLimit: () => connectionLimit,
 			serverPlaces: () => new Set(['west-a', 'east-a', 'south-a']),
 			customers: () => undefined,
--- a/src/entry/tests/forwarder.test.ts
+++ b/src/entry/tests/forwarder.test.ts
@@ -28,6 +28,7 @@
 		transport: new network.Transport(this.network),
 		decisions: this.fixture.decisions,
 		seeds: [],
+		leaderPlace: () => undefined,
 		connectionLimit: () => 2,
 		serverPlaces: () => new Set(['west-a']),
 		customers: () => undefined,
--- a/src/entry/tests/synchronizer.test.ts
+++ b/src/entry/tests/synchronizer.test.ts
@@ -44,6 +44,7 @@
 			transport: new network.Transport(region.network),
 			decisions: record,
 			seeds: region.seeds,
+			leaderPlace: () => undefined,
 			connectionLimit: () => 1,
 			serverPlaces: () => new Set<string>(),
 			customers: () => undefined,
