Compute the shares of a pool once for each decision

With 300 requests of 74 customers waiting for 9 connections, the pool recomputed the share for each customer at each release.

--- a/src/core/pool.ts
+++ b/src/core/pool.ts
@@ -381,6 +381,11 @@
 			return this.#waiters.length <= attempts.length;
 		}
 
+		// One of the customer's requests waits, so it isn't covered without an attempt.
+		if (!attempts.some(attempt => attempt.customer === customer)) {
+			return false;
+		}
+
 		const waiting = this.#waiters.filter(({request}) => !request.isInternal && request.customer === customer);
 		const transactions = waiting.filter(({request}) => request.isTransaction);
 		const needed = waiting.length - Math.max(0, transactions.length - this.#transactionRoom(customer));
@@ -408,9 +413,14 @@
 		}
 
 		const hasRoom = this.open < this.#effectiveLimit && !this.#isBackingOff;
-		const mayEvict = this.open <= this.#effectiveLimit;
-		const candidates = this.#firstWaiters().filter(({request}) => !this.#isCovered(request) && (hasRoom || (mayEvict && this.#findEvictable(request) !== undefined)));
-		const poor = candidates.filter(({request}) => this.#isBelowShare(request));
+		const mayEvict = this.#idle.length > 0 && this.open <= this.#effectiveLimit;
+		if (!hasRoom && !mayEvict) {
+			return undefined;
+		}
+
+		const candidates = this.#firstWaiters().filter(({request}) => (hasRoom || (mayEvict && this.#findEvictable(request) !== undefined)) && !this.#isCovered(request));
+		const share = candidates.length > 1 ? this.#share : 0;
+		const poor = candidates.length > 1 ? candidates.filter(({request}) => this.#isBelow(share, request)) : candidates;
 		const waiter = this.#choose(poor.length > 0 ? poor : candidates);
 		const evicted = waiter && !hasRoom ? this.#findEvictable(waiter.request) : undefined;
 		if (evicted) {
@@ -452,8 +462,8 @@
 		return Math.max(0, Math.min(bound(maxTransactionsOfOne) - ofCustomer, bound(maxTransactions) - held.length));
 	}
 
-	#isBelowShare({customer, isInternal}: Request<C>): boolean {
-		return isInternal === true || this.#size(customer) < this.#share(customer);
+	#isBelow(share: number, {customer, isInternal}: Request<C>): boolean {
+		return isInternal === true || this.#size(customer) < share;
 	}
 
 	/** The idle connection of another customer that was not used for a caller for the longest time. */
@@ -645,12 +655,17 @@
 		const waiters = this.#firstWaiters();
 		const own = waiters.filter(({request}) => this.#accepts(request, customer));
 		const canOpen = this.open + 1 < this.#effectiveLimit && !this.#isBackingOff;
-		const others = canOpen ? [] : waiters.filter(({request}) => !this.#accepts(request, customer) && this.#isBelowShare(request) && !this.#isCovered(request) && !this.#findEvictable(request));
-		if (event === 'obtained' || own.length === 0 || others.length === 0 || own.some(({request}) => request.isControl)) {
+		if (event === 'obtained' || own.length === 0 || canOpen || own.some(({request}) => request.isControl)) {
+			return this.#choose(own);
+		}
+
+		const share = this.#share;
+		const others = waiters.filter(({request}) => !this.#accepts(request, customer) && this.#isBelow(share, request) && !this.#isCovered(request) && !this.#findEvictable(request));
+		if (others.length === 0) {
 			return this.#choose(own);
 		}
 
-		if (this.#size(customer) + 1 > Math.ceil(this.#share(customer))) {
+		if (this.#size(customer) + 1 > Math.ceil(share)) {
 			return this.#choose(others);
 		}
 
@@ -671,9 +686,8 @@
 	}
 
 	/** Connections for each customer, as a fraction, if the limit is shared equally between those that use one or wait for one. */
-	#share(customer: string | undefined): number {
+	get #share(): number {
 		const active = new Set([
-			customer,
 			...[...this.#held.keys()].map(connection => this.#origin(connection).customer),
 			...[...this.#attempts].map(attempt => attempt.customer),
 			...this.#waiters.filter(({request}) => !request.isInternal).map(({request}) => request.customer),
