Report a failed attempt to a request of the customer that it was made for

When a poll waited as well, it got the failure of a customer's attempt, and the customer's request waited for another attempt, 600 ms longer, in place of trying another server. Without customers nothing changes.

The new test fails without the change.

--- a/src/core/pool.ts
+++ b/src/core/pool.ts
@@ -563,8 +563,9 @@
 
 		const isInUse = [...this.#held.keys()].some(connection => this.#origin(connection).customer === customer);
 		const servedWaiters = isInUse ? Number.POSITIVE_INFINITY : [...this.#attempts].filter(attempt => attempt.customer === customer).length;
-		const failed = this.#waiters
-			.filter(({request}) => this.#accepts(request, customer))
+		// A poll that waits as well must not keep the failure from the customer whose attempt it was.
+		const ofCustomer = customer === undefined ? [] : this.#waiters.filter(({request}) => !request.isInternal && request.customer === customer);
+		const failed = (ofCustomer.length > 0 ? ofCustomer : this.#waiters.filter(({request}) => this.#accepts(request, customer)))
 			.filter((waiter, index) => index === 0 || (index > servedWaiters && waiter.since <= startedAt));
 		for (const waiter of failed) {
 			waiter.settle(outcome);
--- a/src/core/tests/pool.test.ts
+++ b/src/core/tests/pool.test.ts
@@ -529,3 +529,16 @@
 	assert.ok(outcome && Either.isRight(outcome));
 	await time.advance(1000);
 });
+
+test.test('guards against a customer that waits for another attempt because a poll got the failure of the first one', async () => {
+	const {time, server, connections} = make({connections: 2});
+	await take(time, connections, 'one');
+	server.onConnect = () => ({kind: 'hang', delayMs: 0});
+	const waiting = connections.acquire(5000, {customer: 'one'});
+	await time.advance(10);
+	void connections.acquire(5000, {isInternal: true, isControl: true});
+	await time.advance(limits.connectTimeoutMs - 9);
+	const outcome = await Promise.race([waiting, Promise.resolve()]);
+	assert.ok(outcome && Either.isLeft(outcome));
+	await time.advance(6000);
+});
