--- a/src/core/tests/pool.test.ts
+++ b/src/core/tests/pool.test.ts
@@ -556,3 +556,16 @@
 	await time.advance(2000);
 	await Promise.all(callers);
 });
+
+test.test('guards against a customer that waits for another attempt because a poll got the failure of the first one', async () => {
+	const {time, server, connections} = make({connections: 2});
+	await take(time, connections, 'one');
+	server.onConnect = () => ({kind: 'hang', delayMs: 0});
+	const waiting = connections.acquire(5000, {customer: 'one'});
+	await time.advance(10);
+	void connections.acquire(5000, {isInternal: true, isControl: true});
+	await time.advance(limits.connectTimeoutMs - 9);
+	const outcome = await Promise.race([waiting, Promise.resolve()]);
+	assert.ok(outcome && Either.isLeft(outcome));
+	await time.advance(6000);
+});
