Document the limits on callers, and limit the MySQL front end and server connections

An idle connection to a server kept every statement that was ever prepared on it; it is now reset at its release once it holds over 256 entries or 128 KB. Callers of the MySQL protocol have bounds on commands sent ahead, on the length of a command and on replies that they don't take. A chunk that ends with a line is split without a search. All hosts may open their links at once, so their listener has as many connections for that as links.

--- a/src/entry/lease.ts
+++ b/src/entry/lease.ts
@@ -90,7 +90,7 @@
 
 	/** Returns the connection to the pool. */
 	async release(): Promise<void> {
-		await this.member.pool.release(this.#connection, 'clean');
+		await this.member.pool.release(this.#connection, states.isOverfull(this.#connection) ? 'dirty' : 'clean');
 	}
 
 	#createCommand({id, text, prepared, parameters}: Work, minPosition: statement.Position | null): statement.Command {
--- a/src/entry/state.ts
+++ b/src/entry/state.ts
@@ -17,6 +17,10 @@
 /** Timeout of commands that only change a connection's state. */
 const applyTimeoutMs = 800;
 
+/** Entries and bytes of values and prepared statements that an idle connection keeps; a host may have 300 connections. */
+const maxKeptEntries = 256;
+const maxKeptBytes = 131_072;
+
 /** The state of one session. */
 export class State {
 	readonly values = new Map<string, string>();
@@ -125,6 +129,23 @@
 	return connection.prepared.get(keyOf(prepared)) ?? '';
 }
 
+/**
+Whether a connection keeps so much for the sessions that used it that it should be reset. Otherwise sessions that prepare
+ever new statements would fill the memory of this host and of the server.
+*/
+export function isOverfull({values, prepared}: backend.Connection): boolean {
+	if (values.size + prepared.size > maxKeptEntries) {
+		return true;
+	}
+
+	let bytes = 0;
+	for (const [name, text] of [...values, ...prepared]) {
+		bytes += name.length + text.length;
+	}
+
+	return bytes > maxKeptBytes;
+}
+
 function keyOf({mode, shape}: Prepared): string {
 	return `${mode} ${shape}`;
 }
--- a/src/intake/sizes.ts
+++ b/src/intake/sizes.ts
@@ -18,9 +18,9 @@
 	readonly budgetBytes: number;
 	/** Connections of callers. */
 	readonly callers: number;
-	/** Links that other hosts have opened. */
+	/** Links that other hosts have opened, and as many connections on which they are being opened. */
 	readonly links: number;
-	/** Connections to each of the listeners for readiness, metrics and, before a link is open, links. */
+	/** Connections to each of the listeners for readiness and metrics. */
 	readonly probes: number;
 };
 
@@ -38,7 +38,7 @@
 /** Descriptors that the platform uses on each host, and the part of the rest that is kept for servers, hosts and the store. */
 const platformDescriptors = 200;
 const reservedRatio = 0.2;
-const linkRatio = 0.1;
+const linkRatio = 0.08;
 const probeRatio = 0.04;
 const maxProbes = 32;
 const minSlots = 16;
@@ -49,7 +49,7 @@
 
 @example
 ```
-sizes.derive({memoryBytes: 250 * 1_048_576, heapBytes: 208 * 1_048_576, descriptors: 4300}).callers; //=> 2870
+sizes.derive({memoryBytes: 250 * 1_048_576, heapBytes: 208 * 1_048_576, descriptors: 4300}).callers; //=> 2952
 ```
 */
 export function derive({memoryBytes, heapBytes, descriptors}: Resources): Sizes {
--- a/src/mysql/server.ts
+++ b/src/mysql/server.ts
@@ -51,15 +51,33 @@
 
 const capabilityFlags = Object.values(internals.capabilities).reduce((sum, flag) => sum + flag, 0);
 
+/** Longest command: the longest packet of the protocol. */
+const maxCommandBytes = 16_777_216;
+/** Commands from which a connection isn't read until some are taken. */
+const maxQueuedCommands = 64;
+/** Output that the caller hasn't taken from which its next command waits. */
+const maxOutputBytes = 131_072;
+
 /** A connection from a caller. */
 export class Connection {
 	readonly #driver: internals.ServerConnection;
 	readonly #commands: Command[] = [];
 	readonly #closed = new AbortController();
+	/** Bytes received since the last command. */
+	#receivedBytes = 0;
 	#wake: (() => void) | undefined;
 
 	constructor(driver: internals.ServerConnection) {
 		this.#driver = driver;
+		driver.stream.prependListener('data', (chunk: Uint8Array) => {
+			this.#receivedBytes += chunk.length;
+			if (this.#receivedBytes > maxCommandBytes) {
+				this.close();
+			}
+		});
+		driver.stream.on('drain', () => {
+			this.#wake?.();
+		});
 		for (const event of ['query', 'stmt_prepare', 'stmt_execute', 'quit', 'init_db', 'ping', 'field_list']) {
 			// The mysql2 library replies to a command itself unless it has a listener; `packet` below handles all commands.
 			driver.on(event, () => {}); // eslint-disable-line @typescript-eslint/no-empty-function
@@ -93,13 +111,18 @@
 
 	/** Waits for the next command; `undefined` once the connection is closed. */
 	async next(): Promise<Command | undefined> {
-		while (this.#commands.length === 0 && !this.closed.aborted) {
+		while ((this.#commands.length === 0 || this.#driver.stream.writableLength > maxOutputBytes) && !this.closed.aborted) {
 			await new Promise<void>(resolve => {
 				this.#wake = resolve;
 			});
 		}
 
-		return this.closed.aborted ? undefined : this.#commands.shift();
+		const command = this.closed.aborted ? undefined : this.#commands.shift();
+		if (this.#commands.length === maxQueuedCommands - 1) {
+			this.#driver.stream.resume();
+		}
+
+		return command;
 	}
 
 	/** Writes the reply to the command that `next` returned last. */
@@ -139,7 +162,12 @@
 			return;
 		}
 
+		this.#receivedBytes = 0;
 		this.#commands.push(command);
+		if (this.#commands.length >= maxQueuedCommands) {
+			this.#driver.stream.pause();
+		}
+
 		this.#wake?.();
 	}
 
--- a/src/peer/socket.ts
+++ b/src/peer/socket.ts
@@ -248,7 +248,8 @@
 			response.writeHead(426, {connection: 'close'});
 			response.end();
 		});
-		probes.limit(listener, this.#options.intake?.sizes.probes ?? Number.POSITIVE_INFINITY);
+		// All hosts of a fleet may open their links at the same moment, so there is room for each.
+		probes.limit(listener, this.#options.intake?.sizes.links ?? Number.POSITIVE_INFINITY);
 		const server = new ws.WebSocketServer({
 			server: listener, maxPayload: maxRequestBytes, perMessageDeflate: {...compressionOptions, concurrencyLimit: maxDecompressions},
 		});
--- a/src/platform/line.ts
+++ b/src/platform/line.ts
@@ -95,8 +95,10 @@
 
 	/** Splits data that begins with a line, and holds the incomplete last line. */
 	#split(data: buffer.Buffer): string[] | undefined {
-		const end = data.lastIndexOf(terminator, undefined, encoding);
-		if (!this.#hold(end === -1 ? data : data.subarray(end + terminator.length))) {
+		// Most chunks end with a line, and then nothing has to be searched or held.
+		const isComplete = data.at(-1) === lineFeed && data.at(-2) === carriageReturn;
+		const end = isComplete ? data.length - terminator.length : data.lastIndexOf(terminator, undefined, encoding);
+		if (!isComplete && !this.#hold(end === -1 ? data : data.subarray(end + terminator.length))) {
 			return undefined;
 		}
 
