End a closed session whose caller doesn't take the rest of its output

The bounds did not apply to a session that had ended while output was pending, so such connections stayed, with their memory, for as long as the caller held them.

--- a/src/platform/stream.ts
+++ b/src/platform/stream.ts
@@ -92,7 +92,8 @@
 	}
 
 	override shed(cause: guests.Cause): void {
-		if (!this.#isEnded) {
+		// A session that has ended may still have output that its caller doesn't take.
+		if (!this.#socket.destroyed) {
 			this.#intake.record(cause, this, this.#socket.remoteAddress ?? '', this.#account.bytes);
 			this.#discard();
 			this.#socket.destroy();
--- a/src/platform/tests/caller.test.ts
+++ b/src/platform/tests/caller.test.ts
@@ -6,17 +6,18 @@
 import * as timers from 'node:timers/promises';
 import type * as caller from '../../entry/caller.js';
 import * as statement from '../../entry/statement.js';
+import * as intakes from '../../intake/intake.js';
 import * as callers from '../caller.js';
 
 const testTimeoutMs = 5000;
 const deliveryMs = 50;
 
 /** Starts a listener and opens one connection to it; returns both ends. */
-async function connect(context: test.TestContext): Promise<{accepted: caller.Caller; socket: net.Socket}> {
+async function connect(context: test.TestContext, intake = new intakes.Intake()): Promise<{accepted: caller.Caller; socket: net.Socket}> {
 	const accepted: caller.Caller[] = [];
 	const listener = new callers.Listener(connection => {
 		accepted.push(connection);
-	});
+	}, intake);
 	const port = await listener.listen('127.0.0.1:0');
 	const socket = net.connect(port, '127.0.0.1');
 	await events.EventEmitter.once(socket, 'connect');
@@ -140,3 +141,25 @@
 	assert.match(await read(socket), /^ERROR MALFORMED /v);
 	assert.equal(await opened, undefined);
 });
+
+// Guards against an ended session whose output stays in memory for ever, since its caller doesn't take it.
+test.test('a closed session whose caller takes nothing is ended by the bound on readers', {timeout: testTimeoutMs}, async context => {
+	const intake = new intakes.Intake();
+	const {accepted, socket} = await connect(context, intake);
+	socket.pause();
+	socket.write('STARTUP lepu270 u3f1\r\nQUERY 5c0e READ 1a4\r\n');
+	await accepted.open();
+	accepted.accept();
+	await accepted.next();
+	accepted.reply({...statement.success('none'), rows: ['a'.repeat(64 * 1024 * 1024)], signature: '7.1'});
+	accepted.close();
+	await timers.setTimeout(deliveryMs);
+	assert.ok(intake.budget.usedBytes > 0);
+	for (let sweep = 0; sweep < 40; sweep++) {
+		intake.sweep();
+	}
+
+	await timers.setTimeout(deliveryMs);
+	// The account ends with the connection.
+	assert.equal(intake.budget.usedBytes, 0);
+});
