--- a/src/entry/fleet.ts
+++ b/src/entry/fleet.ts
@@ -137,36 +137,6 @@
 		return region === own ? owners : [...this.#routeIn(region, service, customer), ...owners];
 	}
 
-	/** The usable owners in a region; this host itself if there is none in its own one. */
-	#routeIn(region: string, service: string, customer: string | undefined): forwarder.Route {
-		const names = this.#rankFor(region, service, customer);
-		const {name: self} = this.#options.self;
-		const owners: Array<peers.Peer | 'local'> = [];
-		for (const name of names) {
-			const peer = name === self ? undefined : this.#peer(name);
-			if (!peer) {
-				owners.push('local');
-			} else if (peer.isUsable) {
-				owners.push(peer);
-			} else {
-				peer.connect();
-			}
-
-			if (owners.length === placement.ownersPerRegion) {
-				break;
-			}
-		}
-
-		const hasOneOwner = customer !== undefined && this.#sizes !== undefined && !this.#sizes.isLarge(customer);
-		if (owners.length < 2 || hasOneOwner) {
-			return owners.length === 0 && region === this.#options.self.region ? ['local'] : owners;
-		}
-
-		// If this host is one of the owners, it runs the work locally.
-		this.#roundRobin++;
-		return owners[0] !== 'local' && (owners[1] === 'local' || this.#roundRobin % 2 === 0) ? owners.toReversed() : owners;
-	}
-
 	/**
 	The other hosts that may use connections of their own to a service's servers: all of them, or the first in rank of each
 	region, with one more in each for the time while the owners change.
@@ -238,6 +208,36 @@
 		}
 	}
 
+	/** The usable owners in a region; this host itself if there is none in its own one. */
+	#routeIn(region: string, service: string, customer: string | undefined): forwarder.Route {
+		const names = this.#rankFor(region, service, customer);
+		const {name: self} = this.#options.self;
+		const owners: Array<peers.Peer | 'local'> = [];
+		for (const name of names) {
+			const peer = name === self ? undefined : this.#peer(name);
+			if (!peer) {
+				owners.push('local');
+			} else if (peer.isUsable) {
+				owners.push(peer);
+			} else {
+				peer.connect();
+			}
+
+			if (owners.length === placement.ownersPerRegion) {
+				break;
+			}
+		}
+
+		const hasOneOwner = customer !== undefined && this.#sizes !== undefined && !this.#sizes.isLarge(customer);
+		if (owners.length < 2 || hasOneOwner) {
+			return owners.length === 0 && region === this.#options.self.region ? ['local'] : owners;
+		}
+
+		// If this host is one of the owners, it runs the work locally.
+		this.#roundRobin++;
+		return owners[0] !== 'local' && (owners[1] === 'local' || this.#roundRobin % 2 === 0) ? owners.toReversed() : owners;
+	}
+
 	/** The hosts of a region in their rank for a service, its owners in their rank for the customer. */
 	#rankFor(region: string, service: string, customer: string | undefined): readonly string[] {
 		const {self} = this.#options;
