Recompute connection quotas once for each list of hosts

They were recomputed for each host of a list, and for all services at each service that a configuration adds.

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -206,13 +206,17 @@
 			}),
 			hosts: this.#createCache('hosts', new retentions.HostRetention(), (name, item) => {
 				this.#fleet.update(name, item?.value);
-				this.#updateQuotas();
 			}),
 			claims: this.#createCache('claims', new retentions.Discarding(), (name, item) => {
 				this.#claims.update(name, item);
 			}),
 		};
-		this.#caches.hosts.listen(() => {
+		this.#caches.hosts.listen(({from, items, gone}) => {
+			// Once for a whole update: a list may have hundreds of hosts, and the quotas of hundreds of services follow from it.
+			if (from === undefined || items.length > 0 || gone.length > 0) {
+				this.#updateQuotas();
+			}
+
 			this.#updateQuotaHosts();
 		});
 	}
@@ -410,6 +414,7 @@
 	#applyDeployment(content: types.Deployment, source: string): void {
 		this.#deployment.accept(content, source, this.#caches.configuration.ageMs);
 		revocation.review(this.#sessions, this.#deployment.content?.version ?? 0, this.#options.decisions);
+		this.#fleet.invalidate();
 		for (const {name} of this.#deployment.content?.databases ?? []) {
 			if (!this.#groups.has(name)) {
 				this.#addGroup(name);
@@ -426,7 +431,7 @@
 			name, clock: time, decisions: log, connect, isIsolated: () => this.#isIsolated(name), random: source,
 		});
 		this.#groups.set(name, added);
-		this.#updateQuotas();
+		added.resize(this.#fleet.quota(name), this.#isStarting);
 		for (const registration of this.#registrations.values()) {
 			if (registration.service === name) {
 				added.register(registration);
