--- a/src/entry/fleet.ts
+++ b/src/entry/fleet.ts
@@ -33,11 +33,6 @@
 unevenly over hosts; the server refuses connections beyond its limit.
 */
 const overcommitFactor = 2;
-/**
-Even share from which on there is no overcommitment: with six owners, such shares use all 4 slots and the queue of 32 of a
-server, which refuses further requests anyway. The rest of its limit is for lost connections and changes of owners.
-*/
-const ampleShare = 6;
 /** Lower bound of the assumed number of owners, used until other hosts are discovered. */
 const minOwners = 4;
 /** Time for which an owner keeps idle connections of customers; servers close them after 60 s. */
@@ -116,10 +111,9 @@
 		}
 
 		const owners = Math.max(minOwners, placement.countOwners({hosts: [...this.#hosts.values()], connectionLimit}));
-		const softLimit = Math.max(1, Math.floor(connectionLimit * placement.quotaFraction / owners));
 		return {
-			softLimit,
-			hardLimit: softLimit >= ampleShare ? softLimit : Math.max(2, Math.ceil(connectionLimit * overcommitFactor / owners)),
+			softLimit: Math.max(1, Math.floor(connectionLimit * placement.quotaFraction / owners)),
+			hardLimit: Math.max(2, Math.ceil(connectionLimit * overcommitFactor / owners)),
 		};
 	}
 
