--- a/src/intake/intake.ts
+++ b/src/intake/intake.ts
@@ -98,5 +98,9 @@
 }
 
 const unlimited: sizes.Sizes = {
-	budgetBytes: Number.POSITIVE_INFINITY, callers: Number.POSITIVE_INFINITY, links: Number.POSITIVE_INFINITY, probes: Number.POSITIVE_INFINITY,
+	budgetBytes: Number.POSITIVE_INFINITY,
+	callers: Number.POSITIVE_INFINITY,
+	links: Number.POSITIVE_INFINITY,
+	openingLinks: Number.POSITIVE_INFINITY,
+	probes: Number.POSITIVE_INFINITY,
 };
--- a/src/intake/sizes.ts
+++ b/src/intake/sizes.ts
@@ -18,8 +18,10 @@
 	readonly budgetBytes: number;
 	/** Connections of callers. */
 	readonly callers: number;
-	/** Links that other hosts have opened, and as many connections on which they are being opened. */
+	/** Links that other hosts have opened. */
 	readonly links: number;
+	/** Connections on which other hosts are opening links. */
+	readonly openingLinks: number;
 	/** Connections to each of the listeners for readiness and metrics. */
 	readonly probes: number;
 };
@@ -35,10 +37,12 @@
 const budgetRatio = 0.4;
 const minBudgetBytes = 8 * 1_048_576;
 
-/** Descriptors that the platform uses on each host, and the part of the rest that is kept for servers, hosts and the store. */
+/** Descriptors that the platform uses on each host. What the ratios leave of the rest is for servers, links to other hosts and the store. */
 const platformDescriptors = 200;
-const reservedRatio = 0.2;
-const linkRatio = 0.08;
+const callerRatio = 0.7;
+/** Enough for a link from each of 609 other hosts with 4,300 descriptors. */
+const linkRatio = 0.15;
+const openingLinkRatio = 0.02;
 const probeRatio = 0.04;
 const maxProbes = 32;
 const minSlots = 16;
@@ -49,16 +53,16 @@
 
 @example
 ```
-sizes.derive({memoryBytes: 250 * 1_048_576, heapBytes: 208 * 1_048_576, descriptors: 4300}).callers; //=> 2952
+sizes.derive({memoryBytes: 250 * 1_048_576, heapBytes: 208 * 1_048_576, descriptors: 4300}).callers; //=> 2870
 ```
 */
 export function derive({memoryBytes, heapBytes, descriptors}: Resources): Sizes {
 	const free = Math.max(descriptors / 2, descriptors - platformDescriptors);
-	const links = Math.max(minSlots, Math.floor(free * linkRatio));
 	return {
 		budgetBytes: Math.max(minBudgetBytes, Math.floor(Math.min(heapBytes - ownHeapBytes, memoryBytes - ownMemoryBytes) * budgetRatio)),
-		links,
+		links: Math.max(minSlots, Math.floor(free * linkRatio)),
+		openingLinks: Math.max(minSlots, Math.floor(free * openingLinkRatio)),
 		probes: Math.max(minProbes, Math.min(maxProbes, Math.floor(free * probeRatio))),
-		callers: Math.max(minSlots, Math.floor(free * (1 - reservedRatio)) - links),
+		callers: Math.max(minSlots, Math.floor(free * callerRatio)),
 	};
 }
--- a/src/intake/tests/limits.test.ts
+++ b/src/intake/tests/limits.test.ts
@@ -62,7 +62,8 @@
 test.test('the sizes of a host leave room for its sessions and keep a share of the descriptors', () => {
 	const host = sizes.derive({memoryBytes: 250 * bytesPerMb, heapBytes: 208 * bytesPerMb, descriptors: 4300});
 	assert.ok(host.callers >= 2800);
-	assert.ok(host.callers + (2 * host.links) + (2 * host.probes) <= 4300 - 200 - 400);
+	assert.ok(host.links >= 609, 'fewer links than the largest fleet has other hosts');
+	assert.ok(host.callers + host.links + host.openingLinks + (2 * host.probes) <= 4300 - 200 - 400);
 	assert.ok(host.budgetBytes > 50 * bytesPerMb && host.budgetBytes < 60 * bytesPerMb);
 	const small = sizes.derive({memoryBytes: 10 * bytesPerMb, heapBytes: 10 * bytesPerMb, descriptors: 100});
 	assert.ok(small.callers > 0 && small.links > 0 && small.budgetBytes >= 8 * bytesPerMb);
--- a/src/peer/socket.ts
+++ b/src/peer/socket.ts
@@ -249,7 +249,7 @@
 			response.end();
 		});
 		// All hosts of a fleet may open their links at the same moment, so there is room for each.
-		probes.limit(listener, this.#options.intake?.sizes.links ?? Number.POSITIVE_INFINITY);
+		probes.limit(listener, this.#options.intake?.sizes.openingLinks ?? Number.POSITIVE_INFINITY);
 		const server = new ws.WebSocketServer({
 			server: listener, maxPayload: maxRequestBytes, perMessageDeflate: {...compressionOptions, concurrencyLimit: maxDecompressions},
 		});
