Test that connections are not handed over between customers with their share

Both fail when their fault is put into the compiled pool: without the comparison with the share, 1,150 attempts for 1,150 requests; without the replacement during a refusal, the second test alone.

--- a/src/core/tests/pool.test.ts
+++ b/src/core/tests/pool.test.ts
@@ -569,3 +569,48 @@
 	assert.ok(outcome && Either.isLeft(outcome));
 	await time.advance(6000);
 });
+
+test.test('guards against a handshake for almost every request when all customers that wait have their share', async () => {
+	const {time, server, connections} = make({connections: 5});
+	server.onConnect = () => ({kind: 'open', delayMs: 12});
+	let served = 0;
+	const stopped = new AbortController();
+	const use = async (customer: string): Promise<void> => {
+		while (!stopped.signal.aborted) {
+			const outcome = await connections.acquire(1000, {customer});
+			if (Either.isRight(outcome)) {
+				await time.sleep(10);
+				served++;
+				await connections.release(outcome.right, 'clean');
+			}
+		}
+	};
+
+	// A share is one connection, so that two connections are above the shares.
+	const users = ['one', 'two', 'three'].flatMap(customer => Array.from({length: 5}, async () => use(customer)));
+	await time.advance(5000);
+	stopped.abort();
+	await time.advance(1100);
+	await Promise.all(users);
+	assert.ok(server.connectAttempts * 12 <= 0.15 * 5000 * 5, `${server.connectAttempts} attempts for ${served} requests`);
+});
+
+test.test('guards against a connection that is given up for another customer which doesn\'t get it while the server is at its limit', async () => {
+	const {time, server, connections} = make({connections: 4});
+	server.onConnect = () => ({kind: server.open < 1 ? 'open' : 'at-limit', delayMs: 5});
+	const first = await take(time, connections, 'one');
+	await time.advance(200);
+	const other = connections.acquire(1000, {customer: 'two', atLimit: 'wait'});
+	const next = connections.acquire(1000, {customer: 'one', atLimit: 'wait'});
+	// The server has refused the attempt for the other customer.
+	await time.advance(10);
+	const startedAt = time.now();
+	await connections.release(first, 'clean');
+	await time.advance(10);
+	const outcome = await Promise.race([other, Promise.resolve()]);
+	assert.ok(outcome && Either.isRight(outcome) && customerOf(outcome.right) === 'two');
+	assert.ok(time.now() - startedAt <= 10);
+	await connections.release(outcome.right, 'clean');
+	await time.advance(1000);
+	await next;
+});
