Find the best priority of all waiting customers in one pass

At each release of a connection, the pool searched all waiters once for every other customer that waits. The priorities of all customers are now found in one pass; the decisions are the same.

No test measures the time.

--- a/src/core/pool.ts
+++ b/src/core/pool.ts
@@ -690,14 +690,22 @@
 		}
 
 		const isDue = this.#clock.now() - openedAt >= minTenureMs;
-		const ownClass = this.#bestClass(own);
-		return this.#choose([...own, ...others.filter(other => isDue || this.#bestClass([other]) < ownClass)]);
-	}
+		const classes = this.#bestClasses();
+		const classOf = ({group}: Waiter<C>): number => classes.get(group) ?? Number.POSITIVE_INFINITY;
+		const ownClass = Math.min(...own.map(waiter => classOf(waiter)));
+		return this.#choose([...own, ...others.filter(other => isDue || classOf(other) < ownClass)]);
+	}
+
+	/** The highest priority, which is the lowest number, of each group's waiters. Found in one pass, as hundreds may wait. */
+	#bestClasses(): Map<string, number> {
+		const classes = new Map<string, number>();
+		for (const {group, class: name, request} of this.#waiters) {
+			if (Number(name) < (classes.get(group) ?? Number.POSITIVE_INFINITY) && this.#mayHold(request)) {
+				classes.set(group, Number(name));
+			}
+		}
 
-	/** The highest priority, which is the lowest number, of the waiters of some groups. */
-	#bestClass(waiters: ReadonlyArray<Waiter<C>>): number {
-		const groups = new Set(waiters.map(({group}) => group));
-		return Math.min(...this.#waiters.filter(({group, request}) => groups.has(group) && this.#mayHold(request)).map(waiter => Number(waiter.class)));
+		return classes;
 	}
 
 	/** Number of connections of a customer that are in use, idle or being opened. */
