Don't wait again for a quota counter that was silent

Each second, an operation waited up to 20 ms (40 ms for another region) for each silent counter before it in the order of distance. Such a counter is now asked in the background until it answers.

--- a/src/entry/customers/quota/leasing.ts
+++ b/src/entry/customers/quota/leasing.ts
@@ -140,7 +140,15 @@
 	/** Asks one counter, and resolves once it has answered or its time is over. */
 	async #ask(known: Known, now: number): Promise<void> {
 		const candidates = this.#options.sources(known.customer).filter(source => this.#canAsk(known, source, now));
-		const source = candidates.find(({isOpen}) => isOpen) ?? candidates[0];
+		const answering = candidates.filter(({name}) => !this.#silentUntil.has(name));
+		const source = answering.find(({isOpen}) => isOpen) ?? answering[0] ?? candidates[0];
+		const silent = candidates.find(({name}) => this.#silentUntil.has(name));
+		if (silent && silent !== source) {
+			// Asked in the background, since each wait for a counter that is still silent would delay an operation.
+			this.#silentUntil.set(silent.name, now + silenceMs);
+			void this.#request(known, silent);
+		}
+
 		for (const other of candidates) {
 			if (!other.isOpen) {
 				other.connect();
--- a/src/entry/customers/tests/leasing.test.ts
+++ b/src/entry/customers/tests/leasing.test.ts
@@ -4,6 +4,7 @@
 import * as decisions from '../../decisions.js';
 import type * as limiters from '../limiter.js';
 import type * as counter from '../quota/counter.js';
+import type * as counters from '../quota/counters.js';
 import * as leasing from '../quota/leasing.js';
 import * as sources from '../quota/source.js';
 
@@ -38,6 +39,30 @@
 	}
 }
 
+/** A counter that grants one operation for each request, or doesn't answer. */
+class Granting extends sources.Source {
+	override readonly isOpen = true;
+	override readonly isUsable = true;
+	isSilent = false;
+	requests = 0;
+	readonly #time: clock.Clock;
+
+	constructor(override readonly name: string, override readonly distance: counters.Distance, time: clock.Clock) {
+		super();
+		this.#time = time;
+	}
+
+	override connect(): void {
+		// The link is open.
+	}
+
+	override async request(_customer: string, _wanted: number, timeoutMs: number): Promise<counter.Grant | undefined> {
+		this.requests++;
+		await this.#time.sleep(this.isSilent ? timeoutMs : 5);
+		return this.isSilent ? undefined : {granted: 1, retryAfterMs: 0};
+	}
+}
+
 function create(): {readonly time: clock.Manual; readonly source: Fake; readonly limiter: leasing.Leasing} {
 	const time = new clock.Manual();
 	const source = new Fake(time);
@@ -93,3 +118,37 @@
 	assert.equal(await kindOf(limiter.admit(customer)), 'admitted');
 	assert.equal(source.requests, 1);
 });
+
+// Guards against a wait of 20 ms in each second, for each counter that is lost, as long as the link to it seems to be open.
+test.test('operations don\'t wait again for a counter that was silent, and it is asked again once it answers', async () => {
+	const time = new clock.Manual();
+	const near = new Granting('near', 'same place', time);
+	const far = new Granting('far', 'other region', time);
+	const limiter = new leasing.Leasing({
+		clock: time, decisions: new decisions.Silent(), bound: {windowS: 5, overage: 0.1, slack: 20}, sources: () => [near, far],
+	});
+	const measure = async (): Promise<number> => {
+		const startedAt = time.now();
+		let endedAt = startedAt;
+		const admit = async (): Promise<void> => {
+			const admission = await limiter.admit({...customer, operationsPerS: 100, burst: 50});
+			assert.equal(admission.kind, 'admitted');
+			endedAt = time.now();
+		};
+
+		const admitted = admit();
+		await time.advance(1500);
+		await admitted;
+		return endedAt - startedAt;
+	};
+
+	near.isSilent = true;
+	assert.equal(await measure(), 25);
+	assert.deepEqual([await measure(), await measure(), await measure()], [5, 5, 5]);
+	assert.equal(near.requests, 4);
+	near.isSilent = false;
+	await measure();
+	const before = far.requests;
+	assert.equal(await measure(), 5);
+	assert.equal(far.requests, before, 'the nearest counter is asked first again');
+});
