Don't let Node warn of a leak when many tasks wait for the end of a host

The signal has no limit of listeners now; a signal set up so gives no warning with 15 listeners, and one without does (run by hand).

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -2,6 +2,7 @@
 Composition root of an entry host: creates its tasks and connects them. Promotions are ordered through an external
 authority.
 */
+import * as events from 'node:events';
 import * as http from 'node:http';
 import type * as types from '../generated/types.js';
 import * as address from '../core/address.js';
@@ -131,6 +132,8 @@
 	constructor(options: Options) {
 		const {clock: time, decisions: log, settings: {host}} = options;
 		this.#options = options;
+		// Each task that waits listens to this signal. Node warns of a leak from the eleventh listener on.
+		events.EventEmitter.setMaxListeners(0, this.#stopped.signal);
 		this.#tasks = new tasks.Tasks(options);
 		this.#deployment = new deployments.Deployment(time, log);
 		this.#claims = new claims.Claims({
