Name inbound connections by the usual term

The abstract class of a connection that somebody opened to the process was named Guest. It is inbound.Connection now; nothing else changes. Tests of intake (budget, limits, calm), peer and platform pass.

--- a/src/intake/budget.ts
+++ b/src/intake/budget.ts
@@ -5,7 +5,7 @@
 Every connection has an account. Where the budget runs short, large accounts stop reading first. If that doesn't suffice,
 the largest account is closed; small ones are closed only if no large one is left.
 */
-import type * as guests from './guest.js';
+import type * as inbound from './inbound.js';
 
 /**
 What an account holds. Input is in buffers outside the heap; `request` and `output` count for the copies that exist
@@ -26,7 +26,7 @@
 
 /** The account of one connection. */
 export class Account {
-	readonly guest: guests.Guest;
+	readonly connection: inbound.Connection;
 	readonly #budget: Budget;
 	readonly #held: Record<Kind, number> = {
 		input: 0, request: 0, output: 0, state: 0,
@@ -34,8 +34,8 @@
 
 	#bytes = 0;
 
-	constructor(guest: guests.Guest, budget: Budget) {
-		this.guest = guest;
+	constructor(connection: inbound.Connection, budget: Budget) {
+		this.connection = connection;
 		this.#budget = budget;
 	}
 
@@ -126,8 +126,8 @@
 	}
 
 	/** Opens an account for a connection. */
-	open(guest: guests.Guest): Account {
-		const account = new Account(guest, this);
+	open(connection: inbound.Connection): Account {
+		const account = new Account(connection, this);
 		this.#accounts.add(account);
 		return account;
 	}
@@ -203,7 +203,7 @@
 		this.#isRelieving = true;
 		while (this.#usedBytes > this.limitBytes * ratio && this.#accounts.size > 0) {
 			const largest = findLargest(this.#large.size > 0 ? this.#large : this.#accounts);
-			largest?.guest.shed('memory');
+			largest?.connection.shed('memory');
 			largest?.close();
 		}
 
@@ -225,8 +225,8 @@
 
 		const {isTight} = this;
 		if (this.#wasTight && !isTight) {
-			for (const {guest} of this.#large) {
-				guest.resume();
+			for (const {connection} of this.#large) {
+				connection.resume();
 			}
 		}
 
--- a/src/intake/guest.ts
+++ b/src/intake/inbound.ts
@@ -11,7 +11,7 @@
 export type Side = 'caller' | 'link';
 
 /** One connection. */
-export abstract class Guest {
+export abstract class Connection {
 	abstract readonly side: Side;
 
 	/** What the connection is doing, for the bounds on time. */
--- a/src/intake/intake.ts
+++ b/src/intake/intake.ts
@@ -5,7 +5,7 @@
 import type * as clock from '../core/clock.js';
 import type * as decisions from '../entry/decisions.js';
 import * as budgets from './budget.js';
-import type * as guests from './guest.js';
+import type * as inbound from './inbound.js';
 import type * as sizes from './sizes.js';
 import * as slots from './slots.js';
 import * as watches from './watch.js';
@@ -20,8 +20,8 @@
 	readonly budget: budgets.Budget;
 	readonly sizes: sizes.Sizes;
 	readonly #options: Options | undefined;
-	readonly #slots: Readonly<Record<guests.Side, slots.Slots>>;
-	readonly #watches = new Map<guests.Guest, watches.Watch>();
+	readonly #slots: Readonly<Record<inbound.Side, slots.Slots>>;
+	readonly #watches = new Map<inbound.Connection, watches.Watch>();
 	#sweeps = 0;
 	#tightSince: number | undefined;
 
@@ -39,33 +39,33 @@
 	}
 
 	/** Admits a connection and opens its account. It may be shed at once. */
-	enter(guest: guests.Guest): budgets.Account {
-		const account = this.budget.open(guest);
-		this.#watches.set(guest, new watches.Watch());
+	enter(connection: inbound.Connection): budgets.Account {
+		const account = this.budget.open(connection);
+		this.#watches.set(connection, new watches.Watch());
 		return account;
 	}
 
 	/** Takes a slot for a connection that was admitted, for which another one may be shed. If there is none, it is shed itself. */
-	takeSlot(guest: guests.Guest): void {
-		if (!this.#slots[guest.side].enter(guest)) {
-			guest.shed('descriptors');
+	takeSlot(connection: inbound.Connection): void {
+		if (!this.#slots[connection.side].enter(connection)) {
+			connection.shed('descriptors');
 		}
 	}
 
 	/** Records that a connection was opened, so that silent ones are shed before it. */
-	open(guest: guests.Guest): void {
-		this.#slots[guest.side].open(guest);
+	open(connection: inbound.Connection): void {
+		this.#slots[connection.side].open(connection);
 	}
 
 	/** Ends what `enter` began. */
-	leave(guest: guests.Guest, account: budgets.Account): void {
-		this.#slots[guest.side].leave(guest);
-		this.#watches.delete(guest);
+	leave(connection: inbound.Connection, account: budgets.Account): void {
+		this.#slots[connection.side].leave(connection);
+		this.#watches.delete(connection);
 		account.close();
 	}
 
 	/** Counts and logs a connection that is shed. */
-	record(cause: guests.Cause, {side}: guests.Guest, address: string, heldBytes: number): void {
+	record(cause: inbound.Cause, {side}: inbound.Connection, address: string, heldBytes: number): void {
 		this.#options?.decisions.request(`intake-${cause}`, '-', {
 			side, address, heldBytes, usedBytes: this.budget.usedBytes,
 		});
@@ -82,10 +82,10 @@
 	/** Checks the time bounds of all connections, and sheds the largest holders if the budget has been tight for a while. */
 	sweep(): void {
 		this.#sweeps++;
-		for (const [guest, watch] of this.#watches) {
-			const excess = watch.sweep(guest.activity);
+		for (const [connection, watch] of this.#watches) {
+			const excess = watch.sweep(connection.activity);
 			if (excess) {
-				guest.shed(excess);
+				connection.shed(excess);
 			}
 		}
 
--- a/src/intake/slots.ts
+++ b/src/intake/slots.ts
@@ -2,14 +2,14 @@
 The connections of one listener, whose number is limited so that descriptors remain for servers, other hosts and the
 store. At the limit a connection that was never opened makes room for a new one, else the one that is idle for longest.
 */
-import type * as guests from './guest.js';
+import type * as inbound from './inbound.js';
 
 /** The slots of one listener. */
 export class Slots {
 	readonly limit: number;
 	/** Connections that were never opened, in the order of their arrival. */
-	readonly #silent = new Set<guests.Guest>();
-	readonly #opened = new Set<guests.Guest>();
+	readonly #silent = new Set<inbound.Connection>();
+	readonly #opened = new Set<inbound.Connection>();
 
 	constructor(limit: number) {
 		this.limit = limit;
@@ -20,7 +20,7 @@
 	}
 
 	/** Takes a slot for a new connection, and evicts another one at the limit. Returns false if all are busy. */
-	enter(guest: guests.Guest): boolean {
+	enter(connection: inbound.Connection): boolean {
 		if (this.size >= this.limit) {
 			const evicted = this.#findEvictable();
 			if (!evicted) {
@@ -31,32 +31,32 @@
 			evicted.shed('descriptors');
 		}
 
-		this.#silent.add(guest);
+		this.#silent.add(connection);
 		return true;
 	}
 
 	/** Records that a connection was opened, so that silent ones are evicted before it. */
-	open(guest: guests.Guest): void {
-		if (this.#silent.delete(guest)) {
-			this.#opened.add(guest);
+	open(connection: inbound.Connection): void {
+		if (this.#silent.delete(connection)) {
+			this.#opened.add(connection);
 		}
 	}
 
-	leave(guest: guests.Guest): void {
-		this.#silent.delete(guest);
-		this.#opened.delete(guest);
+	leave(connection: inbound.Connection): void {
+		this.#silent.delete(connection);
+		this.#opened.delete(connection);
 	}
 
-	#findEvictable(): guests.Guest | undefined {
+	#findEvictable(): inbound.Connection | undefined {
 		const [silent] = this.#silent;
 		if (silent) {
 			return silent;
 		}
 
-		let longest: guests.Guest | undefined;
-		for (const guest of this.#opened) {
-			if (guest.idleSince !== undefined && guest.idleSince < (longest?.idleSince ?? Number.POSITIVE_INFINITY)) {
-				longest = guest;
+		let longest: inbound.Connection | undefined;
+		for (const connection of this.#opened) {
+			if (connection.idleSince !== undefined && connection.idleSince < (longest?.idleSince ?? Number.POSITIVE_INFINITY)) {
+				longest = connection;
 			}
 		}
 
--- a/src/intake/tests/budget.test.ts
+++ b/src/intake/tests/budget.test.ts
@@ -2,12 +2,12 @@
 import * as test from 'node:test';
 import * as fc from 'fast-check';
 import * as budgets from '../budget.js';
-import * as guest from './guest.js';
+import * as connection from './fake-inbound.js';
 
 const limitBytes = 1_000_000;
 
-function open(budget: budgets.Budget): {readonly account: budgets.Account; readonly owner: guest.Guest} {
-	const owner = new guest.Guest();
+function open(budget: budgets.Budget): {readonly account: budgets.Account; readonly owner: connection.Connection} {
+	const owner = new connection.Connection();
 	const account = budget.open(owner);
 	owner.account = account;
 	return {account, owner};
--- a/src/intake/tests/limits.test.ts
+++ b/src/intake/tests/limits.test.ts
@@ -8,14 +8,14 @@
 import * as sizes from '../sizes.js';
 import * as slots from '../slots.js';
 import * as watch from '../watch.js';
-import * as guest from './guest.js';
+import * as connection from './fake-inbound.js';
 
 const bytesPerMb = 1_048_576;
 
 // Guards against descriptors that silent connections take from sessions, and against the loss of a busy session.
 test.test('silent connections make room first, then the session idle for longest, never a busy one', () => {
 	const limited = new slots.Slots(3);
-	const [idle, longIdle, busy, silent, next, last] = Array.from({length: 6}, () => new guest.Guest());
+	const [idle, longIdle, busy, silent, next, last] = Array.from({length: 6}, () => new connection.Connection());
 	idle.idleSince = 7;
 	longIdle.idleSince = 3;
 	busy.idleSince = undefined;
@@ -104,7 +104,7 @@
 	const time = new clock.Manual();
 	const log = new Counter();
 	const intake = new intakes.Intake({clock: time, decisions: log, sizes: sizes.derive({memoryBytes: 250 * bytesPerMb, heapBytes: 208 * bytesPerMb, descriptors: 4300})});
-	const silent = new guest.Guest();
+	const silent = new connection.Connection();
 	silent.activity = {kind: 'opening', mark: 0};
 	silent.account = intake.enter(silent);
 	intake.takeSlot(silent);
@@ -125,7 +125,7 @@
 test.test('a budget that stays tight is relieved after two sweeps', () => {
 	const time = new clock.Manual();
 	const intake = new intakes.Intake({clock: time, decisions: new decisions.Silent(), sizes: sizes.derive({memoryBytes: bytesPerMb, heapBytes: bytesPerMb, descriptors: 4300})});
-	const holders = Array.from({length: 7}, () => new guest.Guest());
+	const holders = Array.from({length: 7}, () => new connection.Connection());
 	for (const holder of holders) {
 		holder.account = intake.enter(holder);
 		holder.account.set('input', bytesPerMb);
--- a/src/peer/traffic.ts
+++ b/src/peer/traffic.ts
@@ -4,7 +4,7 @@
 */
 import type * as net from 'node:net';
 import type * as budget from '../intake/budget.js';
-import * as guests from '../intake/guest.js';
+import * as inbound from '../intake/inbound.js';
 import type * as intakes from '../intake/intake.js';
 import type * as watch from '../intake/watch.js';
 
@@ -16,7 +16,7 @@
 const requestWeight = 4;
 
 /** The traffic of one accepted link. */
-export class Traffic extends guests.Guest {
+export class Traffic extends inbound.Connection {
 	override readonly side = 'link';
 	readonly #socket: net.Socket;
 	readonly #intake: intakes.Intake;
@@ -100,7 +100,7 @@
 		this.#account.set('output', this.#outputBytes);
 	}
 
-	override shed(cause: guests.Cause): void {
+	override shed(cause: inbound.Cause): void {
 		if (!this.#isClosed) {
 			this.#isClosed = true;
 			this.#intake.record(cause, this, this.#socket.remoteAddress ?? '', this.#account.bytes);
--- a/src/platform/stream.ts
+++ b/src/platform/stream.ts
@@ -4,7 +4,7 @@
 */
 import type * as net from 'node:net';
 import type * as budget from '../intake/budget.js';
-import * as guests from '../intake/guest.js';
+import * as inbound from '../intake/inbound.js';
 import type * as intakes from '../intake/intake.js';
 import type * as watch from '../intake/watch.js';
 import * as line from './line.js';
@@ -23,7 +23,7 @@
 const kernelBytes = 131_072;
 
 /** The stream of one connection. */
-export class Stream extends guests.Guest {
+export class Stream extends inbound.Connection {
 	override readonly side = 'caller';
 	readonly #socket: net.Socket;
 	readonly #intake: intakes.Intake;
@@ -91,7 +91,7 @@
 		return this.#isBusy || this.hasNext ? undefined : this.#usedAt;
 	}
 
-	override shed(cause: guests.Cause): void {
+	override shed(cause: inbound.Cause): void {
 		// A session that has ended may still have output that its caller doesn't take.
 		if (!this.#socket.destroyed) {
 			this.#intake.record(cause, this, this.#socket.remoteAddress ?? '', this.#account.bytes);
