--- a/src/entry/cache.ts
+++ b/src/entry/cache.ts
@@ -36,6 +36,7 @@
 	readonly #items = new Map<string, objects.Item<K>>();
 	readonly #listeners = new Set<Listener<K>>();
 	#revision: number | undefined;
+	#isRead = false;
 	#confirmedAt = Number.NEGATIVE_INFINITY;
 
 	constructor(options: Options<K>) {
@@ -51,6 +52,11 @@
 		return this.#revision;
 	}
 
+	/** Whether this process has read the objects from the store itself, so that it has all changes of before its start. */
+	get isRead(): boolean {
+		return this.#isRead;
+	}
+
 	/** Time since the cache was last confirmed to be current. */
 	get ageMs(): number {
 		return this.#options.clock.now() - this.#confirmedAt;
@@ -86,6 +92,7 @@
 			return isApplicable;
 		}
 
+		this.#isRead ||= source === storeSource;
 		this.#confirmedAt = Math.max(this.#confirmedAt, confirmedAt);
 		const applied = current === undefined || update.revision > current ? this.#advance(update, source) : this.#adopt(update, source);
 		for (const listener of this.#listeners) {
--- a/src/entry/confirmation.ts
+++ b/src/entry/confirmation.ts
@@ -7,6 +7,10 @@
 acknowledges and nothing of any other server. That holds until the authority has answered the order and the successor leads,
 or the attempt was given up: a newer claim doesn't end an order that may still be carried out. A commit that is withheld for
 too long is in doubt.
+
+A host confirms a commit only while it can show that no order that could still be carried out takes the lead from the server
+that acknowledged it. A process that has just started can't: it withholds all commits until its recovery ends, see
+`recovery/recovery.ts`.
 */
 import type * as clock from '../core/clock.js';
 import * as notifier from '../core/notifier.js';
@@ -66,6 +70,8 @@
 	#settledToken = 0;
 	/** The highest token of which a claimant has told this host whether commits have to be withheld. */
 	#announcedToken = 0;
+	/** Whether orders of before the start of this process may be outstanding that it doesn't know, and whether only a newer order ends them. */
+	#recovery: 'ended' | 'begun' | 'needs order' = 'ended';
 	#leader = {server: '', term: 0, foundAt: Number.NEGATIVE_INFINITY};
 	#acknowledgedAt = Number.NEGATIVE_INFINITY;
 	#withheld = 0;
@@ -96,7 +102,7 @@
 	get isUnsettled(): boolean {
 		const now = this.#options.clock.now();
 		const hasOrder = this.#live(now).some(({rule}) => rule.kind === 'ordered' && rule.server !== this.#leader.server);
-		return hasOrder || (this.#isClaimed(now) && !this.#isClaimed(now + maxOrderMs - maxSuspensionMs));
+		return hasOrder || this.#recovery === 'needs order' || (this.#isClaimed(now) && !this.#isClaimed(now + maxOrderMs - maxSuspensionMs));
 	}
 
 	/** The orders that may still be carried out, as far as this host knows. */
@@ -104,6 +110,47 @@
 		return this.#live(this.#options.clock.now()).flatMap(({token, rule}) => rule.kind === 'ordered' ? [{token, rule}] : []);
 	}
 
+	/**
+	The orders that may still be carried out, if this host knows all of them; `undefined` while one may be sent under a claim
+	that it knows.
+	*/
+	get allOutstanding(): readonly Outstanding[] | undefined {
+		const now = this.#options.clock.now();
+		const mayOrder = this.#live(now).some(({rule}) => rule.kind !== 'ordered' && rule.kind !== 'settled');
+		return mayOrder || this.isRecovering || this.#isClaimed(now) || this.#options.isIsolated() ? undefined : this.outstanding;
+	}
+
+	/** Whether this process doesn't know yet which orders of before its start are outstanding. */
+	get isRecovering(): boolean {
+		return this.#recovery !== 'ended';
+	}
+
+	/** The highest token for which this host knows that the authority refuses all older ones; 0 if it knows none. */
+	get settledToken(): number {
+		return this.#settledToken;
+	}
+
+	/** Withholds all commits, since orders may be outstanding that this process doesn't know. */
+	beginRecovery(): void {
+		this.#recovery = 'begun';
+	}
+
+	/** Records that the orders of before the start can't be learned, so that one for the present leader has to end them. */
+	requireOrder(): void {
+		this.#recovery = this.#recovery === 'begun' ? 'needs order' : this.#recovery;
+	}
+
+	/** Ends the recovery: of the orders under claims up to `token`, only the given ones may still be carried out. */
+	endRecovery(token: number, outstanding: readonly Outstanding[] = []): void {
+		for (const {token: ordered, rule} of outstanding.toSorted((one, other) => one.token - other.token)) {
+			this.apply(ordered, rule);
+		}
+
+		this.#claim = this.#claim && this.#claim.token <= token ? undefined : this.#claim;
+		this.#recovery = 'ended';
+		this.#changed.notify();
+	}
+
 	/** Applies a rule under a claim. Of an older token than the last one announced, only an order that is not settled counts. */
 	apply(token: number, rule: Rule): void {
 		const since = this.#options.clock.now();
@@ -189,7 +236,7 @@
 			return 'discarded';
 		}
 
-		return verdicts.has('withheld') || this.#isClaimed(receivedAt) || this.#options.isIsolated() ? 'withheld' : 'confirmed';
+		return verdicts.has('withheld') || this.isRecovering || this.#isClaimed(receivedAt) || this.#options.isIsolated() ? 'withheld' : 'confirmed';
 	}
 
 	#judgeSuspended({server, logEnd: {term}}: Acknowledgement, {rule, since}: Suspension): Verdict {
--- a/src/entry/customers/tests/link.test.ts
+++ b/src/entry/customers/tests/link.test.ts
@@ -41,7 +41,9 @@
 			executor: new local.Local(context, () => undefined),
 			context,
 			caches: states.caches(time, log),
-			reporter: new reporters.Reporter({clock: time, decisions: log, findGroup: () => undefined}),
+			reporter: new reporters.Reporter({
+				clock: time, decisions: log, hasSeenClaim: () => false, findGroup: () => undefined,
+			}),
 			quotas: served,
 		});
 		void accepting.run();
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -40,6 +40,7 @@
 import type * as notices from './notice.js';
 import * as caches from './cache.js';
 import * as recorders from './recorder.js';
+import * as recoveries from './recovery/recovery.js';
 import * as reporters from './reporter.js';
 import * as responders from './responder.js';
 import * as retentions from './retention.js';
@@ -117,6 +118,7 @@
 	readonly #local: local.Local;
 	readonly #claims: claims.Claims;
 	readonly #recorder: recorders.Recorder;
+	readonly #recoveries: recoveries.Recovery[] = [];
 	readonly #tasks: tasks.Tasks;
 	readonly #listener: Listener;
 	readonly #sessionOptions: sessions.Options;
@@ -145,6 +147,7 @@
 			onClaim: (service, token) => {
 				this.#groups.get(service)?.confirmations.recordClaim(token);
 			},
+			revision: () => this.#caches.claims.isRead ? this.#caches.claims.revision : undefined,
 		});
 		this.#recorder = new recorders.Recorder({
 			store: options.store, clock: time, random: options.random, decisions: log, revision: () => this.#caches.servers.revision ?? 0,
@@ -162,7 +165,9 @@
 			customers: () => this.#deployment.customers,
 		});
 		this.#hosts = new hosts.LinkedHosts({clock: time, colleagues: service => this.#canOpenLinks ? this.#fleet.colleagues(service) : []});
-		this.#reporter = new reporters.Reporter({clock: time, decisions: log, findGroup: service => this.#groups.get(service)});
+		this.#reporter = new reporters.Reporter({
+			clock: time, decisions: log, hasSeenClaim: (service, token) => this.#claims.hasSeen(service, token), findGroup: service => this.#groups.get(service),
+		});
 		this.#local = new local.Local(this.#context, service => this.#groups.get(service));
 		const activity = new activities.Activity(() => this.#deployment.customers);
 		log.observeCustomers(activity);
@@ -214,6 +219,9 @@
 				this.#claims.update(name, item);
 			}),
 		};
+		this.#caches.claims.listen(() => {
+			this.#claims.recordRead();
+		});
 		this.#caches.hosts.listen(({from, items, gone}) => {
 			// Once for a whole update: a list may have hundreds of hosts, and the quotas of hundreds of services follow from it.
 			if (from === undefined || items.length > 0 || gone.length > 0) {
@@ -317,7 +325,8 @@
 
 	/**
 	Accepts links from other hosts and allows this host to open links. If every host has its own connections to the
-	servers, this is delayed, since loading the modules for links takes processor time that new callers need.
+	servers, this is delayed, since loading the modules for links takes processor time that new callers need, unless other
+	hosts have to be asked for outstanding orders.
 	*/
 	async #openLinks(): Promise<void> {
 		const {clock: time, transport, decisions: log, settings: {listen}} = this.#options;
@@ -327,8 +336,9 @@
 			await time.sleep(discoveryPollMs, signal);
 		}
 
-		if (this.isReady && [...this.#groups.keys()].every(service => this.#fleet.isDirect(service))) {
-			await time.sleep(linkDelayMs, signal);
+		const delayedUntil = time.now() + (this.isReady && [...this.#groups.keys()].every(service => this.#fleet.isDirect(service)) ? linkDelayMs : 0);
+		while (!signal.aborted && time.now() < delayedUntil && !this.#recoveries.some(({needsHosts}) => needsHosts)) {
+			await time.sleep(discoveryPollMs, signal);
 		}
 
 		while (!signal.aborted && !this.#canOpenLinks) {
@@ -442,11 +452,16 @@
 		}
 
 		const {signal} = this.#stopped;
+		const recovery = new recoveries.Recovery({
+			group: added, claims: this.#claims, hosts: this.#hosts, clock: time, decisions: log,
+		});
+		this.#recoveries.push(recovery);
 		const groupFailover = new failover.Failover({
 			group: added, host: host.name, clock: time, random: source, authority: promotionAuthority, claims: this.#claims, hosts: this.#hosts, decisions: log,
 		});
 		this.#tasks.keep(`group ${name}`, signal, async () => added.run(signal));
 		this.#tasks.keep(`in-sync set of ${name}`, signal, async () => this.#recorder.run(added, signal));
+		this.#tasks.keep(`recovery of ${name}`, signal, async () => recovery.run(signal));
 		this.#tasks.keep(`failover of ${name}`, signal, async () => groupFailover.run(signal));
 	}
 
--- a/src/entry/failover.ts
+++ b/src/entry/failover.ts
@@ -114,18 +114,25 @@
 				await this.#resumePaused();
 			}
 
+			await this.#releaseClaim();
+
 			await this.#options.clock.sleep(this.#options.group.isActive ? tickMs : idleTickMs, signal);
 		}
 	}
 
 	/** Why the leader has to be replaced now; `undefined` if it doesn't, or if this host can't decide. */
 	reason(): Reason | undefined {
-		const {leader, leaderlessSince, members, lastAddedAt, confirmations} = this.#options.group;
+		const {leader, leaderlessSince, members, lastAddedAt, confirmations, isActive, isInSyncLoaded} = this.#options.group;
 		const now = this.#options.clock.now();
-		if (!this.#options.group.isActive || !this.#options.group.isInSyncLoaded || now - lastAddedAt < membershipSettleMs) {
+		if (!isActive) {
 			return undefined;
 		}
 
+		if (!isInSyncLoaded || now - lastAddedAt < membershipSettleMs) {
+			// An order for the present leader needs no list of the servers, and a host that starts withholds commits until it is sent.
+			return confirmations.isRecovering && leader?.isReady && leader.failingSince === undefined && confirmations.isUnsettled ? 'unsettled' : undefined;
+		}
+
 		const responding = members.filter(server => server !== leader && now - server.lastResponseAt < maxResponseAgeMs);
 		if (responding.length === 0) {
 			return undefined;
@@ -376,6 +383,14 @@
 		return outcome;
 	}
 
+	/** Releases this host's claim once no order in the service may still be carried out, so that hosts which start need not wait. */
+	async #releaseClaim(): Promise<void> {
+		const {group: {name, confirmations}, claims: promotionClaims} = this.#options;
+		if (promotionClaims.isReleasable(name) && confirmations.allOutstanding?.length === 0) {
+			await promotionClaims.release(name);
+		}
+	}
+
 	/** Resumes replication on replicas that are behind because another host paused them and did not finish the promotion. */
 	async #resumePaused(): Promise<void> {
 		const {group: {name, members, leader}, clock: time, claims: promotionClaims} = this.#options;
--- a/src/entry/hosts.ts
+++ b/src/entry/hosts.ts
@@ -147,3 +147,28 @@
 		}
 	}
 }
+
+/**
+Returns an outstanding order as the fields of a message.
+
+@example
+```
+const entry = hosts.encodeOutstanding({token: 7, rule: {kind: 'ordered', server: 'b', term: 3, fate: 'kept'}}); //=> {token: 7, order: 'keep', server: 'b', term: 3}
+```
+*/
+export function encodeOutstanding({token, rule}: confirmation.Outstanding): types.OutstandingOrder {
+	return {token, ...encodeRule(rule)};
+}
+
+/**
+Returns the outstanding order that a message names; nothing if the message names another rule.
+
+@example
+```
+const [order] = hosts.decodeOutstanding({token: 7, order: 'keep', server: 'b', term: 3});
+```
+*/
+export function decodeOutstanding({token, ...fields}: types.OutstandingOrder): confirmation.Outstanding[] {
+	const rule = decodeRule(fields);
+	return rule.kind === 'ordered' ? [{token, rule}] : [];
+}
--- a/src/entry/reporter.ts
+++ b/src/entry/reporter.ts
@@ -13,6 +13,8 @@
 export type Options = {
 	readonly clock: clock.Clock;
 	readonly decisions: decisions.Decisions;
+	/** Whether this host has seen the claim in a service that has a token, or a later one. */
+	readonly hasSeenClaim: (service: string, token: number) => boolean;
 	readonly findGroup: (service: string) => groups.Group | undefined;
 };
 
@@ -44,16 +46,19 @@
 			order, server, term, token,
 		}, group, leader);
 		const {confirmations, acknowledged} = group;
+		const isRecovery = order === 'report' && token > 0;
+		const outstanding = isRecovery && this.#options.hasSeenClaim(service, token) ? confirmations.allOutstanding : undefined;
 		const agoMs = this.#options.clock.now() - confirmations.acknowledgedAt;
 		return {
 			kind: 'leader-report',
 			id,
-			view: order === 'report' ? await this.#view(group, leader) : 'unknown',
+			view: order === 'report' && !isRecovery ? await this.#view(group, leader) : 'unknown',
 			leader: group.leader?.id ?? '',
 			status,
 			acknowledged,
 			acknowledgedAgoMs: Number.isFinite(agoMs) ? agoMs : null,
 			withheld: confirmations.withheld,
+			...(outstanding && {outstanding: outstanding.map(entry => hosts.encodeOutstanding(entry))}),
 		};
 	}
 
--- a/src/entry/tests/claims.test.ts
+++ b/src/entry/tests/claims.test.ts
@@ -170,3 +170,57 @@
 	const outcome = await one.claim('ledgers');
 	assert.ok(Either.isLeft(outcome), JSON.stringify(outcome));
 });
+
+// Guards against an order for another server under the token of an order that the process before it has sent.
+test.test('a host that restarts while the store is unavailable doesn\'t keep the claim of its process of before', async () => {
+	const store = new fakes.Objects();
+	assert.ok(Either.isRight(await make(store, 'entry-1', 1).claim('ledgers')));
+	const restarted = make(store, 'entry-1', 2);
+	const found = await store.read('claims', 'ledgers');
+	assert.ok(Either.isRight(found));
+	restarted.update('ledgers', found.right);
+	store.state = 'down';
+	assert.ok(Either.isLeft(await restarted.claim('ledgers')));
+});
+
+/** Reads the claim of the service as another process would. */
+async function readStanding(store: fakes.Objects): Promise<claims.Standing['kind']> {
+	const reader = new claims.Claims({
+		host: 'entry-9', store, clock: new clock.Manual(), random: new random.Seeded(9), decisions: new decisions.Silent(), revision: () => store.revision,
+	});
+	const found = await store.read('claims', 'ledgers');
+	assert.ok(Either.isRight(found));
+	reader.update('ledgers', found.right);
+	const {kind} = reader.standing('ledgers');
+	return kind;
+}
+
+// Guards against a start that trusts a claim which is not released, or was released before the store was restored.
+test.test('the orders of before are closed without a claim or by its release, in a store that was not restored since', async () => {
+	const store = new fakes.Objects();
+	assert.equal(await readStanding(store), 'closed');
+	const time = new clock.Manual();
+	const holder = new claims.Claims({
+		host: 'entry-1', store, clock: time, random: new random.Seeded(1), decisions: new decisions.Silent(),
+	});
+	await holder.claim('ledgers');
+	assert.equal(await readStanding(store), 'open');
+	assert.ok(!holder.isReleasable('ledgers'));
+	await time.advance(5000);
+	assert.ok(holder.isReleasable('ledgers'));
+	await holder.release('ledgers');
+	assert.equal(await readStanding(store), 'closed');
+	store.copy();
+	store.restore();
+	assert.equal(await readStanding(store), 'open');
+});
+
+// Guards against an order under a claim whose release is on its way, so that a start would take it for closed.
+test.test('a released claim is not kept while the store is unavailable', async () => {
+	const store = new fakes.Objects();
+	const one = make(store, 'entry-1', 1);
+	await one.claim('ledgers');
+	store.state = 'down';
+	await one.release('ledgers');
+	assert.ok(Either.isLeft(await one.claim('ledgers')));
+});
--- a/src/entry/tests/fake-cluster.ts
+++ b/src/entry/tests/fake-cluster.ts
@@ -618,6 +618,10 @@
 	#revision = 10;
 	#copy: {readonly items: ReadonlyMap<string, objects.Item<objects.Kind>>; readonly revision: number} = {items: new Map(), revision: 10};
 
+	get revision(): number {
+		return this.#revision;
+	}
+
 	/** Writes an object unconditionally. */
 	put<K extends objects.Kind>(kind: K, name: string, value: objects.Values[K] | undefined, fault = ''): objects.Item<K> {
 		this.#revision++;
--- a/src/entry/tests/fake-fleet.ts
+++ b/src/entry/tests/fake-fleet.ts
@@ -16,6 +16,7 @@
 import * as groups from '../group.js';
 import * as hosts from '../hosts.js';
 import * as recorders from '../recorder.js';
+import * as recoveries from '../recovery/recovery.js';
 import * as reporters from '../reporter.js';
 import * as states from '../state.js';
 import type * as statement from '../statement.js';
@@ -198,6 +199,7 @@
 export class HostClock extends clock.Clock {
 	readonly #time: clock.Clock;
 	#stoppedUntil = 0;
+	#hasEnded = false;
 
 	constructor(time: clock.Clock) {
 		super();
@@ -223,9 +225,21 @@
 		this.#stoppedUntil = this.#time.now() + ms;
 	}
 
+	/** Ends the process. */
+	end(): void {
+		this.#hasEnded = true;
+	}
+
 	async awaitRunning(): Promise<void> {
+		if (this.#hasEnded) {
+			await new Promise(() => {
+				// An ended process never goes on.
+			});
+		}
+
 		while (this.#time.now() < this.#stoppedUntil) {
 			await this.#time.sleep(this.#stoppedUntil - this.#time.now());
+			await this.awaitRunning();
 		}
 	}
 }
@@ -247,6 +261,9 @@
 	readonly claims: claims.Claims;
 	readonly failover: failover.Failover;
 	readonly reporter: reporters.Reporter;
+	readonly recovery: recoveries.Recovery;
+	/** Revision of the store at the last read of the claims. */
+	#readRevision: number | undefined;
 	readonly #fleet: Fleet;
 	readonly #writer: writes.Writer;
 	readonly #recorder: recorders.Recorder;
@@ -277,6 +294,7 @@
 			onClaim: (_service, token) => {
 				this.group.confirmations.recordClaim(token);
 			},
+			revision: () => this.#readRevision,
 		});
 		const claim = this.claims.claim.bind(this.claims);
 		this.claims.claim = async claimed => {
@@ -284,7 +302,13 @@
 			return this.isStoreCut ? errors.fail('store', 'store', service, 'no response') : claim(claimed);
 		};
 
-		this.reporter = new reporters.Reporter({clock: time, decisions: this.#decisions, findGroup: () => this.group});
+		this.reporter = new reporters.Reporter({
+			clock: time, decisions: this.#decisions, hasSeenClaim: (claimed, token) => this.claims.hasSeen(claimed, token), findGroup: () => this.group,
+		});
+		const others = new FleetHosts(fleet, () => this);
+		this.recovery = new recoveries.Recovery({
+			group: this.group, claims: this.claims, hosts: others, clock: time, decisions: this.#decisions,
+		});
 		this.failover = new failover.Failover({
 			group: this.group,
 			host: name,
@@ -292,7 +316,7 @@
 			random: new random.Seeded(seed + 100),
 			authority: fleet.authority,
 			claims: this.claims,
-			hosts: new FleetHosts(fleet, () => this),
+			hosts: others,
 			decisions: this.#decisions,
 		});
 		this.#recorder = new recorders.Recorder({
@@ -310,6 +334,11 @@
 		return path;
 	}
 
+	/** Ends the process: it does nothing any more. */
+	kill(): void {
+		this.clock.end();
+	}
+
 	/** Waits while the process is stopped. */
 	async awaitRunning(): Promise<void> {
 		await this.clock.awaitRunning();
@@ -328,6 +357,7 @@
 		}
 
 		void this.group.run(signal);
+		void this.recovery.run(signal);
 		void this.failover.run(signal);
 		void this.#followStore(signal);
 	}
@@ -373,10 +403,13 @@
 		const {store} = this.#fleet;
 		while (!signal.aborted) {
 			this.group.touch();
+			const {revision} = store;
 			const found = await store.read('claims', service);
 			await this.clock.sleep(storeDelayMs, signal);
-			if (!this.isStoreCut && Either.isRight(found) && found.right) {
+			if (!this.isStoreCut && Either.isRight(found)) {
+				this.#readRevision = revision;
 				this.claims.update(service, found.right);
+				this.claims.recordRead();
 			}
 
 			if (!this.isStoreCut && this.#fleet.followsServers) {
@@ -392,7 +425,7 @@
 	readonly cluster = new cluster.Cluster(this.time);
 	readonly store = new cluster.Objects();
 	readonly authority = new cluster.Authority(this.cluster);
-	readonly hosts: readonly Host[];
+	hosts: readonly Host[];
 	/** Whether hosts follow the list of servers and the in-sync set in the store; otherwise a test tells them what they see. */
 	followsServers = false;
 	/** Time in which a caller waits for the reply to a write. */
@@ -407,6 +440,7 @@
 	readonly actions = new Map<Step, (host: Host) => void>();
 	readonly #stopped = new AbortController();
 	#lastId = 0;
+	#restarts = 0;
 	#leaderlessSince: number | undefined;
 	#maxLeaderlessMs = 0;
 
@@ -449,6 +483,20 @@
 		await this.time.advance(settleMs);
 	}
 
+	/** Ends the process of a host, and returns the one that takes its place, which doesn't run yet. */
+	replaceHost(host: Host, name = host.name): Host {
+		this.#restarts++;
+		const started = new Host(this, name, 1000 + (10 * this.#restarts));
+		host.kill();
+		this.hosts = this.hosts.map(other => other === host ? started : other);
+		return started;
+	}
+
+	/** Starts the process of a host. */
+	startHost(host: Host): void {
+		host.run(this.#stopped.signal);
+	}
+
 	async stop(): Promise<void> {
 		this.#stopped.abort();
 		await this.time.advance(this.writeTimeoutMs);
--- a/src/entry/tests/fencing.test.ts
+++ b/src/entry/tests/fencing.test.ts
@@ -437,6 +437,54 @@
 	}
 }
 
+/** The process of a host ends, and another one starts in its place at once. */
+class Restart extends Event {
+	readonly #host: number;
+
+	constructor(waitMs: number, host: number) {
+		super(waitMs);
+		this.#host = host;
+	}
+
+	protected override describe(): string {
+		return `host ${this.#host} restarts`;
+	}
+
+	protected override happen(_model: Model, fleet: fleets.Fleet): void {
+		fleet.startHost(fleet.replaceHost(fleet.hosts[this.#host]));
+	}
+}
+
+/** The next order gets no answer and is carried out late, unless a newer one was seen by then. */
+class Delay extends Event {
+	readonly #delayMs: number;
+
+	constructor(waitMs: number, delayMs: number) {
+		super(waitMs);
+		this.#delayMs = delayMs;
+	}
+
+	protected override describe(): string {
+		return `the next order is carried out ${this.#delayMs} ms late`;
+	}
+
+	protected override happen(_model: Model, fleet: fleets.Fleet): void {
+		fleet.authority.fates.push({kind: 'late', delayMs: this.#delayMs});
+	}
+}
+
+/** The store is restored from the copy that the last such event made. */
+class Restoration extends Event {
+	protected override describe(): string {
+		return 'the store is restored from a copy of earlier';
+	}
+
+	protected override happen(_model: Model, fleet: fleets.Fleet): void {
+		fleet.store.restore();
+		fleet.store.copy();
+	}
+}
+
 const wait = fc.integer({min: 0, max: 20}).map(count => count * 50);
 const events = [
 	fc.constant(undefined).map(() => new Darkness()),
@@ -445,6 +493,9 @@
 	wait.map(waitMs => new Deafness(waitMs)),
 	fc.tuple(wait, fc.integer({min: 0, max: 2}), fc.constantFrom<HostFault>('path', 'limit', 'links', 'store', 'answers')).map(([waitMs, host, fault]) => new HostTrouble(waitMs, host, fault)),
 	fc.tuple(wait, fc.constantFrom<'silence' | 'departure'>('silence', 'departure')).map(([waitMs, kind]) => new PrimaryTrouble(waitMs, kind)),
+	fc.tuple(wait, fc.integer({min: 0, max: 2})).map(([waitMs, host]) => new Restart(waitMs, host)),
+	fc.tuple(wait, fc.constantFrom(1500, 3000, 6000)).map(([waitMs, delayMs]) => new Delay(waitMs, delayMs)),
+	wait.map(waitMs => new Restoration(waitMs)),
 ];
 /** FENCING_SEED and FENCING_RUNS play other and more random runs by hand. */
 const seed = Number(process.env.FENCING_SEED ?? 29);
--- a/src/entry/tests/forwarder.test.ts
+++ b/src/entry/tests/forwarder.test.ts
@@ -20,7 +20,10 @@
 	readonly fixture = new fixture.Fixture();
 	readonly network = new network.Network(this.fixture.time);
 	readonly local = new local.Local(this.fixture.context, () => this.fixture.group);
-	readonly reporter = new reporters.Reporter({clock: this.fixture.time, decisions: this.fixture.decisions, findGroup: () => this.fixture.group});
+	readonly reporter = new reporters.Reporter({
+		clock: this.fixture.time, decisions: this.fixture.decisions, hasSeenClaim: () => false, findGroup: () => this.fixture.group,
+	});
+
 	readonly responders = new Map<string, responder.Responder>();
 	readonly fleet = new fleet.Fleet({
 		self: {name: 'near', ...this.announcement('near', 0.3)},
--- a/src/entry/tests/promotions.test.ts
+++ b/src/entry/tests/promotions.test.ts
@@ -1,6 +1,7 @@
 /**
 Model check of promotions that follow each other: several claimants, orders that the platform carries out late, servers that
-restart, lose their log, are replaced, roll back and answer as busy, and hosts that stop or are cut off.
+restart, lose their log, are replaced, roll back and answer as busy, hosts that stop, restart or are cut off, and a store that
+is restored from a copy.
 */
 import * as assert from 'node:assert/strict';
 import process from 'node:process';
@@ -259,7 +260,7 @@
 }
 
 /** What happens to one host. */
-type HostFault = 'stop' | 'path to the primary' | 'path to the first replica' | 'path to the second replica' | 'links' | 'store' | 'answers';
+type HostFault = 'stop' | 'restart' | 'path to the primary' | 'path to the first replica' | 'path to the second replica' | 'links' | 'store' | 'answers';
 
 class HostTrouble extends Event {
 	readonly #host: number | undefined;
@@ -289,6 +290,10 @@
 				return;
 			}
 
+			case 'restart': {
+				return restart(fleet, host, this.#forMs);
+			}
+
 			case 'path to the primary':
 			case 'path to the first replica':
 			case 'path to the second replica': {
@@ -318,6 +323,118 @@
 	}
 }
 
+/** Ends the process of a host, and starts another one in its place. */
+async function restart(fleet: fleets.Fleet, host: fleets.Host, afterMs: number): Promise<void> {
+	host.kill();
+	await fleet.time.sleep(afterMs);
+	if (fleet.hosts.includes(host)) {
+		fleet.journal.push(`${Math.round(fleet.time.now())} ${host.name} starts`);
+		fleet.startHost(fleet.replaceHost(host));
+	}
+}
+
+/** The store returns to a copy of before. */
+class Restoration extends Event {
+	readonly #afterMs: number;
+
+	constructor(at: Schedule, afterMs: number) {
+		super(at);
+		this.#afterMs = afterMs;
+	}
+
+	protected override describe(): string {
+		return `the store is restored from a copy of ${this.#afterMs} ms before`;
+	}
+
+	protected override happen(fleet: fleets.Fleet): void {
+		void this.#play(fleet);
+	}
+
+	async #play({store, time, journal}: fleets.Fleet): Promise<void> {
+		store.copy();
+		await time.sleep(this.#afterMs);
+		store.restore();
+		journal.push(`${Math.round(time.now())} the store is restored`);
+	}
+}
+
+/** Which hosts restart. */
+type Restarted = 'claimant' | 'other' | 'all';
+
+type Restart = {
+	readonly restarted: Restarted;
+	/** Time from the order to the end of the processes, to the return of the primary, and to a restart of the paused replica. */
+	readonly endAfterMs: number;
+	readonly returnAfterMs: number;
+	readonly replicaAfterMs: number;
+	readonly startAfterMs: number;
+	readonly orderDelayMs: number;
+	readonly losesClaim: boolean;
+};
+
+/**
+An order is carried out late and hosts restart meanwhile. The primary answers no host until then, and acknowledges commits
+through a replica that has restarted without its pause, or restarts; the target of the order lags.
+*/
+class LateOrder extends Event {
+	readonly #restart: Restart;
+
+	constructor(at: Schedule, restarts: Restart) {
+		super(at);
+		this.#restart = restarts;
+	}
+
+	protected override describe(): string {
+		return `a late order beside restarts ${JSON.stringify(this.#restart)}`;
+	}
+
+	protected override happen(fleet: fleets.Fleet): void {
+		const {endAfterMs, returnAfterMs, orderDelayMs, losesClaim} = this.#restart;
+		const primary = find(fleet, 'primary');
+		fleet.authority.fates.push({kind: 'late', delayMs: orderDelayMs});
+		if (losesClaim) {
+			fleet.store.copy();
+		}
+
+		fleet.actions.set('order', claimant => {
+			void this.#restartHosts(fleet, claimant);
+			void this.#restartReplica(fleet, primary);
+		});
+		for (const host of fleet.hosts) {
+			void cutPath(fleet, host, primary, silenceMs + endAfterMs + returnAfterMs);
+		}
+	}
+
+	async #restartHosts(fleet: fleets.Fleet, claimant: fleets.Host): Promise<void> {
+		const {restarted, endAfterMs, startAfterMs, losesClaim} = this.#restart;
+		await fleet.time.sleep(endAfterMs);
+		if (losesClaim) {
+			fleet.store.restore();
+		}
+
+		const others = fleet.hosts.filter(host => host !== claimant);
+		const ended = {claimant: [claimant], other: others.slice(0, 1), all: fleet.hosts}[restarted];
+		fleet.journal.push(`${Math.round(fleet.time.now())} restart of ${ended.map(({name}) => name).join(', ')}`);
+		for (const host of ended) {
+			void restart(fleet, host, startAfterMs);
+		}
+	}
+
+	async #restartReplica(fleet: fleets.Fleet, primary: cluster.Server): Promise<void> {
+		const {replicaAfterMs, orderDelayMs} = this.#restart;
+		const {server} = fleet.authority.requests.at(-1)!;
+		const target = fleet.cluster.servers.find(({name}) => name === server);
+		const paused = fleet.cluster.servers.find(other => other !== target && other !== primary);
+		if (target && paused) {
+			target.isReplicationCut = true;
+			await fleet.time.sleep(replicaAfterMs);
+			paused.heldTerm = 0;
+			await fleet.time.sleep(orderDelayMs);
+			target.isReplicationCut = false;
+		}
+	}
+}
+
 const schedule = fc.record<Schedule>({
 	waitMs: fc.oneof(fc.integer({min: 0, max: 10}), fc.integer({min: 10, max: 80})).map(count => count * writeIntervalMs),
 	step: fc.option(fc.constantFrom(...steps), {nil: undefined}),
@@ -329,16 +446,29 @@
 const maxFaultMs = 8000;
 /** Difference between the times at which the first host and the others reach a server again. */
 const maxSkewMs = 1000;
+/** Time for which the primary answers no host until a promotion is ordered. */
+const silenceMs = 1200;
 const durations = fc.constantFrom(300, 700, 1500, 3000, 5000, maxFaultMs);
 const causes = fc.constantFrom<Cause>('leaves', 'answers no host', 'is silent', 'is down');
 const hosts = fc.option(fc.integer({min: 0, max: 2}), {nil: undefined});
-const hostFaults = fc.constantFrom<HostFault>('stop', 'path to the primary', 'path to the primary', 'path to the first replica', 'path to the second replica', 'links', 'store', 'answers');
+const hostFaults = fc.constantFrom<HostFault>('stop', 'restart', 'restart', 'path to the primary', 'path to the primary', 'path to the first replica', 'path to the second replica', 'links', 'store', 'answers');
 const serverFaults = fc.constantFrom<ServerFault>('restart', 'loss of its log', 'replacement', 'replacement', 'saturation', 'silence', 'silence', 'lag', 'lag', 'lag', 'late replies');
+const restarts = fc.record<Restart>({
+	restarted: fc.constantFrom<Restarted>('claimant', 'other', 'all'),
+	endAfterMs: fc.constantFrom(0, 20, 300),
+	startAfterMs: fc.constantFrom(100, 300, 900),
+	returnAfterMs: fc.constantFrom(100, 500, 1200),
+	replicaAfterMs: fc.constantFrom(50, 400, 900),
+	orderDelayMs: fc.constantFrom(1500, 2500, 3500, 6000),
+	losesClaim: fc.boolean(),
+});
 const event: fc.Arbitrary<Event> = fc.oneof(
 	fc.tuple(schedule, causes, durations).map(([{waitMs}, cause, forMs]) => new Failover({waitMs, step: undefined}, cause, forMs)),
 	fc.tuple(schedule, fc.array(fates, {minLength: 1, maxLength: 4})).map(([at, list]) => new Orders(at, list)),
 	fc.tuple(schedule, targets, serverFaults, durations).map(([at, target, fault, forMs]) => new ServerTrouble(at, target, fault, forMs)),
 	fc.tuple(schedule, hosts, hostFaults, durations).map(([at, host, fault, forMs]) => new HostTrouble(at, host, fault, forMs)),
+	fc.tuple(schedule, durations).map(([at, afterMs]) => new Restoration(at, afterMs)),
+	fc.tuple(schedule, restarts).map(([{waitMs}, list]) => new LateOrder({waitMs, step: undefined}, list)),
 );
 const events = fc.array(event, {minLength: 6, maxLength: 16, size: 'max'});
 
--- a/src/entry/tests/synchronizer.test.ts
+++ b/src/entry/tests/synchronizer.test.ts
@@ -57,7 +57,7 @@
 		const context = {clock: time, place: 'west-a', decisions: record};
 		region.network.listen(addressOf(name), accepted => {
 			const created = new responder.Responder(accepted, {
-				executor: new local.Local(context, () => undefined), context, caches: this.caches, reporter: new reporters.Reporter({...context, findGroup: () => undefined}),
+				executor: new local.Local(context, () => undefined), context, caches: this.caches, reporter: new reporters.Reporter({...context, hasSeenClaim: () => false, findGroup: () => undefined}),
 			});
 			this.#responders.add(created);
 			void created.run();
