Keep every claim without news until its process says more or releases it

What callers could see: a host that no announcement reaches confirms commits that a later server lacks.

Cause: only the last claim without news was kept, and finding a leader of a later term, or the first one after a start, ended it. That leader may lead by an order under an earlier claim, and the order of the last one, or of one that a newer claim replaced, may still be carried out.

Change: a host keeps all claims without news; announcements end the one that they name, settled orders and the release in the store end all earlier ones. Holders release after 3 s, before hosts without news order anything (4 s); others still don't claim within 4 s of a claim. The end of a recovery by time doesn't cover claims that were made during it.

--- a/src/entry/claims.ts
+++ b/src/entry/claims.ts
@@ -24,6 +24,8 @@
 	readonly decisions: decisions.Decisions;
 	/** Called with each new claim of another process in a service, and its fencing token. */
 	readonly onClaim?: (service: string, token: number) => void;
+	/** Called when the last claim in a service, which has `token` now, is released. */
+	readonly onRelease?: (service: string, token: number) => void;
 	/** Revision of the store up to which this process knows the claims; `undefined` before it has read them from the store. */
 	readonly revision?: () => number | undefined;
 };
@@ -32,16 +34,14 @@
 export type Claim = {readonly service: string; readonly token: number; readonly how: string};
 
 /**
-What the store says of the orders in a service that were sent before this process read it:
+What is known of the orders in a service that were sent before this process read the claims. `token` is that of the last
+claim, 0 if the store has none.
 
-- `unread`: this process has not read the claims yet.
-- `closed`: none under a claim up to `token` can be carried out any more, and there is no later claim.
-- `open`: one may be, under a claim up to `token`: the last claim is not released, or the store was restored from a copy that
-  may lack it.
+- `unread`: this process has not read the claims from the store.
+- `closed`: none can be carried out any more.
+- `open`: one may be. The last claim is not released, or the store was restored from a copy that may lack it.
 */
-export type Standing =
-	| {readonly kind: 'unread'}
-	| {readonly kind: 'closed' | 'open'; readonly token: number};
+export type Standing = {readonly kind: 'unread' | 'closed' | 'open'; readonly token: number};
 
 /** Token for a question about the claims of a service that doesn't name one. */
 export const unspecifiedToken = revisions.combine({generation: 1, counter: 0});
@@ -62,8 +62,8 @@
 const claimDurationMs = 4000;
 /** Number of recent claims that are recognized when a restored store lists one of them again. */
 const maxNonces = 16;
-/** Time from a claim to its release: other hosts must not claim earlier than after `claimDurationMs`. */
-const releaseDelayMs = 5000;
+/** Time from a claim to its release: longer than most attempts, and shorter than hosts wait for news of a claim. */
+const releaseDelayMs = 3000;
 
 /** Makes claims for this host and tracks those of other hosts. */
 export class Claims {
@@ -89,23 +89,29 @@
 		}
 	}
 
-	/** What the store says of the orders in a service that were sent before this process started. */
-	standing(service: string): Standing {
+	/**
+	What is known of the orders of before, if the authority refuses all orders with tokens below `settledToken`.
+
+	@example
+	```
+	const isKnown = claims.standing('ledgers', group.confirmations.settledToken).kind === 'closed';
+	```
+	*/
+	standing(service: string, settledToken: number): Standing {
 		const read = this.#options.revision?.();
+		const entry = this.#entries.get(service);
+		const token = entry?.revision ?? 0;
 		if (read === undefined) {
-			return {kind: 'unread'};
+			return {kind: 'unread', token};
 		}
 
-		const entry = this.#entries.get(service);
 		const {generation} = revisions.split(read);
-		if (entry?.revision === undefined) {
+		if (token === 0) {
 			// A store that was never restored has lost no claim.
-			return {kind: generation === 0 ? 'closed' : 'open', token: revisions.combine({generation, counter: 0})};
+			return {kind: generation === 0 || settledToken >= revisions.combine({generation, counter: 0}) ? 'closed' : 'open', token};
 		}
 
-		const {revision, value, isReleased} = entry;
-		const isClosed = isReleased && value !== undefined && generationOf(value.nonce) === revisions.split(revision).generation;
-		return {kind: isClosed ? 'closed' : 'open', token: revision};
+		return {kind: isClosed(entry) || settledToken >= token ? 'closed' : 'open', token};
 	}
 
 	/** Whether this host has seen the claim that has `token`, or a later one. No claim has a token whose counter is 0. */
@@ -132,20 +138,11 @@
 			return;
 		}
 
-		const isReleased = value?.holder === '';
 		if (entry && value && entry.nonces.includes(value.nonce)) {
 			// A restored store may list an earlier claim, whose release says nothing of the last one.
-			this.#entries.set(service, {...entry, revision, isReleased: isReleased && value.nonce === entry.value?.nonce});
-			return;
-		}
-
-		const isMade = value !== undefined && value.nonce === this.#made.get(service);
-		const nonces = [...entry?.nonces ?? [], ...(value ? [value.nonce] : [])].slice(-maxNonces);
-		this.#entries.set(service, {
-			revision, value, receivedAt: this.#options.clock.now(), nonces, isMade, isHeld: isMade, isReleased,
-		});
-		if (value && !isMade && !isReleased) {
-			this.#options.onClaim?.(service, revision);
+			this.#set(service, {...entry, revision, isReleased: isReleased(value) && value.nonce === entry.value?.nonce});
+		} else {
+			this.#add(service, item, entry);
 		}
 	}
 
@@ -157,7 +154,7 @@
 	/** Whether another process claimed the promotion recently enough that this one must not start one. */
 	isClaimedByOther(service: string): boolean {
 		const entry = this.#entries.get(service);
-		return entry?.value !== undefined && !entry.isReleased && !entry.isMade && this.#options.clock.now() - entry.receivedAt < claimDurationMs;
+		return entry?.value !== undefined && !entry.isMade && this.#options.clock.now() - entry.receivedAt < claimDurationMs;
 	}
 
 	/** Whether this process holds a claim that is old enough to be released. */
@@ -222,6 +219,32 @@
 			: outcome;
 	}
 
+	/** Notes a claim that this process has not seen before. */
+	#add(service: string, {revision, value}: objects.Item<'claims'>, earlier: Entry | undefined): void {
+		const isMade = value !== undefined && value.nonce === this.#made.get(service);
+		const wasReleased = isReleased(value);
+		this.#set(service, {
+			revision,
+			value,
+			// Nobody orders under a claim that is released when a process first sees it.
+			receivedAt: wasReleased && !earlier ? Number.NEGATIVE_INFINITY : this.#options.clock.now(),
+			nonces: [...earlier?.nonces ?? [], ...(value ? [value.nonce] : [])].slice(-maxNonces),
+			isMade,
+			isHeld: isMade,
+			isReleased: wasReleased,
+		});
+		if (value && !isMade && !wasReleased) {
+			this.#options.onClaim?.(service, revision);
+		}
+	}
+
+	#set(service: string, entry: Entry): void {
+		this.#entries.set(service, entry);
+		if (entry.revision !== undefined && isClosed(entry)) {
+			this.#options.onRelease?.(service, entry.revision);
+		}
+	}
+
 	/** Claims the promotion in a service whose earlier claim the store has lost. */
 	async #claimLost(service: string, value: types.PromotionClaim): Promise<errors.Outcome<Claim>> {
 		const outcome = await this.#write(service, value);
@@ -246,6 +269,15 @@
 	}
 }
 
+function isReleased(value: types.PromotionClaim | undefined): boolean {
+	return value?.holder === '';
+}
+
+/** Whether a claim was released, and the store was not restored since: a later claim may be lost otherwise. */
+function isClosed(entry: Entry | undefined): boolean {
+	return entry?.isReleased === true && entry.value !== undefined && entry.revision !== undefined && generationOf(entry.value.nonce) === revisions.split(entry.revision).generation;
+}
+
 /** Generation of the store in which a claim was made, by its nonce; 0 for hosts of builds that don't note it. */
 function generationOf(nonce: string): number {
 	const [generation, id] = nonce.split('.');
--- a/src/entry/confirmation.ts
+++ b/src/entry/confirmation.ts
@@ -65,7 +65,8 @@
 	readonly #changed = new notifier.Notifier();
 	/** The rules of several claims hold at once, since an order of an older one may still be carried out. */
 	#suspensions: readonly Suspension[] = [];
-	#claim: Claim | undefined;
+	/** The claims without news. Their orders may be outstanding together. */
+	#claims: readonly Claim[] = [];
 	/** The highest token for which the authority is known to refuse all older ones. */
 	#settledToken = 0;
 	/** The highest token of which a claimant has told this host whether commits have to be withheld. */
@@ -146,7 +147,7 @@
 			this.apply(ordered, rule);
 		}
 
-		this.#claim = this.#claim && this.#claim.token <= token ? undefined : this.#claim;
+		this.#claims = this.#claims.filter(claim => claim.token > token);
 		this.#recovery = 'ended';
 		this.#changed.notify();
 	}
@@ -182,19 +183,24 @@
 	}
 
 	/**
-	Records the claim of another host, which was read from the store. Commits are withheld until that host says more, or a
-	leader of a later term is found.
+	Records the claim of another process, which was read from the store. Commits are withheld until that process says more or
+	releases the claim. A leader of a later term doesn't end that, since it may lead by an order under an earlier claim.
 	*/
 	recordClaim(token: number): void {
-		if (token > this.#announcedToken && this.#leader.term > 0) {
+		if (token > this.#announcedToken) {
 			this.#suspensions = this.#orders;
-			this.#claim = {token, seenAt: this.#options.clock.now()};
+			this.#claims = [...this.#claims, {token, seenAt: this.#options.clock.now()}];
 		}
 	}
 
+	/** Records that the store has the last claim as released, so that no order under it or an earlier one can be carried out. */
+	recordRelease(token: number): void {
+		this.#claims = this.#claims.filter(claim => claim.token > token);
+		this.#changed.notify();
+	}
+
 	/** Records that a leader was found. What the leaders of earlier terms acknowledge is no longer confirmed. */
 	recordLeader(server: string, term: number): void {
-		this.#claim = term > this.#leader.term ? undefined : this.#claim;
 		this.#leader = {server, term: Math.max(this.#leader.term, term), foundAt: this.#options.clock.now()};
 		this.#changed.notify();
 	}
@@ -269,7 +275,7 @@
 
 	/** Whether a claim is without news at clock time `at`. An order may have been sent under it. */
 	#isClaimed(at: number): boolean {
-		return this.#claim !== undefined && at - this.#claim.seenAt < maxOrderMs;
+		return this.#claims.some(({seenAt}) => at - seenAt < maxOrderMs);
 	}
 
 	/** The rules that outlast a newer claim. */
@@ -291,11 +297,9 @@
 
 	#recordAnnouncement(token: number): void {
 		this.#announcedToken = Math.max(this.#announcedToken, token);
-		// An announcement under a newer claim says nothing of an order under this one.
-		if (this.#claim && (this.#claim.token === token || this.#claim.token <= this.#settledToken)) {
-			this.#claim = undefined;
-		}
-
+		// An announcement under a newer claim says nothing of an order under an older one.
+		const now = this.#options.clock.now();
+		this.#claims = this.#claims.filter(claim => claim.token !== token && claim.token > this.#settledToken && now - claim.seenAt < maxOrderMs);
 		this.#changed.notify();
 	}
 }
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -147,6 +147,9 @@
 			onClaim: (service, token) => {
 				this.#groups.get(service)?.confirmations.recordClaim(token);
 			},
+			onRelease: (service, token) => {
+				this.#groups.get(service)?.confirmations.recordRelease(token);
+			},
 			revision: () => this.#caches.claims.isRead ? this.#caches.claims.revision : undefined,
 		});
 		this.#recorder = new recorders.Recorder({
--- a/src/entry/failover.ts
+++ b/src/entry/failover.ts
@@ -101,6 +101,12 @@
 		this.#succession = new successions.Succession({...this.#options, orders: this.#orders, trace});
 	}
 
+	/** Whether this host holds a claim that it no longer needs, and no order in the service may still be carried out. */
+	get #mayReleaseClaim(): boolean {
+		const {group: {name, confirmations}, claims: promotionClaims} = this.#options;
+		return promotionClaims.isReleasable(name) && confirmations.allOutstanding?.length === 0;
+	}
+
 	/** Runs until `signal` aborts. */
 	async run(signal: AbortSignal): Promise<void> {
 		let checkedAt = this.#options.clock.now();
@@ -109,13 +115,13 @@
 			this.#prepareInquiry();
 			if (reason) {
 				await this.#failOver(reason, signal);
+			} else if (this.#mayReleaseClaim) {
+				await this.#options.claims.release(this.#options.group.name);
 			} else if (this.#options.group.isActive && this.#options.clock.now() - checkedAt > resumeIntervalMs) {
 				checkedAt = this.#options.clock.now();
 				await this.#resumePaused();
 			}
 
-			await this.#releaseClaim();
-
 			await this.#options.clock.sleep(this.#options.group.isActive ? tickMs : idleTickMs, signal);
 		}
 	}
@@ -383,14 +389,6 @@
 		return outcome;
 	}
 
-	/** Releases this host's claim once no order in the service may still be carried out, so that hosts which start need not wait. */
-	async #releaseClaim(): Promise<void> {
-		const {group: {name, confirmations}, claims: promotionClaims} = this.#options;
-		if (promotionClaims.isReleasable(name) && confirmations.allOutstanding?.length === 0) {
-			await promotionClaims.release(name);
-		}
-	}
-
 	/** Resumes replication on replicas that are behind because another host paused them and did not finish the promotion. */
 	async #resumePaused(): Promise<void> {
 		const {group: {name, members, leader}, clock: time, claims: promotionClaims} = this.#options;
--- a/src/entry/recovery/recovery.ts
+++ b/src/entry/recovery/recovery.ts
@@ -28,7 +28,7 @@
 };
 
 /** What ended a recovery. */
-type Source = 'store' | 'host' | 'authority' | 'time';
+type Source = 'claims' | 'host' | 'time';
 
 /** Time for the store to answer before the other hosts are asked: links are opened for that. */
 const storeTimeoutMs = 500;
@@ -46,8 +46,8 @@
 export class Recovery {
 	readonly #options: Options;
 	readonly #startedAt: number;
-	/** Clock time at which the claims were first known. */
-	#readAt: number | undefined;
+	/** The last claim when the store first showed that an order may be outstanding, and the clock time of that. */
+	#first: {readonly token: number; readonly readAt: number} | undefined;
 	#needsHosts = false;
 
 	constructor(options: Options) {
@@ -75,20 +75,15 @@
 
 	/** Ends the recovery if one of the sources shows which orders are outstanding. */
 	async #learn(): Promise<void> {
-		const {clock: time, claims: known, group: {name, isActive, confirmations}} = this.#options;
-		const standing = known.standing(name);
-		if (standing.kind === 'closed') {
-			this.#end('store', standing.token);
+		const {claims: known, group: {name, isActive, confirmations}} = this.#options;
+		const {kind, token} = known.standing(name, confirmations.settledToken);
+		if (kind === 'closed') {
+			this.#end('claims', token);
 			return;
 		}
 
-		const token = standing.kind === 'open' ? standing.token : claims.unspecifiedToken;
-		if (standing.kind === 'open') {
-			this.#recordOpenClaim(standing.token);
-			if (confirmations.settledToken >= standing.token) {
-				this.#end('authority', standing.token);
-				return;
-			}
+		if (kind === 'open') {
+			this.#recordOpen(token);
 		}
 
 		if (!isActive) {
@@ -99,22 +94,23 @@
 		const outstanding = await this.#ask(token);
 		if (outstanding) {
 			this.#end('host', token, outstanding);
-		} else if (standing.kind === 'open') {
-			this.#awaitOrder(token, time.now() - (this.#readAt ?? time.now()));
+		} else if (this.#first) {
+			this.#awaitOrder(this.#first);
 		}
 	}
 
 	/** Notes that the store doesn't show which orders are outstanding. */
-	#recordOpenClaim(token: number): void {
+	#recordOpen(token: number): void {
 		const {clock: time, group: {name}, decisions: record} = this.#options;
-		if (this.#readAt === undefined) {
-			this.#readAt = time.now();
+		if (!this.#first) {
+			this.#first = {token, readAt: time.now()};
 			record.record('recovery-started', {service: name, token});
 		}
 	}
 
 	/** Has an order sent once the holder of the open claim must have ended its attempt; ends the recovery if there is none in time. */
-	#awaitOrder(token: number, waitedMs: number): void {
+	#awaitOrder({token, readAt}: {readonly token: number; readonly readAt: number}): void {
+		const waitedMs = this.#options.clock.now() - readAt;
 		if (waitedMs >= maxOutstandingMs) {
 			this.#end('time', token);
 		} else if (waitedMs >= maxAttemptMs) {
@@ -125,7 +121,7 @@
 	/** Asks the other hosts for the outstanding orders; `undefined` if none knows them all. */
 	async #ask(token: number): Promise<readonly confirmation.Outstanding[] | undefined> {
 		const {reports} = await this.#options.hosts.ask({
-			service: this.#options.group.name, order: 'report', server: '', term: 0, token,
+			service: this.#options.group.name, order: 'report', server: '', term: 0, token: token === 0 ? claims.unspecifiedToken : token,
 		}, ({outstanding}) => outstanding !== undefined);
 		return reports.find(({outstanding}) => outstanding !== undefined)?.outstanding?.flatMap(entry => hosts.decodeOutstanding(entry));
 	}
@@ -133,7 +129,7 @@
 	#end(source: Source, token: number, outstanding: readonly confirmation.Outstanding[] = []): void {
 		const {clock: time, group: {name, confirmations}, decisions: record} = this.#options;
 		confirmations.endRecovery(token, outstanding);
-		if (source !== 'store' || this.#readAt !== undefined) {
+		if (this.#first !== undefined || source !== 'claims') {
 			record.record('recovery-ended', {
 				service: name,
 				source,
--- a/src/entry/tests/claims.test.ts
+++ b/src/entry/tests/claims.test.ts
@@ -191,7 +191,7 @@
 	const found = await store.read('claims', 'ledgers');
 	assert.ok(Either.isRight(found));
 	reader.update('ledgers', found.right);
-	const {kind} = reader.standing('ledgers');
+	const {kind} = reader.standing('ledgers', 0);
 	return kind;
 }
 
--- a/src/entry/tests/fake-fleet.ts
+++ b/src/entry/tests/fake-fleet.ts
@@ -294,6 +294,9 @@
 			onClaim: (_service, token) => {
 				this.group.confirmations.recordClaim(token);
 			},
+			onRelease: (_service, token) => {
+				this.group.confirmations.recordRelease(token);
+			},
 			revision: () => this.#readRevision,
 		});
 		const claim = this.claims.claim.bind(this.claims);
--- a/src/entry/tests/outstanding.test.ts
+++ b/src/entry/tests/outstanding.test.ts
@@ -75,6 +75,38 @@
 	assert.equal(await confirms(setup, 'a', 1), false);
 });
 
+// Guards against a claim that is forgotten when a leader is found for the first time, or for a later term: it may lead by an order
+// under an earlier claim.
+test.test('a claim without news withholds commits after a new leader is found', async () => {
+	const first = make();
+	first.confirmations.recordClaim(7);
+	first.confirmations.recordLeader('b', 2);
+	assert.equal(await confirms(first, 'b', 2), false);
+	const time = new clock.Manual();
+	const confirmations = new confirmation.Confirmations({clock: time, isIsolated: () => false});
+	confirmations.recordClaim(7);
+	confirmations.recordLeader('a', 1);
+	assert.equal(await confirms({time, confirmations}, 'a', 1), false);
+});
+
+// Guards against a claim without news that is forgotten for a newer one, whose host says that nothing was ordered under it.
+test.test('a claim without news withholds commits though nothing was ordered under a newer one', async () => {
+	const setup = make();
+	setup.confirmations.recordClaim(7);
+	setup.confirmations.recordClaim(8);
+	setup.confirmations.release(8);
+	assert.equal(await confirms(setup, 'a', 1), false);
+});
+
+// Guards against writes that stay in doubt at a host that no announcement reaches, after the claim was released in the store.
+test.test('the release of a claim in the store ends it and all earlier ones', async () => {
+	const setup = make();
+	setup.confirmations.recordClaim(7);
+	setup.confirmations.recordClaim(8);
+	setup.confirmations.recordRelease(9);
+	assert.equal(await confirms(setup, 'a', 1), true);
+});
+
 // Guards against an older order that counts as refused though the newer claim has ordered nothing.
 test.test('an older order stays outstanding when the leader that a newer claim allows is found again', async () => {
 	const setup = make();
