Give no port to two hosts of a soak

Cause, likely: ports are drawn at random from 16,000, and one that is drawn for a host isn't bound until the host starts, so two of 28 ports are equal in one run of 40. Ruled out: other soaks, which use other addresses. The logs of these runs were not kept; unexpected exits are reported with their error now.

--- a/src/soak/site.ts
+++ b/src/soak/site.ts
@@ -290,7 +290,8 @@
 		child.stderr?.on('data', appendLog);
 		child.on('exit', (code, signal) => {
 			if (signal === null && code !== 0) {
-				this.unexpectedExits.push(`${host.name} exited unexpectedly with code ${code}`);
+				const reason = this.logs.get(host.name)?.findLast(line => line.includes('Error')) ?? '';
+				this.unexpectedExits.push(`${host.name} exited unexpectedly with code ${code}: ${reason.trim()}`);
 			}
 
 			if (host.child === child && !this.#stopped.signal.aborted) {
@@ -441,8 +442,10 @@
 const lowestPort = 15_000;
 const highestPort = 31_000;
 const ports = new randoms.System();
+/** A host needs its ports again after a restart, and a host that is prepared doesn't listen yet. */
+const drawnPorts = new Set<number>();
 
-/** Finds a port of `hostAddress` on which no process listens at the moment. */
+/** Finds a port of `hostAddress` on which no process listens at the moment, and that was not found before. */
 export async function findFreePort(): Promise<number> {
 	for (;;) {
 		const port = ports.integer(lowestPort, highestPort);
@@ -456,7 +459,8 @@
 			});
 		});
 		server.close();
-		if (isFree) {
+		if (isFree && !drawnPorts.has(port)) {
+			drawnPorts.add(port);
 			return port;
 		}
 	}
