Soak: kill claimants whose orders are carried out late

The plan promotions also cuts all hosts off from a primary until one claims its promotion. The order gets no answer and is carried out 1.5 to 4 s later, the claimant is killed and starts again, and the primary acknowledges commits through a replica that has lost its pause. These faults are drawn from a source of their own, so the other draws of a seed stay as they were. A release of a claim doesn't count as a claim for the fault that stops the claimant.

--- a/src/soak/plan.ts
+++ b/src/soak/plan.ts
@@ -23,6 +23,9 @@
 /** Longest time from a stall of commits, or the order of a promotion, until a dark replica is back. */
 const maxReturnMs = 400;
 
+/** Mean number of faults around promotions for one killed claimant. */
+const meanFaultsPerKill = 3;
+
 /** Draws one fault after another. */
 export abstract class Plan {
 	readonly #source: random.Source;
@@ -202,17 +205,22 @@
 	}
 }
 
-/** Promotions in a row. The draws come from a source of their own, like those of `Restores`. */
+/**
+Promotions in a row, and now and then a claimant that is killed while its order is outstanding. The draws come from sources of
+their own, like those of `Restores`.
+*/
 class Promotions extends Plan {
 	readonly #draw: promotions.Draw;
+	readonly #kills: random.Source;
 
-	constructor(source: random.Source, size: sites.Size) {
+	constructor(source: random.Source, size: sites.Size, seed: number) {
 		super(source);
 		this.#draw = new promotions.Draw(source, size);
+		this.#kills = new randoms.Seeded(seed);
 	}
 
 	protected override draw(): faults.Fault {
-		return this.#draw.draw();
+		return this.#kills.integer(1, meanFaultsPerKill) === 1 ? this.#draw.drawKill(this.#kills) : this.#draw.draw();
 	}
 }
 
@@ -276,7 +284,7 @@
 		}
 
 		case 'promotions': {
-			return new Promotions(new randoms.Seeded(seed), size);
+			return new Promotions(new randoms.Seeded(seed), size, seed);
 		}
 	}
 }
--- a/src/soak/platform.ts
+++ b/src/soak/platform.ts
@@ -18,6 +18,7 @@
 type Response = {readonly status: number; readonly body: unknown};
 
 const slowResponseMs = 400;
+const claimsKind = 'sycamorering-claims';
 const watchPollIntervalMs = 10;
 const firstEra = 1;
 /** Bounds of the delay between the return of an older copy of the store and the repeated writes of the operator and the servers. */
@@ -38,8 +39,8 @@
 	promotions: Promotions = 'well';
 	/** Time after which an order without a response is carried out. */
 	orderDelayMs = 0;
-	/** Called with the name of the host and the kind of the object after each write of a host. */
-	onWrite: ((host: string, kind: string) => void) | undefined;
+	/** Called with the name of the host after each claim of a promotion. */
+	onClaim: ((host: string) => void) | undefined;
 	/** Names of entry hosts whose requests the store refuses; each host has a store address of its own, which identifies it. */
 	readonly refusedHosts = new Set<string>();
 	/** Relay addresses by the peer addresses that hosts announce; announcements are rewritten to the relay. */
@@ -175,9 +176,11 @@
 		}
 
 		if (request.method !== 'GET') {
-			const written = this.#write(request.method === 'POST', kind, body as {meta: history.Meta; spec: unknown});
-			if (written.status < 300) {
-				this.onWrite?.(host, kind);
+			const object = body as {meta: history.Meta; spec: unknown};
+			const written = this.#write(request.method === 'POST', kind, object);
+			// The release of a claim has an empty holder.
+			if (written.status < 300 && kind === claimsKind && (object.spec as {holder?: string}).holder !== '') {
+				this.onClaim?.(host);
 			}
 
 			return written;
--- a/src/soak/promotions.ts
+++ b/src/soak/promotions.ts
@@ -22,6 +22,10 @@
 const maxPromotionMs = 3000;
 const maxClaimStopMs = 60;
 const maxDrains = 4;
+/** Longest time in which a claim is expected and its host killed. */
+const maxKillDurationMs = 4000;
+const maxKillMs = 120;
+const minLateOrderMs = 1500;
 const linkDelayMs = 120;
 
 /** Servers of the group that may be disturbed: at most one at a time is away, so that a running server has every acknowledged commit. */
@@ -304,12 +308,8 @@
 	}
 
 	override begin(site: sites.Site): void {
-		site.platform.onWrite = (name, kind) => {
-			if (kind !== 'sycamorering-claims') {
-				return;
-			}
-
-			site.platform.onWrite = undefined;
+		site.platform.onClaim = name => {
+			site.platform.onClaim = undefined;
 			setTimeout(() => {
 				this.#child = site.hosts.find(host => host.name === name)?.child;
 				this.#child?.kill('SIGSTOP');
@@ -318,7 +318,7 @@
 	}
 
 	override end(site: sites.Site): void {
-		site.platform.onWrite = undefined;
+		site.platform.onClaim = undefined;
 		this.#child?.kill('SIGCONT');
 		setTimeout(() => {
 			this.#child?.kill('SIGCONT');
@@ -326,6 +326,70 @@
 	}
 }
 
+/**
+No host gets data through from the primary of a group until one claims a promotion. The order gets no response and is carried
+out late, the host is killed some time after its claim and starts again. Then the primary acknowledges commits through a
+replica that has lost its pause, which the target of the order receives late.
+*/
+class ClaimantKill extends PromotionFault {
+	readonly text: string;
+	readonly #afterMs: number;
+	readonly #orderDelayMs: number;
+	readonly #group: number;
+	readonly #partition: Partition;
+	#hasKilled = false;
+
+	constructor(group: number, {hosts, afterMs, orderDelayMs}: {readonly hosts: number; readonly afterMs: number; readonly orderDelayMs: number}) {
+		super();
+		this.#group = group;
+		this.#afterMs = afterMs;
+		this.#orderDelayMs = orderDelayMs;
+		this.#partition = new Partition(group, new Set(Array.from({length: hosts}, (_, index) => index)), 'primary');
+		this.text = `no host reaches the primary of group ${group}; the next claimant is killed ${afterMs} ms after its claim, its order is carried out after ${orderDelayMs} ms`;
+	}
+
+	override async hold({time}: sites.Site): Promise<void> {
+		const deadline = time.now() + maxKillDurationMs;
+		while (time.now() < deadline && !this.#hasKilled) {
+			await time.sleep(pollMs);
+		}
+
+		await time.sleep(this.#hasKilled ? this.#orderDelayMs : 0);
+	}
+
+	override begin(site: sites.Site): void {
+		const {platform} = site;
+		platform.promotions = 'unanswered';
+		platform.orderDelayMs = this.#orderDelayMs;
+		this.#partition.begin(site);
+		platform.onClaim = name => {
+			platform.onClaim = undefined;
+			setTimeout(() => {
+				site.hosts.find(host => host.name === name)?.child?.kill('SIGKILL');
+				this.#resumeReplicas(site);
+				this.#partition.end();
+				this.#hasKilled = true;
+			}, this.#afterMs);
+		};
+	}
+
+	override end({groups, platform}: sites.Site): void {
+		platform.onClaim = undefined;
+		platform.promotions = 'well';
+		this.#partition.end();
+		for (const server of groups[this.#group].servers) {
+			server.lagMs = replicated.defaultLagMs;
+		}
+	}
+
+	#resumeReplicas({groups}: sites.Site): void {
+		for (const server of groups[this.#group].servers) {
+			server.lagMs = server.heldTerm === 0 ? maxLagMs : server.lagMs;
+			server.heldTerm = 0;
+		}
+	}
+}
+
 const linkKinds = ['one-way', 'delayed', 'reset'] as const;
 const linkTargets = ['server', 'host', 'store'] as const;
 const lostParts = ['primary', 'primary', 'peers', 'store', 'all'] as const;
@@ -349,6 +413,13 @@
 		this.#kinds = kinds.filter(kind => kind === 'drains' || others.has(kind));
 	}
 
+	/** Draws a fault of its own kind from another source, so that the draws of `draw` stay as they were. */
+	drawKill(source: random.Source): faults.Fault {
+		return new ClaimantKill(source.integer(0, this.#size.groups - 1), {
+			hosts: this.#size.hosts, afterMs: source.integer(0, maxKillMs), orderDelayMs: source.integer(minLateOrderMs, maxOrderDelayMs),
+		});
+	}
+
 	/** Draws a fault around promotions. The draws and their order define what a seed means. */
 	draw(): faults.Fault {
 		const source = this.#random;
--- a/src/soak/site.ts
+++ b/src/soak/site.ts
@@ -444,6 +444,8 @@
 const ports = new randoms.System();
 /** A host needs its ports again after a restart, and a host that is prepared doesn't listen yet. */
 const drawnPorts = new Set<number>();
+/** Number of ports after which earlier ones are drawn again: those of sites that have ended. */
+const maxDrawnPorts = 8000;
 
 /** Finds a port of `hostAddress` on which no process listens at the moment, and that was not found before. */
 export async function findFreePort(): Promise<number> {
@@ -460,6 +462,10 @@
 		});
 		server.close();
 		if (isFree && !drawnPorts.has(port)) {
+			if (drawnPorts.size >= maxDrawnPorts) {
+				drawnPorts.clear();
+			}
+
 			drawnPorts.add(port);
 			return port;
 		}
