Watch the claims as soon as a host that starts has listed them

Cause: a host that started listed the claims and watched them a second later. A claim of that second was unknown to it, and a claimant that doesn't know the new host neither tells it nor waits for it, so it confirmed what the old primary acknowledged. Cost: one call to the store for each start that finds an observer within a second.

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -79,8 +79,13 @@
 const coalesceMs: Readonly<Record<objects.CachedKind, number>> = {
 	configuration: 0, servers: 20, hosts: 500, claims: 0,
 };
-/** Time for a host that starts to find an observer, before it watches the store itself. */
-const firstWatchDelayMs = 1000;
+/**
+Time for a host that starts to find an observer, before it watches the store itself. It watches the claims at once: a claimant
+that doesn't know the host yet neither tells it nor waits for it.
+*/
+const firstWatchDelayMs: Readonly<Record<objects.CachedKind, number>> = {
+	configuration: 1000, servers: 1000, hosts: 1000, claims: 0,
+};
 
 /**
 Time for which servers still count the connections of a host that lost power. If all hosts restart after a power loss,
@@ -412,7 +417,7 @@
 				random: source,
 				decisions: log,
 				watchMs: this.#watchMs(cache.kind),
-				firstWatchDelayMs,
+				firstWatchDelayMs: firstWatchDelayMs[cache.kind],
 				coalesceMs: coalesceMs[cache.kind],
 			});
 			this.#tasks.keep(`follower of ${cache.kind}`, signal, async () => cacheFollower.run(signal));
--- a/src/entry/tests/fake-cluster.ts
+++ b/src/entry/tests/fake-cluster.ts
@@ -718,6 +718,8 @@
 manual clock, so that a follower doesn't spin.
 */
 export class HostStore extends Objects {
+	/** Clock time of the first watch of each kind. */
+	readonly watchedAt = new Map<objects.Kind, number>();
 	/** Kinds whose watches wait for as long as that of a kind without changes. */
 	readonly quietKinds = new Set<objects.Kind>();
 	readonly #store: Objects;
@@ -734,6 +736,7 @@
 	}
 
 	override async watch<K extends objects.Kind>(kind: K, revision: number, waitMs = 100): Promise<errors.Outcome<objects.Changes<K>>> {
+		this.watchedAt.set(kind, this.watchedAt.get(kind) ?? this.#clock.now());
 		await this.#clock.sleep(this.quietKinds.has(kind) ? quietWatchMs : waitMs);
 		return this.state === 'well' ? this.#store.watch(kind, revision) : super.watch(kind, revision);
 	}
