--- a/src/entry/group.ts
+++ b/src/entry/group.ts
@@ -17,15 +17,14 @@
 import type * as completeness from './completeness.js';
 import * as confirmations from './confirmation.js';
 import type * as decisions from './decisions.js';
+import * as indexes from './group/indexes.js';
+import * as losses from './group/losses.js';
 import * as insync from './insync.js';
 import * as backoffs from './load/backoff.js';
 import * as balancer from './load/balancer.js';
 import * as member from './member.js';
 import type * as statement from './statement.js';
 
-/** A position that covers every commit acknowledged before `requestedAt`. */
-export type ReadIndex = {readonly requestedAt: clock.Mark; readonly position: statement.Position};
-
 /**
 Limits on a host's connections to one server. Connections above `softLimit` are closed when unused; `hardLimit` is the maximum,
 `startLimit` that of a host that is starting, by default `softLimit`. Where connections belong to customers, idle ones are kept
@@ -53,11 +52,6 @@
 
 /** Age at which the read index is refreshed, so that bounded-staleness reads find a recent one without a round trip. */
 const readIndexRefreshMs = 250;
-/** Number of read indexes kept, and the minimum time between two. Their product exceeds the largest staleness bound. */
-const maxReadIndexes = 100;
-const readIndexSpacingMs = 40;
-/** Error bound of the difference of two marks: the wall clock is read in whole milliseconds. */
-const clockErrorMs = 5;
 /** Timeout of a request that takes no execution slot on the server. */
 const probeTimeoutMs = 300;
 /** Time after the last response for which refused connections show that a server responds; a proxy may reset all of them. */
@@ -100,22 +94,15 @@
 	#lastAddedAt = Number.NEGATIVE_INFINITY;
 	#acknowledged: statement.Position | null = null;
 	#leader: member.Member | undefined;
-	/** Ids of servers that were removed though they had not announced that they leave. */
-	readonly #absent = new Set<string>();
-	/** Servers that were removed since a leader last responded, by id: one of them may have led last. */
-	readonly #departures = new Map<string, completeness.Departure & {readonly removedAt: number}>();
+	readonly #losses = new losses.Losses();
 	readonly #inSync: insync.InSync;
-	/** Id of a removed server that led, or may have; `undefined` once it or another leader is back. */
-	#removedLeader: string | undefined;
-	/** Ids of servers that led, or may have, and whose logs were lost: their commits may be in the log of the next leader only. */
-	readonly #lostLeaderLogs = new Set<string>();
 	/** Clock time at which this host last received the confirmation of a leader. */
 	#confirmedAt = Number.NEGATIVE_INFINITY;
 	#leaderEpoch = 0;
 	#leaderlessSince: number;
 	#polledAt = Number.NEGATIVE_INFINITY;
 	#lastUsedAt = Number.NEGATIVE_INFINITY;
-	#readIndexes: ReadIndex[] = [];
+	readonly #readIndexes = new indexes.ReadIndexes();
 
 	constructor(options: Options) {
 		this.#options = options;
@@ -141,17 +128,17 @@
 
 	/** Whether one of the servers may lead without this host knowing it. */
 	get mayHaveLeader(): boolean {
-		return this.#leader === undefined && this.#removedLeader === undefined;
+		return this.#leader === undefined && !this.#losses.hasRemovedLeader;
 	}
 
 	/** Ids of servers that disappeared without leaving. They may return with their logs and replicate again. */
 	get absent(): readonly string[] {
-		return [...this.#absent];
+		return this.#losses.absent;
 	}
 
 	/** Servers that are not registered any more and that may have been the last leader. */
 	get departures(): readonly completeness.Departure[] {
-		return [...this.#departures.values()];
+		return this.#losses.departures;
 	}
 
 	/** Whether this host knows which servers the group had: it has a stored in-sync set, or has seen a leader. */
@@ -283,10 +270,8 @@
 			connectionLimit: this.#limit(registration), isSynchronized: this.#inSync.isAssumedComplete(registration, this.members),
 		}));
 		this.#lastAddedAt = this.#options.clock.now();
-		this.#absent.delete(id);
-		this.#departures.delete(id);
+		this.#losses.recordArrival(id);
 		this.#inSync.recordArrival(registration);
-		this.#removedLeader = this.#removedLeader === id ? undefined : this.#removedLeader;
 		this.#options.decisions.record('server-added', {
 			service: this.name, server: id, address, place: registration.place, state: registration.state, role: registration.role,
 		});
@@ -329,12 +314,7 @@
 			return;
 		}
 
-		for (const {id, removedAt} of this.#departures.values()) {
-			if (sentAt.monotonicMs > removedAt) {
-				this.#departures.delete(id);
-			}
-		}
-
+		this.#losses.recordResponse(sentAt.monotonicMs);
 		// A reply to an earlier request may come from a leader that has since been replaced.
 		const isNewer = sentAt.monotonicMs > this.#confirmedAt;
 		this.#confirmedAt = this.#options.clock.now();
@@ -346,10 +326,7 @@
 			this.#setLeader(server, logEnd.term);
 		}
 
-		const latest = this.#readIndexes.at(-1);
-		if (!latest || sentAt.monotonicMs - latest.requestedAt.monotonicMs >= readIndexSpacingMs) {
-			this.#readIndexes.push({requestedAt: sentAt, position: logEnd});
-			this.#readIndexes = this.#readIndexes.slice(-maxReadIndexes);
+		if (this.#readIndexes.add({requestedAt: sentAt, position: logEnd})) {
 			this.changed.notify();
 		}
 	}
@@ -380,12 +357,12 @@
 	}
 
 	/** The oldest read index that satisfies a read which arrived at `arrivedAt` and tolerates data of age `maximumAgeMs`. */
-	readIndex(arrivedAt: clock.Mark, maximumAgeMs: number): ReadIndex | undefined {
-		return this.#readIndexes.find(({requestedAt}) => clock.between(requestedAt, arrivedAt) <= maximumAgeMs - clockErrorMs);
+	readIndex(arrivedAt: clock.Mark, maximumAgeMs: number): indexes.ReadIndex | undefined {
+		return this.#readIndexes.oldestFor(arrivedAt, maximumAgeMs);
 	}
 
 	/** Like `readIndex`, but queries the leader if none is recent enough, and waits up to `timeoutMs`. */
-	async awaitReadIndex(arrivedAt: clock.Mark, maximumAgeMs: number, timeoutMs: number): Promise<ReadIndex | undefined> {
+	async awaitReadIndex(arrivedAt: clock.Mark, maximumAgeMs: number, timeoutMs: number): Promise<indexes.ReadIndex | undefined> {
 		const deadline = this.#options.clock.now() + timeoutMs;
 		let found = this.readIndex(arrivedAt, maximumAgeMs);
 		for (let remainingMs = timeoutMs; !found && remainingMs > 0; remainingMs = deadline - this.#options.clock.now()) {
@@ -436,7 +413,7 @@
 
 	/** Verifies a server's log against the latest known end of the leader's log that it contains. */
 	verifyLog(server: member.Member, logEnd: statement.Position): void {
-		const contained = this.#readIndexes.findLast(readIndex => position.compare(readIndex.position, logEnd) <= 0);
+		const contained = this.#readIndexes.containedIn(logEnd);
 		if (contained) {
 			server.recordVerified(contained.requestedAt.monotonicMs);
 		}
@@ -493,7 +470,7 @@
 	#poll(): void {
 		const {clock: time} = this.#options;
 		if (this.#leader) {
-			const latest = this.#readIndexes.at(-1);
+			const {latest} = this.#readIndexes;
 			if (!latest || clock.between(latest.requestedAt, time.mark()) > readIndexRefreshMs) {
 				this.probe(this.#leader);
 			}
@@ -521,7 +498,7 @@
 		}
 
 		this.#polledAt = now;
-		const replicated = this.#readIndexes.findLast(({requestedAt}) => now - requestedAt.monotonicMs > typicalLagMs);
+		const replicated = this.#readIndexes.before(now - typicalLagMs);
 		for (const server of this.#members.values()) {
 			if (replicated) {
 				server.compareLog(replicated.position);
@@ -545,16 +522,9 @@
 			}
 
 			this.#members.delete(server.id);
-			this.#departures.set(server.id, {
-				id: server.id, address: server.registration.address, isPlanned: !server.isReady, position: server.position, removedAt: this.#options.clock.now(),
-			});
-			if (server.isReady) {
-				this.#absent.add(server.id);
-			}
-
+			this.#losses.recordRemoval(server, this.#options.clock.now());
 			if (this.#leader === server || this.mayHaveLeader) {
-				this.#removedLeader = server.id;
-				this.#lostLeaderLogs.add(server.id);
+				this.#losses.recordRemovedLeader(server.id);
 			} else {
 				this.#recordLostLog(server, Math.max(server.missingSince, server.lastResponseAt));
 			}
@@ -566,7 +536,7 @@
 	/** Records that the log of a replica was lost at clock time `lostAt`, so the others have to be compared with the leader since. */
 	#recordLostLog(server: member.Member, lostAt: number): void {
 		if (this.#leader === server || this.mayHaveLeader) {
-			this.#lostLeaderLogs.add(server.id);
+			this.#losses.recordLeaderLog(server.id);
 		} else {
 			this.#requireComparison(server, lostAt);
 		}
@@ -596,17 +566,13 @@
 	#setLeader(server: member.Member, term: number): void {
 		const replaced = this.#leader;
 		this.#leader = server;
-		this.#removedLeader = undefined;
 		this.#leaderEpoch++;
-		// A leader that comes back as leader has its log.
-		this.#lostLeaderLogs.delete(server.id);
-		if (this.#lostLeaderLogs.size > 0) {
-			this.#lostLeaderLogs.clear();
+		if (this.#losses.recordLeader(server.id)) {
 			this.#requireComparison(server, this.#options.clock.now());
 		}
 
 		this.confirmations.recordLeader(server.id, term);
-		this.#readIndexes = [];
+		this.#readIndexes.clear();
 		this.#options.decisions.record('leader-found', {
 			service: this.name, server: server.id, replaced: replaced?.id ?? '', leaderlessMs: replaced ? 0 : Math.round(this.#options.clock.now() - this.#leaderlessSince),
 		});
