--- a/scripts/mutate.js
+++ b/scripts/mutate.js
@@ -22,7 +22,8 @@
 const write = 'core/tests/write.test.js';
 const session = 'core/tests/session.test.js';
 const statement = 'core/tests/statement.test.js';
-const entry = ['group', 'read', 'write', 'session', 'failover', 'claims', 'follower', 'synchronizer', 'announcer', 'cache', 'revision', 'recorder', 'confirmation'].map(name => `entry/tests/${name}.test.js`);
+const entry = ['group', 'read', 'write', 'session', 'failover', 'claims', 'follower', 'synchronizer', 'announcer', 'cache', 'revision', 'recorder', 'confirmation', 'outstanding'].map(name => `entry/tests/${name}.test.js`);
+const starts = 'entry/recovery/tests/starts.test.js';
 const fencing = 'entry/tests/fencing.test.js';
 const callers = 'platform/tests/caller.test.js';
 const objects = 'platform/tests/http.test.js';
@@ -57,9 +58,9 @@
 /** Mutations of entry hosts on the users' platform, with the affected component in place of the promise. */
 const entryMutations = [
 	['promote while a replica is unresponsive', 'failover', entry, 'entry/succession.js', 'synchronized.length < replicas.length + missing.length - (!leader && mayHaveLeader ? 1 : 0)', 'false'],
-	['let a replica be silent after the removal of the leader', 'failover', entry, 'entry/group.js', 'this.#leader === undefined && this.#removedLeader === undefined', 'this.#leader === undefined'],
-	['count a server as synchronized after the removal of a replica', 'failover', entry, 'entry/group.js', 'other.recordLostLog(lostAt);', ''],
-	['verify a log only against the oldest read index', 'failover', entry, 'entry/group.js', 'this.#readIndexes.findLast(readIndex =>', 'this.#readIndexes.slice(0, 1).find(readIndex =>'],
+	['let a replica be silent after the removal of the leader', 'failover', entry, 'entry/group.js', 'this.#leader === undefined && !this.#losses.hasRemovedLeader', 'this.#leader === undefined'],
+	['count a server as synchronized after the removal of a replica', 'failover', entry, 'entry/group.js', 'other.recordLostLog(since);', ''],
+	['verify a log only against the oldest read index', 'failover', entry, 'entry/group/indexes.js', 'this.#indexes.findLast(index => position', 'this.#indexes.slice(0, 1).find(index => position'],
 	['don\'t pause a server that registers during a promotion', 'failover', entry, 'entry/fence.js', 'server !== this.target && !this.#known.includes(server)', 'false'],
 	['don\'t renew the pause', 'failover', entry, 'entry/fence.js', 'current.status.heldTerm >= term', 'true'],
 	['take a server that joined later for one that lost its log', 'recovery', entry, 'entry/insync.js', 'return has(this.#stored, registration);', 'return false;'],
@@ -75,9 +76,9 @@
 	['replace a stalled leader that acknowledges again', 'failover', [fencing], 'entry/succession.js', 'return isUnacknowledged && isComplete &&', 'return isComplete &&'],
 	['confirm commits while a successor is chosen', 'failover', [fencing], 'entry/confirmation.js', ': \'withheld\'', ': \'confirmed\''],
 	['confirm commits that the successor lacks', 'failover', [fencing], 'entry/succession.js', 'found ? \'discard\' : \'keep\'', '\'keep\''],
-	['ignore a claim that only the store shows', 'failover', entry, 'entry/confirmation.js', 'token > this.#announcedToken && this.#leaderTerm > 0', 'false'],
+	['ignore a claim that only the store shows', 'failover', entry, 'entry/confirmation.js', 'if (token > this.#announcedToken) {', 'if (false) {'],
 	['ignore what other hosts have confirmed', 'failover', [fencing], 'entry/succession.js', 'confirmed = acknowledged ?', 'confirmed = false ?'],
-	['confirm commits at an isolated host', 'failover', entry, 'entry/confirmation.js', 'isClaimed || this.#options.isIsolated()', 'isClaimed'],
+	['confirm commits at an isolated host', 'failover', entry, 'entry/confirmation.js', 'this.#isClaimed(receivedAt) || this.#options.isIsolated()', 'this.#isClaimed(receivedAt)'],
 	['let a leader lead on that returns during a promotion', 'failover', entry, 'entry/fence.js', 'await sent.stepDown(leader, term);', ''],
 	['pause replicas while another one may return', 'failover', entry, 'entry/succession.js', 'this.#options.group.absent.length === 0', 'true'],
 	['repeat the order after the fence was breached', 'failover', entry, 'entry/failover.js', 'fence.breach === \'\'', 'true'],
@@ -85,14 +86,21 @@
 	['count an unsynchronized server as evidence of the log end', 'failover', entry, 'entry/succession.js', 'responding.filter(({ member: server }) => server.isSynchronized)', 'responding'],
 	['promote while the server list still grows', 'failover', entry, 'entry/failover.js', 'now - lastAddedAt < membershipSettleMs', 'false'],
 	['pause replication above the next term', 'failover', entry, 'entry/succession.js', 'Math.max(...attempt.found.map(({ status }) => status.term)) + 1', 'Math.max(...attempt.found.map(({ status }) => status.term)) + 5'],
-	['ignore the claim of another host', 'failover', entry, 'entry/claims.js', 'entry.value.holder !== this.#options.host', 'false'],
+	['ignore the claim of another host', 'failover', entry, 'entry/claims.js', 'entry?.value !== undefined && !entry.isMade', 'false'],
 	['forget a claim whose response was lost', 'failover', entry, 'entry/claims.js', 'found.right?.value?.nonce === value.nonce', 'false'],
+	['confirm commits right after a start', 'start', [starts], 'entry/confirmation.js', 'this.#recovery = \'begun\';', ''],
+	['trust a release of before a restoration', 'start', [starts], 'entry/claims.js', ' && generationOf(entry.value.nonce) === revisions.split(entry.revision).generation', ''],
+	['vouch for orders while recovering', 'start', entry, 'entry/confirmation.js', 'mayOrder || this.isRecovering || this', 'mayOrder || this'],
+	['never release a claim', 'start', [starts], 'entry/failover.js', 'else if (this.#mayReleaseClaim) {', 'else if (false) {'],
+	['release a claim while an order is outstanding', 'start', entry, 'entry/failover.js', 'confirmations.allOutstanding?.length === 0', 'true'],
+	['keep the claim of the process before', 'start', entry, 'entry/claims.js', 'entry?.revision !== undefined && entry.isHeld', 'entry?.revision !== undefined && entry.value?.holder === host'],
+	['forget a claim when a newer one is recorded', 'start', entry, 'entry/confirmation.js', '[...this.#claims, { token, seenAt: this.#options.clock.now() }]', '[{ token, seenAt: this.#options.clock.now() }]'],
 	['read at a replaced primary', 'read', entry, 'entry/read.js', 'Either.isLeft(begun) || begun.right.refusal !== null', 'Either.isLeft(begun)'],
 	['ignore the session\'s own commit', 'read', entry, 'entry/read.js', 'position.latest(readIndex.position, job.sessionPosition)', 'position.latest(readIndex.position, null)'],
 	['read without a minimum position', 'read', entry, 'entry/lease.js', 'id, text: text ?? \'\', minPosition,', 'id, text: text ?? \'\', minPosition: null,'],
 	['retry a write after a lost response', 'write', entry, 'entry/write.js', 'return statement.refuse(\'in-doubt\'', 'return statement.refuse(\'busy\''],
 	['follow a leader of an earlier term', 'group', entry, 'entry/group.js', 'if (!isNewer) {', 'if (false) {'],
-	['keep the read indexes of a replaced leader', 'group', entry, 'entry/group.js', 'this.confirmations.recordLeader(term);\n        this.#readIndexes = [];', 'this.confirmations.recordLeader(term);'],
+	['keep the read indexes of a replaced leader', 'group', entry, 'entry/group.js', 'this.#readIndexes.clear();', ''],
 	['ignore the time that the machine was suspended', 'group', entry, 'core/clock.js', 'Math.max(to.monotonicMs - from.monotonicMs, to.wallMs - from.wallMs)', 'to.monotonicMs - from.monotonicMs'],
 	['keep another session\'s values', 'session', entry, 'entry/state.js', 'commands.push({ kind: \'reset\' });', ''],
 	['prepare all statements under one name', 'session', entry, 'entry/state.js', String.raw`return \`\${mode} \${shape}\`;`.replaceAll('\\', ''), 'return mode;'],
--- a/src/entry/confirmation.ts
+++ b/src/entry/confirmation.ts
@@ -59,6 +59,10 @@
 /** Interval at which a withheld commit is judged again without news: an isolated host may regain its links. */
 const recheckMs = 100;
 
+/** Why a commit is in doubt, for the log. */
+const failoverReason = 'a failover is in progress, and the next primary may lack the write';
+const recoveryReason = 'this host has started, and an order of before may be carried out whose server lacks the write';
+
 /** Confirms the commits of one service. */
 export class Confirmations {
 	readonly #options: Options;
@@ -121,6 +125,11 @@
 		return mayOrder || this.isRecovering || this.#isClaimed(now) || this.#options.isIsolated() ? undefined : this.outstanding;
 	}
 
+	/** Why commits are withheld now, for the log. */
+	get reason(): string {
+		return this.isRecovering ? recoveryReason : failoverReason;
+	}
+
 	/** Whether this process doesn't know yet which orders of before its start are outstanding. */
 	get isRecovering(): boolean {
 		return this.#recovery !== 'ended';
--- a/src/entry/transaction.ts
+++ b/src/entry/transaction.ts
@@ -94,7 +94,7 @@
 			this.#group.confirmLeader(member, sentAt, position);
 			const remainingMs = sentAt.monotonicMs + timeoutMs - this.#context.clock.now();
 			if (!await this.#group.confirmations.confirm({server: member.id, logEnd: position}, remainingMs)) {
-				return this.#failCommit(id, errors.failure('outcome-unknown', 'receive', member.id, 'a failover is in progress, and the next primary may lack the commit'));
+				return this.#failCommit(id, errors.failure('outcome-unknown', 'receive', member.id, this.#group.confirmations.reason));
 			}
 
 			this.#group.acknowledge(before, position);
--- a/src/entry/write.ts
+++ b/src/entry/write.ts
@@ -57,7 +57,7 @@
 			if (refusal === null && position) {
 				job.group.confirmLeader(lease.member, sentAt, position);
 				if (!await job.group.confirmations.confirm({server: lease.member.id, logEnd: position}, jobs.remainingMs(this.#context, job))) {
-					return this.#doubt(job, lease, sentAt, 'a failover is in progress, and the next primary may lack the write');
+					return this.#doubt(job, lease, sentAt, job.group.confirmations.reason);
 				}
 
 				job.group.acknowledge(before, position);
