--- a/src/entry/recovery/tests/starts.test.ts
+++ b/src/entry/recovery/tests/starts.test.ts
@@ -4,6 +4,7 @@
 */
 import * as assert from 'node:assert/strict';
 import * as test from 'node:test';
+import * as Either from 'fp-ts/lib/Either.js';
 import * as fleets from '../../tests/fake-fleet.js';
 
 const writeIntervalMs = 10;
@@ -129,6 +130,47 @@
 	});
 }
 
+// Guards against hosts that start together and take each other's ignorance for knowledge.
+for (const isRestored of [false, true]) {
+	test.test(`no confirmed commit is lost when all hosts restart${isRestored ? ' and the store has lost the claim' : ''}`, async () => {
+		const fleet = await start();
+		fleet.store.copy();
+		await holdOrder(fleet);
+		if (isRestored) {
+			fleet.store.restore();
+		}
+
+		for (const host of fleet.hosts) {
+			fleet.startHost(fleet.replaceHost(host));
+		}
+
+		await carryOutLate(fleet, fleet.hosts[0]);
+		await check(fleet, fleet.hosts[0]);
+	});
+}
+
+// Guards against a claim that is released, so that hosts which start trust it, while an order under it may be carried out: a
+// service without callers doesn't settle it.
+test.test('a claim is not released while an order is outstanding', async () => {
+	const fleet = await start();
+	const claimant = await holdOrder(fleet);
+	const readHolder = async (): Promise<string | undefined> => {
+		const found = await fleet.store.read('claims', 'ledgers');
+		return Either.isRight(found) ? found.right?.value?.holder : undefined;
+	};
+
+	fleet.authority.isHolding = true;
+	for (const host of fleet.hosts) {
+		host.isIdle = true;
+	}
+
+	await fleet.time.advance(10_000);
+	assert.equal(await readHolder(), claimant.name);
+	await fleet.time.advance(10_000);
+	assert.equal(await readHolder(), '');
+	await fleet.stop();
+});
+
 // Guards against a process that goes by the store alone while it is away: nobody tells it of the order.
 test.test('a host that starts alone while the store is away confirms no commit', async () => {
 	const fleet = await start();
--- a/src/entry/tests/fake-fleet.ts
+++ b/src/entry/tests/fake-fleet.ts
@@ -252,6 +252,8 @@
 	isLinkCut = false;
 	/** This host neither sees the claims in the store nor makes any. */
 	isStoreCut = false;
+	/** No caller uses this host. */
+	isIdle = false;
 	/** The answers of this host to others are lost, after it has carried out their orders. */
 	losesAnswers = false;
 	/** A server whose registration this host does not see. */
@@ -405,7 +407,10 @@
 	async #followStore(signal: AbortSignal): Promise<void> {
 		const {store} = this.#fleet;
 		while (!signal.aborted) {
-			this.group.touch();
+			if (!this.isIdle) {
+				this.group.touch();
+			}
+
 			const {revision} = store;
 			const found = await store.read('claims', service);
 			await this.clock.sleep(storeDelayMs, signal);
