--- a/src/entry/recovery/tests/starts.test.ts
+++ b/src/entry/recovery/tests/starts.test.ts
@@ -13,25 +13,11 @@
 /** Time by which a host that can't learn of the orders has sent one of its own, which took effect. */
 const orderedMs = 8000;
 
-async function write(fleet: fleets.Fleet, host: fleets.Host, forMs: number): Promise<void> {
-	for (let waitedMs = 0; waitedMs < forMs; waitedMs += writeIntervalMs) {
-		fleet.write(host);
-		await fleet.time.advance(writeIntervalMs);
-	}
-}
-
-async function until(fleet: fleets.Fleet, isDone: () => boolean): Promise<void> {
-	for (let waitedMs = 0; !isDone(); waitedMs += writeIntervalMs) {
-		assert.ok(waitedMs < 20_000, `the order of events did not occur\n${fleet.journal.slice(-60).join('\n')}`);
-		await fleet.time.advance(writeIntervalMs);
-	}
-}
-
 async function start(): Promise<fleets.Fleet> {
 	const fleet = new fleets.Fleet();
 	await fleet.start();
 	for (const host of fleet.hosts) {
-		await write(fleet, host, 200);
+		await fleet.writeFor(200, [host]);
 	}
 
 	await fleet.time.advance(1000);
@@ -46,7 +32,7 @@
 		host.pathTo(primary.name).isCut = true;
 	}
 
-	await until(fleet, () => fleet.authority.held.length > 0);
+	await fleet.until(() => fleet.authority.held.length > 0);
 	fleet.authority.isHolding = false;
 	const [order] = fleet.authority.held;
 	fleet.cluster.servers.find(({name}) => name !== order.server && name !== primary.name)!.heldTerm = 0;
@@ -65,15 +51,15 @@
 
 /** Writes at a host that has started, and has the waiting order carried out meanwhile. */
 async function carryOutLate(fleet: fleets.Fleet, host: fleets.Host): Promise<void> {
-	await write(fleet, host, lateMs);
+	await fleet.writeFor(lateMs, [host]);
 	fleet.authority.carryOut(fleet.authority.held[0], 0);
-	await write(fleet, host, orderedMs);
+	await fleet.writeFor(orderedMs, [host]);
 }
 
 async function check(fleet: fleets.Fleet, host: fleets.Host): Promise<void> {
 	assert.deepEqual(fleet.violations, [], fleet.journal.slice(-80).join('\n'));
 	const before = fleet.confirmed.size;
-	await write(fleet, host, 1000);
+	await fleet.writeFor(1000, [host]);
 	assert.ok(fleet.confirmed.size > before, `the host confirms no writes\n${fleet.journal.slice(-80).join('\n')}`);
 	await fleet.stop();
 }
@@ -125,7 +111,7 @@
 		await startHost(fleet, host);
 		await carryOutLate(fleet, host);
 		fleet.store.state = 'well';
-		await write(fleet, host, 5000);
+		await fleet.writeFor(5000, [host]);
 		await check(fleet, host);
 	});
 }
@@ -183,10 +169,10 @@
 	fleet.store.state = 'down';
 	await startHost(fleet, host);
 	const before = fleet.confirmed.size;
-	await write(fleet, host, 30_000);
+	await fleet.writeFor(30_000, [host]);
 	assert.equal(fleet.confirmed.size, before);
 	fleet.store.state = 'well';
-	await write(fleet, host, orderedMs);
+	await fleet.writeFor(orderedMs, [host]);
 	await check(fleet, host);
 });
 
@@ -203,9 +189,9 @@
 	fleet.authority.isUnavailable = true;
 	await startHost(fleet, host);
 	const before = fleet.confirmed.size;
-	await write(fleet, host, 24_000);
+	await fleet.writeFor(24_000, [host]);
 	assert.equal(fleet.confirmed.size, before);
-	await write(fleet, host, 14_000);
+	await fleet.writeFor(14_000, [host]);
 	await check(fleet, host);
 });
 
@@ -219,7 +205,7 @@
 	const fleet = await start();
 	const [primary] = fleet.cluster.servers;
 	primary.isUnresponsive = true;
-	await until(fleet, () => fleet.primary !== primary);
+	await fleet.until(() => fleet.primary !== primary);
 	primary.isUnresponsive = false;
 	await fleet.time.advance(10_000);
 	return fleet;
@@ -253,7 +239,7 @@
 		fleet.startHost(host);
 		const tookMs = await awaitConfirmation(fleet, host);
 		assert.ok(tookMs <= maxCalmMs, `${tookMs} ms\n${fleet.journal.slice(-40).join('\n')}`);
-		await write(fleet, host, 10_000);
+		await fleet.writeFor(10_000, [host]);
 		assert.deepEqual(countCalls(fleet), before);
 		await check(fleet, host);
 	});
@@ -271,7 +257,7 @@
 	fleet.startHost(host);
 	const tookMs = await awaitConfirmation(fleet, host);
 	assert.ok(tookMs <= maxCalmMs, `${tookMs} ms\n${fleet.journal.slice(-40).join('\n')}`);
-	await write(fleet, host, 10_000);
+	await fleet.writeFor(10_000, [host]);
 	assert.deepEqual(countCalls(fleet), before);
 	await check(fleet, host);
 });
--- a/src/entry/tests/fake-fleet.ts
+++ b/src/entry/tests/fake-fleet.ts
@@ -3,6 +3,7 @@
 its view of the store can fail alone, and it sees a registration when a test says so. The fleet records which commits were
 confirmed to callers, and every one that a new primary lacks.
 */
+import * as assert from 'node:assert/strict';
 import * as Either from 'fp-ts/lib/Either.js';
 import type * as types from '../../generated/types.js';
 import * as clock from '../../core/clock.js';
@@ -36,6 +37,9 @@
 const answerTimeoutMs = 250;
 /** Number of violations that are kept, and of lost commits that each lists. */
 const maxListed = 5;
+const writeIntervalMs = 10;
+/** Time within which the events that a test waits for occur. */
+const maxOrderOfEventsMs = 20_000;
 /** Time for which a primary answers nobody. */
 const silenceMs = 900;
 
@@ -546,6 +550,22 @@
 		}
 	}
 
+	/** Writes at hosts in turn for some time. */
+	async writeFor(forMs: number, hosts: readonly Host[] = this.hosts): Promise<void> {
+		for (let waitedMs = 0; waitedMs < forMs; waitedMs += writeIntervalMs) {
+			this.write(hosts[(waitedMs / writeIntervalMs) % hosts.length]);
+			await this.time.advance(writeIntervalMs);
+		}
+	}
+
+	/** Advances the time until a condition holds, and fails with the journal if it doesn't. */
+	async until(isDone: () => boolean): Promise<void> {
+		for (let waitedMs = 0; !isDone(); waitedMs += writeIntervalMs) {
+			assert.ok(waitedMs < maxOrderOfEventsMs, `the order of events did not occur\n${this.journal.slice(-60).join('\n')}`);
+			await this.time.advance(writeIntervalMs);
+		}
+	}
+
 	/** Lets a server answer nobody for some time. */
 	async silence(server: cluster.Server): Promise<void> {
 		server.isUnresponsive = true;
--- a/src/entry/tests/late-orders.test.ts
+++ b/src/entry/tests/late-orders.test.ts
@@ -20,14 +20,6 @@
 	}
 }
 
-/** Advances the time until a condition holds. */
-async function until(fleet: fleets.Fleet, isDone: () => boolean): Promise<void> {
-	for (let waitedMs = 0; !isDone(); waitedMs += writeIntervalMs) {
-		assert.ok(waitedMs < 20_000, `the order of events did not occur\n${fleet.journal.join('\n')}`);
-		await fleet.time.advance(writeIntervalMs);
-	}
-}
-
 function setPaths(fleet: fleets.Fleet, server: cluster.Server, isCut: boolean): void {
 	for (const host of fleet.hosts) {
 		host.paths.get(server.name)!.isCut = isCut;
@@ -56,7 +48,7 @@
 	// An order that isn't answered, of a claim that is given up. The primary returns after that.
 	fleet.authority.isHolding = true;
 	setPaths(fleet, a, true);
-	await until(fleet, () => fleet.authority.held.length > 0);
+	await fleet.until(() => fleet.authority.held.length > 0);
 	const [late] = fleet.authority.held;
 	const early = fleet.cluster.get(late.server);
 	const target = early === b ? c : b;
@@ -77,7 +69,7 @@
 		target.isReplicationCut = true;
 	});
 	fleet.announceLeaving('a');
-	await until(fleet, () => fleet.actions.size === 0);
+	await fleet.until(() => fleet.actions.size === 0);
 	await write(fleet, 3000);
 	assert.equal(fleet.authority.requests.findLast(({token}) => token > late.token)?.server, target.name, fleet.journal.join('\n'));
 	await check(fleet);
@@ -90,7 +82,7 @@
 	const [a, , c] = fleet.cluster.servers;
 	fleet.authority.isHolding = true;
 	a.isUnresponsive = true;
-	await until(fleet, () => fleet.authority.held.length > 0);
+	await fleet.until(() => fleet.authority.held.length > 0);
 	const [late] = fleet.authority.held;
 	// Among equals a server that stays is chosen, so the next claimant orders the other replica.
 	fleet.announceLeaving(late.server);
@@ -119,7 +111,7 @@
 		fleet.authority.promotionMs = effectMs;
 		fleet.authority.isHolding = answer === 'no answer';
 		setPaths(fleet, a, true);
-		await until(fleet, () => fleet.authority.requests.length > 0);
+		await fleet.until(() => fleet.authority.requests.length > 0);
 		const [order] = fleet.authority.requests;
 		const target = order.server === 'b' ? b : c;
 		target.isReplicationCut = true;
@@ -163,9 +155,9 @@
 
 	await fleet.time.advance(100);
 	setPaths(fleet, a, true);
-	await until(fleet, () => fleet.actions.size === 0);
+	await fleet.until(() => fleet.actions.size === 0);
 	const claimant = fleet.hosts.find(({name}) => name === fleet.authority.requests[0].holder)!;
-	await until(fleet, () => claimant.group.leader?.id === c.name);
+	await fleet.until(() => claimant.group.leader?.id === c.name);
 	fleet.write(claimant);
 	await fleet.time.advance(1000);
 	setPaths(fleet, c, false);
--- a/src/entry/tests/outstanding.test.ts
+++ b/src/entry/tests/outstanding.test.ts
@@ -8,7 +8,6 @@
 import type * as cluster from './fake-cluster.js';
 import * as fleets from './fake-fleet.js';
 
-const writeIntervalMs = 10;
 const waitMs = 500;
 
 function make(): {time: clock.Manual; confirmations: confirmation.Confirmations} {
@@ -25,20 +24,6 @@
 	return confirming;
 }
 
-async function write(fleet: fleets.Fleet, forMs: number, hosts: readonly fleets.Host[] = fleet.hosts): Promise<void> {
-	for (let waitedMs = 0; waitedMs < forMs; waitedMs += writeIntervalMs) {
-		fleet.write(hosts[(waitedMs / writeIntervalMs) % hosts.length]);
-		await fleet.time.advance(writeIntervalMs);
-	}
-}
-
-async function until(fleet: fleets.Fleet, isDone: () => boolean): Promise<void> {
-	for (let waitedMs = 0; !isDone(); waitedMs += writeIntervalMs) {
-		assert.ok(waitedMs < 20_000, `the order of events did not occur\n${fleet.journal.slice(-60).join('\n')}`);
-		await fleet.time.advance(writeIntervalMs);
-	}
-}
-
 function setPaths(hosts: readonly fleets.Host[], server: cluster.Server, isCut: boolean): void {
 	for (const host of hosts) {
 		host.paths.get(server.name)!.isCut = isCut;
@@ -48,7 +33,7 @@
 async function start(): Promise<fleets.Fleet> {
 	const fleet = new fleets.Fleet();
 	await fleet.start();
-	await write(fleet, 200);
+	await fleet.writeFor(200);
 	await fleet.time.advance(1000);
 	return fleet;
 }
@@ -154,18 +139,18 @@
 	const three = fleet.hosts[2];
 	three.isLinkCut = true;
 	setPaths(fleet.hosts.slice(0, 2), a, true);
-	await until(fleet, () => fleet.authority.held.length > 0);
+	await fleet.until(() => fleet.authority.held.length > 0);
 	const [order] = fleet.authority.held;
 	const target = order.server === 'b' ? b : c;
 	const claimant = fleet.hosts.find(({name}) => name === order.holder)!;
 	// The claimant gives up, and then stops for 10 s.
-	await until(fleet, () => fleet.journal.some(line => line.includes(`${claimant.name} failover-ended`)));
+	await fleet.until(() => fleet.journal.some(line => line.includes(`${claimant.name} failover-ended`)));
 	target.isReplicationCut = true;
 	claimant.clock.stop(10_000);
 	// The other host's paths stay cut, so that its next claim needs answers first.
-	await write(fleet, 4600, [three]);
+	await fleet.writeFor(4600, [three]);
 	fleet.authority.carryOut(order, 0);
-	await write(fleet, 1000);
+	await fleet.writeFor(1000);
 	await check(fleet);
 });
 
@@ -175,14 +160,14 @@
 	const [a, b, c] = fleet.cluster.servers;
 	fleet.authority.isHolding = true;
 	setPaths(fleet.hosts, a, true);
-	await until(fleet, () => fleet.authority.held.length > 0);
+	await fleet.until(() => fleet.authority.held.length > 0);
 	const [order] = fleet.authority.held;
 	const target = order.server === 'b' ? b : c;
 	const index = fleet.hosts.findIndex(({name}) => name !== order.holder);
 	const restarted = new fleets.Host(fleet, fleet.hosts[index].name, 9);
 	fleet.hosts[index].clock.stop(1_000_000);
 	(fleet.hosts as fleets.Host[])[index] = restarted;
-	await until(fleet, () => fleet.journal.some(line => line.includes(`${order.holder} failover-ended`)));
+	await fleet.until(() => fleet.journal.some(line => line.includes(`${order.holder} failover-ended`)));
 	target.isReplicationCut = true;
 	fleet.hosts.find(({name}) => name === order.holder)!.clock.stop(5000);
 	// Its first BEGIN is answered after its first read of the store.
@@ -190,9 +175,9 @@
 	restarted.run(new AbortController().signal);
 	await fleet.time.advance(200);
 	restarted.paths.get(a.name)!.isCut = false;
-	await write(fleet, 1000, [restarted]);
+	await fleet.writeFor(1000, [restarted]);
 	fleet.authority.carryOut(order, 0);
-	await write(fleet, 1000);
+	await fleet.writeFor(1000);
 	await check(fleet);
 });
 
@@ -205,18 +190,18 @@
 	const three = fleet.hosts[2];
 	three.isLinkCut = true;
 	setPaths(fleet.hosts, a, true);
-	await until(fleet, () => fleet.authority.held.length > 0);
+	await fleet.until(() => fleet.authority.held.length > 0);
 	const [order] = fleet.authority.held;
 	const target = order.server === 'b' ? b : c;
 	target.isReplicationCut = true;
-	await until(fleet, () => fleet.journal.some(line => line.includes(`${order.holder} failover-ended`)));
+	await fleet.until(() => fleet.journal.some(line => line.includes(`${order.holder} failover-ended`)));
 	three.isLinkCut = false;
 	setPaths(fleet.hosts, a, false);
-	await until(fleet, () => fleet.authority.held.some(({server}) => server === 'a'));
-	await write(fleet, 300, [three]);
+	await fleet.until(() => fleet.authority.held.some(({server}) => server === 'a'));
+	await fleet.writeFor(300, [three]);
 	assert.ok(fleet.authority.held.some(({server}) => server === 'a'));
 	fleet.authority.carryOut(order, 0);
-	await write(fleet, 1000);
+	await fleet.writeFor(1000);
 	await check(fleet);
 });
 
@@ -227,7 +212,7 @@
 	const [a, b, c] = fleet.cluster.servers;
 	fleet.authority.isHolding = true;
 	setPaths(fleet.hosts, a, true);
-	await until(fleet, () => fleet.authority.held.length > 0);
+	await fleet.until(() => fleet.authority.held.length > 0);
 	const [late] = fleet.authority.held;
 	const early = fleet.cluster.get(late.server);
 	const target = early === b ? c : b;
@@ -236,7 +221,7 @@
 	setPaths(fleet.hosts.filter(({name}) => name !== late.holder), a, false);
 	await fleet.time.advance(2000);
 	setPaths(fleet.hosts, a, false);
-	await write(fleet, 17_000);
+	await fleet.writeFor(17_000);
 	await fleet.time.advance(1000);
 	fleet.authority.isHolding = false;
 	const [one, two, three] = fleet.hosts;
@@ -252,8 +237,8 @@
 		other.isLinkCut = true;
 		host.clock.stop(1000);
 	});
-	await until(fleet, () => fleet.actions.size === 0);
-	await write(fleet, 3000);
+	await fleet.until(() => fleet.actions.size === 0);
+	await fleet.writeFor(3000);
 	await check(fleet);
 });
 
@@ -263,23 +248,23 @@
 	const [a, b, c] = fleet.cluster.servers;
 	fleet.authority.isHolding = true;
 	setPaths(fleet.hosts, a, true);
-	await until(fleet, () => fleet.authority.held.length > 0);
+	await fleet.until(() => fleet.authority.held.length > 0);
 	const [late] = fleet.authority.held;
 	const target = late.server === 'b' ? b : c;
 	fleet.store.state = 'down';
-	await until(fleet, () => fleet.journal.some(line => line.includes(`${late.holder} failover-ended`)));
+	await fleet.until(() => fleet.journal.some(line => line.includes(`${late.holder} failover-ended`)));
 	// The next attempt under the same claim is given up, since a replica does not take the pause.
 	fleet.actions.set('suspension', host => {
 		setPaths([host], target, true);
 	});
 	const ended = fleet.journal.length;
-	await until(fleet, () => fleet.journal.slice(ended).some(line => line.includes(`${late.holder} failover-ended`)));
+	await fleet.until(() => fleet.journal.slice(ended).some(line => line.includes(`${late.holder} failover-ended`)));
 	setPaths(fleet.hosts, target, false);
 	setPaths(fleet.hosts, a, false);
 	target.isReplicationCut = true;
-	await write(fleet, 1500);
+	await fleet.writeFor(1500);
 	fleet.authority.carryOut(late, 0);
-	await write(fleet, 1000);
+	await fleet.writeFor(1000);
 	await check(fleet);
 });
 
@@ -290,14 +275,14 @@
 	const [a] = fleet.cluster.servers;
 	fleet.authority.isHolding = true;
 	setPaths(fleet.hosts, a, true);
-	await until(fleet, () => fleet.authority.held.length > 0);
+	await fleet.until(() => fleet.authority.held.length > 0);
 	const [late] = fleet.authority.held;
-	await until(fleet, () => fleet.journal.some(line => line.includes(`${late.holder} failover-ended`)));
+	await fleet.until(() => fleet.journal.some(line => line.includes(`${late.holder} failover-ended`)));
 	fleet.authority.isHolding = false;
 	fleet.announceLeaving('a');
 	setPaths(fleet.hosts, a, false);
 	const startedAt = fleet.time.now();
-	await until(fleet, () => fleet.primary !== undefined && fleet.primary !== a);
+	await fleet.until(() => fleet.primary !== undefined && fleet.primary !== a);
 	const tookMs = fleet.time.now() - startedAt;
 	assert.ok(tookMs < 1500, `${tookMs} ms\n${fleet.journal.slice(-40).join('\n')}`);
 	await fleet.stop();
@@ -309,7 +294,7 @@
 	const [a] = fleet.cluster.servers;
 	fleet.authority.promotionMs = 1000;
 	a.isUnresponsive = true;
-	await until(fleet, () => fleet.authority.requests.length > 0);
+	await fleet.until(() => fleet.authority.requests.length > 0);
 	const from = fleet.journal.length;
 	await fleet.time.advance(800);
 	const counts = new Map<string, number>();
@@ -328,7 +313,7 @@
 	const [a, b, c] = fleet.cluster.servers;
 	fleet.authority.isHolding = true;
 	setPaths(fleet.hosts, a, true);
-	await until(fleet, () => fleet.authority.held.length > 0);
+	await fleet.until(() => fleet.authority.held.length > 0);
 	const [late] = fleet.authority.held;
 	const early = fleet.cluster.get(late.server);
 	const target = early === b ? c : b;
@@ -338,9 +323,9 @@
 		host.isStoreCut = true;
 	}
 
-	await until(fleet, () => fleet.journal.some(line => line.includes(`${late.holder} failover-ended`)));
+	await fleet.until(() => fleet.journal.some(line => line.includes(`${late.holder} failover-ended`)));
 	setPaths(fleet.hosts, a, false);
-	await until(fleet, () => fleet.journal.some(line => line.includes(`${late.holder} failover-started`) && line.includes('unsettled')));
+	await fleet.until(() => fleet.journal.some(line => line.includes(`${late.holder} failover-started`) && line.includes('unsettled')));
 	const from = fleet.journal.length;
 	// The claimant stops after its status query for the barrier was answered.
 	for (let waitedMs = 0; !fleet.journal.slice(from).some(line => line.includes(`${late.holder} server-ordered`) && line.includes('"server":"a"') && line.includes('primary')); waitedMs++) {
@@ -351,9 +336,9 @@
 	claimant.clock.stop(14_000);
 	fleet.authority.carryOut(late, 0);
 	a.isReplicationCut = true;
-	await write(fleet, 13_500, others);
+	await fleet.writeFor(13_500, others);
 	fleet.authority.isHolding = false;
-	await write(fleet, 3000, others);
+	await fleet.writeFor(3000, others);
 	await check(fleet);
 	assert.ok(target);
 });
@@ -364,12 +349,12 @@
 	const [a] = fleet.cluster.servers;
 	fleet.authority.isUnavailable = true;
 	setPaths(fleet.hosts, a, true);
-	await until(fleet, () => fleet.journal.some(line => line.includes('too much time has passed')));
+	await fleet.until(() => fleet.journal.some(line => line.includes('too much time has passed')));
 	setPaths(fleet.hosts, a, false);
 	const returnedAt = fleet.time.now();
 	const before = fleet.confirmed.size;
 	for (let waitedMs = 0; fleet.confirmed.size === before && waitedMs < 30_000; waitedMs += 30) {
-		await write(fleet, 30);
+		await fleet.writeFor(30);
 	}
 
 	const tookMs = fleet.time.now() - returnedAt;
