--- a/src/entry/cache.ts
+++ b/src/entry/cache.ts
@@ -52,7 +52,7 @@
 		return this.#revision;
 	}
 
-	/** Whether this process has read the objects from the store itself, so that it has all changes of before its start. */
+	/** Whether this process has read the objects from the store itself, so that it has all changes that were made before its start. */
 	get isRead(): boolean {
 		return this.#isRead;
 	}
--- a/src/entry/claims.ts
+++ b/src/entry/claims.ts
@@ -90,7 +90,7 @@
 	}
 
 	/**
-	What is known of the orders of before, if the authority refuses all orders with tokens below `settledToken`.
+	What is known of the earlier orders, if the authority refuses all orders with tokens below `settledToken`.
 
 	@example
 	```
--- a/src/entry/confirmation.ts
+++ b/src/entry/confirmation.ts
@@ -61,7 +61,7 @@
 
 /** Why a commit is in doubt, for the log. */
 const failoverReason = 'a failover is in progress, and the next primary may lack the write';
-const recoveryReason = 'this host has started, and an order of before may be carried out whose server lacks the write';
+const recoveryReason = 'this host has just started, and an earlier order may promote a server that lacks the write';
 
 /** Confirms the commits of one service. */
 export class Confirmations {
@@ -75,7 +75,7 @@
 	#settledToken = 0;
 	/** The highest token of which a claimant has told this host whether commits have to be withheld. */
 	#announcedToken = 0;
-	/** Whether orders of before the start of this process may be outstanding that it doesn't know, and whether only a newer order ends them. */
+	/** Whether earlier orders may be outstanding that this process doesn't know, and whether only a newer order ends them. */
 	#recovery: 'ended' | 'begun' | 'needs order' = 'ended';
 	#leader = {server: '', term: 0, foundAt: Number.NEGATIVE_INFINITY};
 	#acknowledgedAt = Number.NEGATIVE_INFINITY;
@@ -130,7 +130,7 @@
 		return this.isRecovering ? recoveryReason : failoverReason;
 	}
 
-	/** Whether this process doesn't know yet which orders of before its start are outstanding. */
+	/** Whether this process doesn't know yet which of the orders that were sent before its start are outstanding. */
 	get isRecovering(): boolean {
 		return this.#recovery !== 'ended';
 	}
@@ -145,7 +145,7 @@
 		this.#recovery = 'begun';
 	}
 
-	/** Records that the orders of before the start can't be learned, so that one for the present leader has to end them. */
+	/** Records that the earlier orders can't be learned, so that one for the present leader has to end them. */
 	requireOrder(): void {
 		this.#recovery = this.#recovery === 'begun' ? 'needs order' : this.#recovery;
 	}
--- a/src/entry/recovery/recovery.ts
+++ b/src/entry/recovery/recovery.ts
@@ -1,5 +1,5 @@
 /**
-Recovery of one service at the start of a process: which orders of before may still be carried out.
+Recovery of one service at the start of a process: which earlier orders may still be carried out.
 
 What the host knew before it ended is gone, and a host that is new knows nothing, so until this is shown it withholds every
 commit. Three sources outlive a process:
@@ -10,7 +10,7 @@
 - The authority: an order for the present leader with a newer token, after which older ones are refused. `failover.ts` sends
   it for this host or another one does. It is the proof that needs no other host, and costs a write to the store and a call.
 
-Without an answer of any of them, the recovery ends when all orders of before the start must have been carried out.
+Without an answer of any of them, the recovery ends when all orders that were sent before the start must have been carried out.
 */
 import type * as clock from '../../core/clock.js';
 import * as claims from '../claims.js';
@@ -35,7 +35,7 @@
 const pollMs = 100;
 const idlePollMs = 500;
 /**
-Time after which no order of before can be carried out: 2.5 s from the claim to the last order, 12 s for which an order may
+Time after which no order that was sent before the start can be carried out: 2.5 s from the claim to the last order, 12 s for which an order may
 live, and 10 s by which this may be wrong.
 */
 const maxOutstandingMs = 25_000;
--- a/src/entry/recovery/tests/starts.test.ts
+++ b/src/entry/recovery/tests/starts.test.ts
@@ -1,5 +1,5 @@
 /**
-Starts of a host while an order of before may still be carried out, and in calm. In each case the primary was silent, a host
+Starts of a host while an earlier order may still be carried out, and in calm. In each case the primary was silent, a host
 has ordered the promotion of a replica that receives nothing more, the order waits, and the primary answers again.
 */
 import * as assert from 'node:assert/strict';
@@ -177,8 +177,8 @@
 });
 
 // Guards against commits that are withheld for ever where neither the store, nor another host, nor the authority answers for
-// the orders of before.
-test.test('a host that starts alone while the authority is unavailable confirms commits once no order of before can live', async () => {
+// the earlier orders.
+test.test('a host that starts alone while the authority is unavailable confirms commits once no earlier order can live', async () => {
 	const fleet = await start();
 	const claimant = await holdOrder(fleet);
 	const host = fleet.replaceHost(claimant);
@@ -262,7 +262,7 @@
 	await check(fleet, host);
 });
 
-// Guards against a release of before a restoration that is taken for one of the last claim, which the store has lost.
+// Guards against a release from before a restoration that is taken for one of the last claim, which the store has lost.
 test.test('a host doesn\'t go by a claim that was released before the store was restored', async () => {
 	const fleet = await startAfterPromotion();
 	fleet.store.copy();
--- a/src/entry/tests/claims.test.ts
+++ b/src/entry/tests/claims.test.ts
@@ -171,8 +171,8 @@
 	assert.ok(Either.isLeft(outcome), JSON.stringify(outcome));
 });
 
-// Guards against an order for another server under the token of an order that the process before it has sent.
-test.test('a host that restarts while the store is unavailable doesn\'t keep the claim of its process of before', async () => {
+// Guards against an order for another server under the token of an order that the previous process has sent.
+test.test('a host that restarts while the store is unavailable doesn\'t keep the claim of its previous process', async () => {
 	const store = new fakes.Objects();
 	assert.ok(Either.isRight(await make(store, 'entry-1', 1).claim('ledgers')));
 	const restarted = make(store, 'entry-1', 2);
@@ -196,7 +196,7 @@
 }
 
 // Guards against a start that trusts a claim which is not released, or was released before the store was restored.
-test.test('the orders of before are closed without a claim or by its release, in a store that was not restored since', async () => {
+test.test('earlier orders are closed without a claim or by its release, in a store that was not restored since', async () => {
 	const store = new fakes.Objects();
 	assert.equal(await readStanding(store), 'closed');
 	const time = new clock.Manual();
--- a/src/entry/tests/promotions.test.ts
+++ b/src/entry/tests/promotions.test.ts
@@ -333,7 +333,7 @@
 	}
 }
 
-/** The store returns to a copy of before. */
+/** The store returns to an earlier copy. */
 class Restoration extends Event {
 	readonly #afterMs: number;
 
