--- /dev/null
+++ b/review/lib-3/client.js
@@ -0,0 +1,90 @@
+/**
+A client session over the wire protocol: one request at a time.
+*/
+import * as net from 'node:net';
+import {Lines} from './group.js';
+
+export class Client {
+	isClosed = false;
+	#socket;
+	#lines = new Lines();
+	#pending;
+	#current = {
+		rows: [], code: '', text: '', signature: '',
+	};
+
+	constructor(address) {
+		const [host, port] = address.split(':');
+		this.#socket = net.connect({host, port: Number(port), noDelay: true});
+		this.#socket.on('error', () => {
+			this.#socket.destroy();
+		});
+		this.#socket.on('close', () => {
+			this.isClosed = true;
+			this.#pending?.({...this.#current, code: 'CLOSED'});
+			this.#pending = undefined;
+		});
+		this.#socket.on('data', chunk => {
+			for (const text of this.#lines.push(chunk)) {
+				this.#handle(text);
+			}
+		});
+	}
+
+	/** The socket, for clients that don't keep to the usual exchange. */
+	get socket() {
+		return this.#socket;
+	}
+
+	async startUp(database, who = 'u1') {
+		return this.#request(`STARTUP ${database} ${who}\r\n`);
+	}
+
+	async query(id, text) {
+		return this.#request(`QUERY ${id} ${text}\r\n`);
+	}
+
+	close() {
+		this.#socket.destroy();
+	}
+
+	async #request(text) {
+		if (this.isClosed) {
+			return {...this.#current, code: 'CLOSED'};
+		}
+
+		this.#current = {
+			rows: [], code: '', text: '', signature: '',
+		};
+		return new Promise(resolve => {
+			this.#pending = resolve;
+			this.#socket.write(text, 'latin1');
+		});
+	}
+
+	#handle(text) {
+		const [word, first = ''] = text.split(' ', 2);
+		switch (word) {
+			case 'DATAROW': {
+				this.#current.rows.push(text.slice('DATAROW '.length));
+				break;
+			}
+
+			case 'COMPLETE': {
+				this.#current.signature = first;
+				break;
+			}
+
+			case 'ERROR': {
+				this.#current.code = first;
+				this.#current.text = text.slice(word.length + first.length + 2, 300);
+				break;
+			}
+
+			default: {
+				this.#pending?.({...this.#current, state: first});
+				this.#pending = undefined;
+			}
+		}
+	}
+}
