--- a/review/lib-3/site.js
+++ b/review/lib-3/site.js
@@ -4,6 +4,7 @@
 import * as childProcess from 'node:child_process';
 import * as fs from 'node:fs';
 import * as http from 'node:http';
+import * as net from 'node:net';
 import * as os from 'node:os';
 import * as path from 'node:path';
 import process from 'node:process';
@@ -36,6 +37,7 @@
 	#record;
 	#startedAt = performance.now();
 	#version = 1;
+	#seeds;
 	#network = `127.${1 + (process.pid % 250)}.${1 + (Math.floor(process.pid / 250) % 250)}`;
 
 	constructor(recordFile) {
@@ -85,13 +87,14 @@
 			zone,
 			region: 'puget',
 			ip,
-			listenAddrs: {front: `${ip}:8784`, ready: `${ip}:8785`, control: `${ip}:8782`},
-			seeds: `${this.#network}.1:8782`,
+			listenAddrs: {front: await findAddress(ip), ready: await findAddress(ip), control: await findAddress(ip)},
 			platform: {address},
 			cloud: {address},
 			limits: {...defaults.limits, ...limits},
 			bounds: {...defaults.bounds, ...bounds},
 		};
+		this.#seeds ??= fields.listenAddrs.control;
+		fields.seeds = this.#seeds;
 		const file = path.join(this.#folder, `front-${index}.ini`);
 		fs.writeFileSync(file, render(fs.readFileSync(path.join(root, 'deploy', 'entry.ini'), 'utf8'), fields));
 		const host = {
@@ -142,12 +145,17 @@
 		try {
 			const text = fs.readFileSync(`/proc/${host.child.pid}/status`, 'utf8');
 			const read = name => Math.round(Number(new RegExp(`${name}:\\s+(\\d+)`, 'v').exec(text)?.[1] ?? 0) / 1024);
-			return {nowMb: read('VmRSS'), peakMb: read('VmHWM')};
+			return {nowMb: read('VmRSS'), peakMb: read('VmHWM'), anonymousMb: read('RssAnon')};
 		} catch {
-			return {nowMb: 0, peakMb: 0};
+			return {nowMb: 0, peakMb: 0, anonymousMb: 0};
 		}
 	}
 
+	/** The line with which a process that ended by itself told why. */
+	readFatal({log}) {
+		return fs.readFileSync(log, 'latin1').split('\n').find(text => text.startsWith('FATAL')) ?? 'no reason was written';
+	}
+
 	/** Ends everything that was started. */
 	async stop() {
 		for (const host of this.hosts) {
@@ -197,6 +205,20 @@
 	return /^run = "(?<command>.+)"$/mv.exec(text).groups.command.split(' ');
 }
 
+/** An address with a free port. */
+async function findAddress(ip) {
+	return new Promise((resolve, reject) => {
+		const server = net.createServer();
+		server.once('error', reject);
+		server.listen(0, ip, () => {
+			const {port} = server.address();
+			server.close(() => {
+				resolve(`${ip}:${port}`);
+			});
+		});
+	});
+}
+
 async function isReady({ready}) {
 	return new Promise(resolve => {
 		const request = http.get(`http://${ready}/readiness`, {agent: false, timeout: 500}, response => {
