Keep case 11 inside the limits of its site, and give each entry its line

Versions 0.33 s apart in place of 0.1, and a lag of 1.9 s for 1.4 s in each round in place of 1 s for the whole run.

--- a/review/11/case.js
+++ b/review/11/case.js
@@ -10,17 +10,20 @@
 
 const isTroubled = process.env.TROUBLE !== '0';
 const route = {databaseName: 'lepu270', type: 'read_your_writes', maxStalenessMs: 2500};
-/** The replicas of the first service apply what they receive this much later. */
-const appliedAfterMs = 1000;
+const usualLagMs = 20;
+/** During a round, the replicas of the first service apply what they receive this much later. */
+const appliedAfterMs = 1900;
 /** Time between two versions. */
-const gapMs = 100;
+const gapMs = 330;
 
 await run(path.join(import.meta.dirname, 'record.txt'), async site => {
 	const first = await site.addGroup('ledgers1', ['willamette-a', 'puget-a', 'puget-a']);
 	await site.addGroup('ledgers2', ['willamette-a', 'puget-a', 'puget-a']);
-	for (const server of first.servers) {
-		server.lagMs = appliedAfterMs;
-	}
+	const setLag = ms => {
+		for (const server of first.servers) {
+			server.lagMs = ms;
+		}
+	};
 
 	site.configure([{...route, service: 'ledgers1'}]);
 	const host = await site.addHost('puget-a');
@@ -39,8 +42,10 @@
 
 	let broken = 0;
 	for (let round = 0; round < 5; round++) {
+		setLag(appliedAfterMs);
 		const written = await ask(`a${round}`, `WRITE item${round} value${round}`);
 		if (written.code !== '') {
+			setLag(usualLagMs);
 			continue;
 		}
 
@@ -59,6 +64,7 @@
 		}
 
 		const read = await ask(`c${round}`, `READ item${round}`);
+		setLag(usualLagMs);
 		const ran = first.runs.findLast(({id}) => id === `c${round}`);
 		site.note(`c${round} ran at ${ran?.server} in ${ran?.service}, whose log ended at ${ran?.position}`);
 		if (read.code === '' && read.rows[0] !== `value${round}`) {
