Record every message and every run in the cases of the third review

The record of cases 12 to 15 had summaries only. It now has a line for each request that was sent, with its size and its answer, and for each statement that a server ran.

--- a/review/lib-3/client.js
+++ b/review/lib-3/client.js
@@ -1,9 +1,20 @@
 /**
 A client session over the wire protocol: one request at a time.
 */
+import {Buffer} from 'node:buffer';
 import * as net from 'node:net';
 import {Lines} from './group.js';
 
+/** Every request of all clients, in the order in which they were sent: {at, sent, bytes, answeredAt, answer}. */
+export const exchanges = [];
+
+const maxShown = 60;
+
+/** A copy of the beginning of a text, which doesn't keep the whole text in memory. */
+function shorten(text) {
+	return Buffer.from(text.slice(0, maxShown), 'latin1').toString('latin1').trimEnd();
+}
+
 export class Client {
 	isClosed = false;
 	#socket;
@@ -56,10 +67,15 @@
 		this.#current = {
 			rows: [], code: '', text: '', signature: '',
 		};
-		return new Promise(resolve => {
+		const exchange = {at: performance.now(), sent: shorten(text), bytes: text.length};
+		exchanges.push(exchange);
+		const reply = await new Promise(resolve => {
 			this.#pending = resolve;
 			this.#socket.write(text, 'latin1');
 		});
+		exchange.answeredAt = performance.now();
+		exchange.answer = shorten(reply.code || [reply.signature, ...reply.rows].join(' ').trim() || `READY ${reply.state}`);
+		return reply;
 	}
 
 	#handle(text) {
--- a/review/lib-3/site.js
+++ b/review/lib-3/site.js
@@ -9,6 +9,7 @@
 import * as path from 'node:path';
 import process from 'node:process';
 import * as url from 'node:url';
+import {exchanges} from './client.js';
 import {Group} from './group.js';
 import {Store} from './store.js';
 
@@ -54,6 +55,17 @@
 		fs.appendFileSync(this.#record, `${((performance.now() - this.#startedAt) / 1000).toFixed(3)} s ${text}\n`);
 	}
 
+	/** Writes to the record what clients sent and were answered, and what servers ran. */
+	noteAll() {
+		const seconds = at => at === undefined ? 'never' : `${((at - this.#startedAt) / 1000).toFixed(3)} s`;
+		const texts = exchanges.map(({at, sent, bytes, answeredAt, answer}) => `sent at ${seconds(at)}: ${sent} (${bytes} bytes); answered at ${seconds(answeredAt)}: ${answer ?? '-'}`);
+		for (const {runs} of this.groups) {
+			texts.push(...runs.map(({at, id, text, server, position}) => `run at ${seconds(at)} by ${server} (${position}): ${id.slice(0, 40)} ${text.slice(0, 40)}`));
+		}
+
+		fs.appendFileSync(this.#record, `${texts.join('\n')}\n`);
+	}
+
 	async addGroup(name, zones, options = {}) {
 		const group = new Group(name, zones, {store: this.store, ...options});
 		await group.start(standInHost);
@@ -183,11 +195,13 @@
 	let code = 2;
 	const limit = setTimeout(async () => {
 		site.note('the case took too long');
+		site.noteAll();
 		await site.stop();
 		process.exit(2); // eslint-disable-line unicorn/no-process-exit
 	}, 110_000);
 	try {
 		code = await body(site) ? 1 : 0;
+		site.noteAll();
 		site.note(code === 1 ? 'result: the rule was broken' : 'result: the rule held');
 	} catch (error) {
 		site.note(`the case couldn't run: ${error.stack}`);
