Log which position a session requires at the service that its route has moved to

A read's minimum position was only logged when the read was redirected, so nothing told whether a session that comes back to a service still requires its own commit there. session-rerouted names both services and the position, once for each move of a session.

No decision changes.

--- a/src/entry/session.ts
+++ b/src/entry/session.ts
@@ -2,6 +2,7 @@
 The session of one caller: a task that executes the caller's requests one after the other.
 */
 import type * as types from '../generated/types.js';
+import * as position from '../core/position.js';
 import * as keeping from '../intake/keeping.js';
 import type * as caller from './caller.js';
 import type * as activities from './customers/activity.js';
@@ -58,6 +59,8 @@
 	#isRevoked = false;
 	#transaction: executor.Transaction | undefined;
 	#lastCommit: Commit | undefined;
+	/** Service of the last operation; empty before the first. */
+	#service = '';
 	#isDraining = false;
 	/** Whether the session ends with the request in progress. */
 	#isClosing = false;
@@ -429,19 +432,32 @@
 		}
 
 		const arrivedAt = this.#options.context.clock.mark();
+		const sessionPosition = this.#lastCommit?.service === route.service ? this.#lastCommit.position : null;
+		this.#recordService(id, route, sessionPosition);
 		return {
 			id,
 			route,
 			customer: authorization.customerName(this.#authorize(route)),
 			isRevoked: () => this.#isRevoked,
 			state: this.#state,
-			sessionPosition: this.#lastCommit?.service === route.service ? this.#lastCommit.position : null,
+			sessionPosition,
 			arrivedAt,
 			deadline: arrivedAt.monotonicMs + route.statementTimeoutMs,
 			spentMs: 0,
 		};
 	}
 
+	/** Records that a version of the configuration has moved the session to another service, with the position that its reads require there. */
+	#recordService(id: string, {name, service}: types.Route, floor: statement.Position | null): void {
+		if (this.#service !== '' && this.#service !== service) {
+			this.#options.context.decisions.request('session-rerouted', id, {
+				service, route: name, from: this.#service, floor: floor ? position.format(floor) : 'none',
+			});
+		}
+
+		this.#service = service;
+	}
+
 	/** Whether the session may keep values and prepared statements of this size. */
 	#mayKeep(size: keeping.Size): boolean {
 		return keeping.isWithin(size) && this.#caller.keep(size.bytes);
