--- a/src/entry/caller.ts
+++ b/src/entry/caller.ts
@@ -15,7 +15,7 @@
 	abstract get hasPendingRequest(): boolean;
 
 	/**
-	Counts the bytes of values and prepared statements that the session keeps; false if the process has no memory for them.
+	Counts the bytes that the session keeps: values, prepared statements and positions of commits; false if the process has no memory for them.
 	Implementations without a memory budget keep everything.
 	*/
 	keep(_bytes: number): boolean {
--- a/src/entry/job.ts
+++ b/src/entry/job.ts
@@ -25,7 +25,7 @@
 	/** Whether the session's key was removed since. Absent at a host to which the job was forwarded, which knows no key. */
 	readonly isRevoked?: () => boolean;
 	readonly state: states.State;
-	/** Log position of the session's last commit in the service; null if there is none. */
+	/** Position in the service's log that the session's reads have to include; null if it has no commit there. */
 	readonly sessionPosition: statement.Position | null;
 	readonly arrivedAt: clock.Mark;
 	/** Monotonic time in ms by which the reply is due. */
--- a/src/entry/session.ts
+++ b/src/entry/session.ts
@@ -13,6 +13,7 @@
 import * as executor from './executor.js';
 import * as jobs from './job.js';
 import type * as leases from './lease.js';
+import * as commits from './session/commits.js';
 import * as states from './state.js';
 import * as statement from './statement.js';
 
@@ -28,9 +29,6 @@
 	readonly isCurrent?: () => boolean;
 };
 
-/** Position of the session's last commit in the log of a service. */
-type Commit = {readonly service: string; readonly position: statement.Position};
-
 /** What ended a session: its caller or a refusal, or this host, after a reply or while no request was in progress. */
 export type Ending = 'caller' | 'reply' | 'idle';
 
@@ -43,6 +41,9 @@
 /** Why customers aren't served by a host that can reach neither the store nor another host. */
 const outdatedReason = 'the configuration of this host is too old';
 
+/** Why a write is refused whose commit the session couldn't remember. */
+const memoryReason = 'this host has no memory for the position of the commit';
+
 /** Callers time out when a session takes 2 s to open. */
 const openTimeoutMs = 1700;
 
@@ -58,7 +59,7 @@
 	/** Whether a version of the configuration has ended the session's admission. */
 	#isRevoked = false;
 	#transaction: executor.Transaction | undefined;
-	#lastCommit: Commit | undefined;
+	readonly #commits = new commits.Commits();
 	/** Service of the last operation; empty before the first. */
 	#service = '';
 	#isDraining = false;
@@ -249,7 +250,7 @@
 
 			case 'deallocate': {
 				this.#state.deallocate(received.name);
-				this.#caller.keep(this.#state.size.bytes);
+				this.#caller.keep(this.#state.size.bytes + this.#commits.bytes);
 				return this.#success();
 			}
 
@@ -327,7 +328,7 @@
 
 	async #run({id}: statement.Request, work: leases.Work): Promise<statement.Reply> {
 		if (this.#transaction) {
-			return this.#transaction.run(work, this.#transaction.job.route.statementTimeoutMs);
+			return this.#runInTransaction(this.#transaction, work);
 		}
 
 		const job = this.#createJob(id);
@@ -335,6 +336,10 @@
 			return this.#refuse('no-database', this.#database);
 		}
 
+		if (work.mode === 'write' && !this.#mayCommit(job.route.service)) {
+			return jobs.refuse(this.#options.context, job, memoryReason);
+		}
+
 		const refusal = await this.#limit(job);
 		if (refusal) {
 			return refusal;
@@ -349,6 +354,16 @@
 		return reply;
 	}
 
+	async #runInTransaction(transaction: executor.Transaction, work: leases.Work): Promise<statement.Reply> {
+		const {service, statementTimeoutMs} = transaction.job.route;
+		if (work.mode === 'write' && !transaction.isFailed && !this.#mayCommit(service)) {
+			await transaction.abort(memoryReason);
+			return transaction.refusal();
+		}
+
+		return transaction.run(work, statementTimeoutMs);
+	}
+
 	/** How the session is admitted to a route under the configuration in force; `undefined` if it isn't. */
 	#authorize(route: types.Route | undefined): authorization.Grant | undefined {
 		return authorization.authorize(this.#options.deployment.customers, route, this.#keyDigest);
@@ -418,9 +433,9 @@
 	}
 
 	/** Records the log position of a commit, which later reads of the session have to include. */
-	#recordCommit({refusal, position}: statement.Reply, service: string): void {
-		if (refusal === null && position) {
-			this.#lastCommit = {service, position};
+	#recordCommit({refusal, position: committed}: statement.Reply, service: string): void {
+		if (refusal === null && committed) {
+			this.#commits.record(service, committed);
 		}
 	}
 
@@ -432,7 +447,7 @@
 		}
 
 		const arrivedAt = this.#options.context.clock.mark();
-		const sessionPosition = this.#lastCommit?.service === route.service ? this.#lastCommit.position : null;
+		const sessionPosition = this.#commits.positionAt(route.service);
 		this.#recordService(id, route, sessionPosition);
 		return {
 			id,
@@ -458,9 +473,14 @@
 		this.#service = service;
 	}
 
+	/** Whether the session can remember a commit at a service, so that its reads include it. */
+	#mayCommit(service: string): boolean {
+		return this.#commits.reserve(service, bytes => this.#caller.keep(this.#state.size.bytes + bytes));
+	}
+
 	/** Whether the session may keep values and prepared statements of this size. */
 	#mayKeep(size: keeping.Size): boolean {
-		return keeping.isWithin(size) && this.#caller.keep(size.bytes);
+		return keeping.isWithin(size) && this.#caller.keep(size.bytes + this.#commits.bytes);
 	}
 
 	#confirmKept(isKept: boolean): statement.Reply {
--- a/src/entry/tests/fixture.ts
+++ b/src/entry/tests/fixture.ts
@@ -26,29 +26,37 @@
 
 /** A running group with its store, authority and backend servers in memory. */
 export class Fixture {
-	readonly time = new clock.Manual();
-	readonly cluster = new cluster.Cluster(this.time);
+	readonly time: clock.Manual;
+	readonly cluster: cluster.Cluster;
 	readonly store = new cluster.Objects();
-	readonly authority = new cluster.Authority(this.cluster);
+	readonly authority: cluster.Authority;
 	readonly decisions = new decisions.Silent();
 	readonly stopped = new AbortController();
-	readonly group = new groups.Group({
-		name: 'ledgers', clock: this.time, decisions: this.decisions, connect: ({id}) => this.cluster.get(id), isIsolated: () => false, random: new random.Seeded(3),
-	});
-
-	readonly claims = new claims.Claims({
-		host: 'entry-1', store: this.store, clock: this.time, random: new random.Seeded(1), decisions: this.decisions,
-	});
-
-	readonly failover = new failover.Failover({
-		group: this.group, host: 'entry-1', clock: this.time, random: new random.Seeded(2), authority: this.authority, claims: this.claims, hosts: new NoHosts(), decisions: this.decisions,
-	});
-
-	readonly context: jobs.Context = {clock: this.time, place: 'west', decisions: this.decisions};
-
+	readonly group: groups.Group;
+	readonly claims: claims.Claims;
+	readonly failover: failover.Failover;
+	readonly context: jobs.Context;
 	/** Whether the group has work all the time. */
 	isActive = true;
 
+	/** Several services of one host share its clock. */
+	constructor(name = 'ledgers', time = new clock.Manual()) {
+		const shared = {clock: time, decisions: this.decisions};
+		this.time = time;
+		this.cluster = new cluster.Cluster(time);
+		this.authority = new cluster.Authority(this.cluster);
+		this.context = {...shared, place: 'west'};
+		this.group = new groups.Group({
+			...shared, name, connect: ({id}) => this.cluster.get(id), isIsolated: () => false, random: new random.Seeded(3),
+		});
+		this.claims = new claims.Claims({
+			...shared, host: 'entry-1', store: this.store, random: new random.Seeded(1),
+		});
+		this.failover = new failover.Failover({
+			...shared, group: this.group, host: 'entry-1', random: new random.Seeded(2), authority: this.authority, claims: this.claims, hosts: new NoHosts(),
+		});
+	}
+
 	/** Registers the servers and runs the group's task until the leader is known. */
 	async start(servers: readonly string[] = ['a', 'b', 'c'], quota = 4): Promise<void> {
 		this.group.resize({softLimit: quota, hardLimit: quota});
@@ -70,7 +78,7 @@
 
 	route(change: Partial<types.Route> = {}): types.Route {
 		return {
-			name: 'r', database: 'd', kind: 'session', maximumAgeMs: 1500, statementTimeoutMs: 800, targetMs: 500, priority: 1, service: 'ledgers', ...change,
+			name: 'r', database: 'd', kind: 'session', maximumAgeMs: 1500, statementTimeoutMs: 800, targetMs: 500, priority: 1, service: this.group.name, ...change,
 		};
 	}
 
--- a/src/entry/tests/revocation.test.ts
+++ b/src/entry/tests/revocation.test.ts
@@ -3,7 +3,6 @@
 import type * as types from '../../generated/types.js';
 import * as validators from '../../generated/forwarding.js';
 import * as caches from '../cache.js';
-import * as caller from '../caller.js';
 import * as activities from '../customers/activity.js';
 import * as directories from '../customers/directory.js';
 import * as limiters from '../customers/limiter.js';
@@ -17,75 +16,13 @@
 import * as retentions from '../retention.js';
 import * as sessions from '../session.js';
 import * as statement from '../statement.js';
+import * as callers from './fake-caller.js';
 import * as fixture from './fixture.js';
 import * as states from './fake-state.js';
 
 const replyMs = 400;
 const key = 'rth5mgjy5rcp';
 
-/** A caller whose requests a test submits. */
-class Caller extends caller.Caller {
-	override readonly address = 'test';
-	readonly replies: statement.Reply[] = [];
-	rejected: {refusal: statement.Refusal; message: string} | undefined;
-	isAccepted = false;
-	isClosed = false;
-	/** Number of replies at the time of the close. */
-	repliesAtClose: number | undefined;
-	readonly #opening: caller.Opening;
-	readonly #requests: statement.Request[] = [];
-	#wake: (() => void) | undefined;
-	#count = 0;
-
-	constructor(opening: caller.Opening) {
-		super();
-		this.#opening = opening;
-	}
-
-	override get hasPendingRequest(): boolean {
-		return this.#requests.length > 0 || this.#count > this.replies.length;
-	}
-
-	submit(submitted: statement.Statement): void {
-		this.#count++;
-		this.#requests.push({id: `q${this.#count}`, statement: submitted});
-		this.#wake?.();
-	}
-
-	override async open(): Promise<caller.Opening> {
-		return this.#opening;
-	}
-
-	override accept(): void {
-		this.isAccepted = true;
-	}
-
-	override reject(refusal: statement.Refusal, message: string): void {
-		this.rejected = {refusal, message};
-		this.isClosed = true;
-	}
-
-	override async next(): Promise<statement.Request | undefined> {
-		while (this.#requests.length === 0 && !this.isClosed) {
-			await new Promise<void>(resolve => {
-				this.#wake = resolve;
-			});
-		}
-
-		return this.#requests.shift();
-	}
-
-	override reply(reply: statement.Reply): void {
-		this.replies.push(reply);
-	}
-
-	override close(): void {
-		this.isClosed = true;
-		this.repliesAtClose ??= this.replies.length;
-		this.#wake?.();
-	}
-}
-
 /** Records the fields of everything that is logged. */
 class Recording extends decisions.Silent {
 	readonly lines: Array<{name: string; fields: decisions.Fields}> = [];
@@ -163,8 +100,8 @@
 		revocation.review(this.sessions, content.version, this.decisions);
 	}
 
-	async open(given = key): Promise<Caller> {
-		const client = new Caller({database: 'd', key: given});
+	async open(given = key): Promise<callers.Caller> {
+		const client = new callers.Caller({database: 'd', key: given});
 		const session = new sessions.Session(client, {
 			context: this.context, deployment: this.deployment, executor: this.executor, limiter: this.limiter, activity: this.activity, isCurrent: () => this.isCurrent,
 		});
@@ -181,7 +118,7 @@
 	}
 
 	/** Executes statements and returns the refusal of the last one; null if it was executed. */
-	async request(client: Caller, ...statements: statement.Statement[]): Promise<statement.Refusal | null | undefined> {
+	async request(client: callers.Caller, ...statements: statement.Statement[]): Promise<statement.Refusal | null | undefined> {
 		for (const given of statements) {
 			client.submit(given);
 			await this.fixture.time.advance(replyMs);
--- a/src/entry/tests/session.test.ts
+++ b/src/entry/tests/session.test.ts
@@ -1,7 +1,6 @@
 import * as assert from 'node:assert/strict';
 import * as test from 'node:test';
 import type * as types from '../../generated/types.js';
-import * as caller from '../caller.js';
 import * as limiters from '../customers/limiter.js';
 import * as deployments from '../deployment.js';
 import * as executor from '../executor.js';
@@ -9,65 +8,12 @@
 import * as local from '../local.js';
 import * as sessions from '../session.js';
 import * as statement from '../statement.js';
+import * as callers from './fake-caller.js';
 import * as fixture from './fixture.js';
 
 /** Longer than the maximum wait for a connection. */
 const replyMs = 400;
 
-/** A caller whose requests a test submits one by one. */
-class Caller extends caller.Caller {
-	override readonly address = 'test';
-	readonly replies: statement.Reply[] = [];
-	rejected: statement.Refusal | undefined;
-	isClosed = false;
-	#requests: statement.Request[] = [];
-	#wake: (() => void) | undefined;
-	#count = 0;
-
-	override get hasPendingRequest(): boolean {
-		return this.#requests.length > 0 || this.#count > this.replies.length;
-	}
-
-	submit(statement: statement.Statement): void {
-		this.#count++;
-		this.#requests.push({id: `q${this.#count}`, statement});
-		this.#wake?.();
-	}
-
-	override async open(): Promise<caller.Opening> {
-		return {database: 'd', key: 'u'};
-	}
-
-	override accept(): void {
-		this.isClosed = false;
-	}
-
-	override reject(refusal: statement.Refusal): void {
-		this.rejected = refusal;
-		this.isClosed = true;
-	}
-
-	override async next(): Promise<statement.Request | undefined> {
-		while (this.#requests.length === 0 && !this.isClosed) {
-			await new Promise<void>(resolve => {
-				this.#wake = resolve;
-			});
-		}
-
-		return this.#requests.shift();
-	}
-
-	override reply(reply: statement.Reply): void {
-		this.replies.push(reply);
-	}
-
-	override close(): void {
-		this.isClosed = true;
-		this.#requests = [];
-		this.#wake?.();
-	}
-}
-
 class Harness {
 	readonly fixture = new fixture.Fixture();
 	readonly deployment = new deployments.Deployment(this.fixture.time, this.fixture.decisions);
@@ -85,8 +31,8 @@
 		}, 'test');
 	}
 
-	open(): {client: Caller; session: sessions.Session} {
-		const client = new Caller();
+	open(): {client: callers.Caller; session: sessions.Session} {
+		const client = new callers.Caller();
 		const session = new sessions.Session(client, {
 			context: this.fixture.context,
 			deployment: this.deployment,
@@ -97,7 +43,7 @@
 		return {client, session};
 	}
 
-	async request(client: Caller, ...statements: statement.Statement[]): Promise<statement.Reply[]> {
+	async request(client: callers.Caller, ...statements: statement.Statement[]): Promise<statement.Reply[]> {
 		for (const given of statements) {
 			client.submit(given);
 			await this.fixture.time.advance(replyMs);
@@ -233,7 +179,7 @@
 	const harness = new Harness();
 	await harness.start('session');
 	const recorder = new RecordingExecutor();
-	const client = new Caller();
+	const client = new callers.Caller();
 	void new sessions.Session(client, {
 		context: harness.fixture.context, deployment: harness.deployment, executor: recorder, limiter: new limiters.Unlimited(),
 	}).run();
