Report a commit without a position as in doubt

What callers could see: success for a write whose reply carries no position. Nothing asked whether the commit may be confirmed, and no later read of the session could require it.

Cause: Writer, Transaction and Session skipped confirmation and record where the position was null.

Now such a commit is in doubt, at the host that ran it and at the session's host, which may get it from a host of an earlier build. A transaction that wrote nothing needs no position, and no longer raises the position that the session's reads require. The confirmation of a commit stands once, in group/commit.ts, in place of two copies.

--- a/src/entry/executor.ts
+++ b/src/entry/executor.ts
@@ -29,6 +29,9 @@
 	/** Whether the transaction was rolled back because its server connection was lost. */
 	abstract get isLost(): boolean;
 
+	/** Whether a COMMIT would change the service's log: the transaction has written and not failed. */
+	abstract get hasChanges(): boolean;
+
 	/** Executes a statement on the transaction's connection. */
 	abstract run(work: leases.Work, timeoutMs: number): Promise<statement.Reply>;
 
--- a/src/entry/forwarder.ts
+++ b/src/entry/forwarder.ts
@@ -174,6 +174,10 @@
 		return this.#isLost;
 	}
 
+	override get hasChanges(): boolean {
+		return this.#hasWritten && !this.#isFailed;
+	}
+
 	override async run(work: leases.Work, timeoutMs: number): Promise<statement.Reply> {
 		this.#hasWritten ||= work.mode === 'write';
 		const outcome = await this.#peer.request({
--- a/src/entry/session.ts
+++ b/src/entry/session.ts
@@ -321,9 +321,9 @@
 			return statement.success('none');
 		}
 
-		const reply = await transaction.commit(id, text, transaction.job.route.statementTimeoutMs);
-		this.#recordCommit(reply, transaction.job.route.service);
-		return reply;
+		const {job, hasChanges} = transaction;
+		const reply = await transaction.commit(id, text, job.route.statementTimeoutMs);
+		return hasChanges ? this.#recordCommit(id, reply, job.route) : reply;
 	}
 
 	async #run({id}: statement.Request, work: leases.Work): Promise<statement.Reply> {
@@ -347,11 +347,7 @@
 
 		const reply = await this.#options.executor.run({...job, state: this.#state.copy()}, work);
 		this.#countRefused(job, reply);
-		if (work.mode === 'write') {
-			this.#recordCommit(reply, job.route.service);
-		}
-
-		return reply;
+		return work.mode === 'write' ? this.#recordCommit(id, reply, job.route) : reply;
 	}
 
 	async #runInTransaction(transaction: executor.Transaction, work: leases.Work): Promise<statement.Reply> {
@@ -432,11 +428,23 @@
 		return statement.refuse('unauthorized', 'the key is no longer valid', 'none');
 	}
 
-	/** Records the log position of a commit, which later reads of the session have to include. */
-	#recordCommit({refusal, position: committed}: statement.Reply, service: string): void {
-		if (refusal === null && committed) {
-			this.#commits.record(service, committed);
+	/**
+	Records the log position of a commit, which later reads of the session have to include, and returns the reply to its
+	caller. A success without a position, which hosts of earlier builds pass on, is a promise that can't be kept.
+	*/
+	#recordCommit(id: string, reply: statement.Reply, {service, name}: types.Route): statement.Reply {
+		if (reply.refusal !== null) {
+			return reply;
+		}
+
+		if (!reply.position) {
+			const reason = 'the reply carries no position';
+			this.#options.context.decisions.request('commit-lost', id, {service, route: name, reason});
+			return statement.refuse('in-doubt', reason, 'none');
 		}
+
+		this.#commits.record(service, reply.position);
+		return reply;
 	}
 
 	/** Creates a job under the current configuration; `undefined` if it has no route for the session's database. */
--- a/src/entry/tests/fake-cluster.ts
+++ b/src/entry/tests/fake-cluster.ts
@@ -49,6 +49,8 @@
 	isReplicationCut = false;
 	/** Time from the acknowledgement of a commit until its reply is written. */
 	commitReplyDelayMs = 0;
+	/** Replies carry no position. */
+	hidesPosition = false;
 	/** Requests that take a slot are refused as busy. */
 	isSaturated = false;
 	isRollingBack = false;
@@ -227,7 +229,7 @@
 		}
 
 		await this.#hangIfUnresponsive();
-		return {...reply, position: logEnd};
+		return {...reply, position: this.#server.hidesPosition ? null : logEnd};
 	}
 
 	#isCommit(command: statement.Command): boolean {
--- a/src/entry/transaction.ts
+++ b/src/entry/transaction.ts
@@ -6,6 +6,7 @@
 import * as errors from '../core/errors.js';
 import * as executor from './executor.js';
 import type * as group from './group.js';
+import * as commits from './group/commit.js';
 import * as jobs from './job.js';
 import * as leaders from './leader.js';
 import * as leases from './lease.js';
@@ -41,6 +42,10 @@
 		return !this.#lease.isOpen;
 	}
 
+	override get hasChanges(): boolean {
+		return this.#hasWritten && !this.#isFailed;
+	}
+
 	override async run(work: leases.Work, timeoutMs: number): Promise<statement.Reply> {
 		if (this.isFailed) {
 			return this.refusal();
@@ -69,7 +74,7 @@
 		const {member} = this.#lease;
 		const sentAt = this.#context.clock.mark();
 		const before = member.position;
-		const isCommit = this.#hasWritten && !this.isFailed;
+		const isCommit = this.hasChanges;
 		if (isCommit) {
 			member.commitSent(sentAt.monotonicMs);
 		}
@@ -88,16 +93,16 @@
 			return this.#failCommit(id, outcome.left);
 		}
 
-		const {refusal, position} = outcome.right;
-		member.recordPosition(position);
-		if (isCommit && refusal === null && position) {
-			this.#group.confirmLeader(member, sentAt, position);
+		const {refusal, position: logEnd} = outcome.right;
+		member.recordPosition(logEnd);
+		if (isCommit && refusal === null) {
 			const remainingMs = sentAt.monotonicMs + timeoutMs - this.#context.clock.now();
-			if (!await this.#group.confirmations.confirm({server: member.id, logEnd: position}, remainingMs)) {
-				return this.#failCommit(id, errors.failure('outcome-unknown', 'receive', member.id, this.#group.confirmations.reason));
+			const confirmed = await commits.confirm(this.#group, {
+				server: member, sentAt, before, logEnd,
+			}, remainingMs);
+			if (Either.isLeft(confirmed)) {
+				return this.#failCommit(id, confirmed.left);
 			}
-
-			this.#group.acknowledge(before, position);
 		} else if (refusal === 'read-only') {
 			this.#group.denyLeader(member, sentAt);
 		}
--- a/src/entry/write.ts
+++ b/src/entry/write.ts
@@ -3,6 +3,7 @@
 */
 import * as Either from 'fp-ts/lib/Either.js';
 import type * as clock from '../core/clock.js';
+import * as commits from './group/commit.js';
 import * as jobs from './job.js';
 import * as leaders from './leader.js';
 import type * as leases from './lease.js';
@@ -53,14 +54,14 @@
 		await lease.release();
 		lease.member.commitEnded(sentAt.monotonicMs, Either.isRight(outcome) || outcome.left.kind === 'not-run');
 		if (Either.isRight(outcome)) {
-			const {refusal, position} = outcome.right;
-			if (refusal === null && position) {
-				job.group.confirmLeader(lease.member, sentAt, position);
-				if (!await job.group.confirmations.confirm({server: lease.member.id, logEnd: position}, jobs.remainingMs(this.#context, job))) {
-					return this.#doubt(job, lease, sentAt, job.group.confirmations.reason);
+			const {refusal, position: logEnd} = outcome.right;
+			if (refusal === null) {
+				const confirmed = await commits.confirm(job.group, {
+					server: lease.member, sentAt, before, logEnd,
+				}, jobs.remainingMs(this.#context, job));
+				if (Either.isLeft(confirmed)) {
+					return this.#doubt(job, lease, sentAt, confirmed.left.message);
 				}
-
-				job.group.acknowledge(before, position);
 			} else if (refusal === 'read-only') {
 				job.group.denyLeader(lease.member, sentAt);
 			}
