Serve reads whose position is in no log of the service any more

What callers could see: BUSY for every read of a session, for as long as it lives, once the servers of a service were replaced by ones with a shorter log. All servers refuse a minimum position of the former log, the leader too, and the session never gives it up.

Cause: a position means something only together with its log, and the name of the service is all that is known of the log. With a position for each service, a session can come back to such a name at any time.

Now, where the leader itself lacks the minimum position, the read is sent again at a read index requested after it arrived. It covers every commit that the service has now, so the session's commits in the present log are included, and those of a former log are in none. Nothing changes while the leader has the position: no call, wait or message more. A server that lost the lead without noticing doesn't count, since the read index needs a BEGIN.

--- a/src/entry/read.ts
+++ b/src/entry/read.ts
@@ -24,10 +24,15 @@
 	readonly minPosition: statement.Position;
 	/** Servers that may have run the read: it was sent to them, and no reply said that it did not run. */
 	readonly sent: Set<string>;
+	/** Servers whose log lacks the minimum position. */
+	readonly lagging: Set<string>;
 	/** Aborts once the read is decided. */
 	readonly signal: AbortSignal;
 };
 
+/** How the attempts of one read ended: the reply that decides it, `undefined` without any. */
+type Result = Pick<Race, 'sent' | 'lagging'> & {readonly outcome: statement.Reply | undefined};
+
 /** Executes reads. */
 export class Reader {
 	readonly #context: jobs.Context;
@@ -60,6 +65,26 @@
 		}
 	}
 
+	/**
+	The position to use in place of a minimum position that is missing in the logs of servers, the leader's among them;
+	`undefined` if the leader's log may contain it, or if none was confirmed in time.
+
+	A commit that isn't in the leader's log is in no log that the service has now: its servers were replaced, or a promotion
+	dropped it. A read index requested after the job arrived covers all commits that the service has, the session's included.
+	*/
+	async presentPosition(job: jobs.GroupJob, minPosition: statement.Position, lagging: ReadonlySet<string>): Promise<statement.Position | undefined> {
+		const {leader} = job.group;
+		if (!leader || !lagging.has(leader.id) || !jobs.hasTime(this.#context, job)) {
+			return undefined;
+		}
+
+		const readIndex = await job.group.awaitReadIndex(job.arrivedAt, 0, jobs.connectionWaitMs(this.#context, job));
+		this.#context.decisions.request('position-missing', job.id, {
+			service: job.group.name, server: leader.id, floor: position.format(minPosition), present: readIndex ? position.format(readIndex.position) : '',
+		});
+		return readIndex?.position;
+	}
+
 	/** Servers for a read at a minimum position, in order of preference. The leader's log contains every position. */
 	candidates(job: jobs.GroupJob, minPosition: statement.Position, purpose: 'read' | 'transaction'): member.Member[] {
 		const ready = job.group.members.filter(server => server.isReady && server.missingSince === undefined);
@@ -124,22 +149,36 @@
 		await lease.release();
 	}
 
-	/** Sends a read to the best server, and to the next one after a delay without a reply or after a refusal. */
+	/** Sends a read to the servers whose logs contain its minimum position, or all commits that the service has now. */
 	async #executeHedged(job: jobs.StatementJob): Promise<statement.Reply> {
 		const minPosition = await this.minPosition(job);
 		if (!minPosition) {
 			return jobs.refuse(this.#context, job, 'no server confirmed a position within the maximum age of the route');
 		}
 
+		const result = await this.#executeAt(job, minPosition);
+		const presentPosition = isNotRun(result) ? await this.presentPosition(job, minPosition, result.lagging) : undefined;
+		return this.#conclude(job, presentPosition ? await this.#executeAt(job, presentPosition) : result);
+	}
+
+	/** Sends a read to the best server, and to the next one after a delay without a reply or after a refusal. */
+	async #executeAt(job: jobs.StatementJob, minPosition: statement.Position): Promise<Result> {
 		const cancellation = new AbortController();
-		const race = {minPosition, sent: new Set<string>(), signal: cancellation.signal};
+		const race = {
+			minPosition, sent: new Set<string>(), lagging: new Set<string>(), signal: cancellation.signal,
+		};
 		const outcome = await this.#race(job, race);
 		cancellation.abort('decided');
+		return {outcome, sent: race.sent, lagging: race.lagging};
+	}
+
+	#conclude(job: jobs.StatementJob, result: Result): statement.Reply {
+		const {outcome} = result;
 		if (outcome && !statement.isNotRun(outcome)) {
 			return {...outcome, state: 'none'};
 		}
 
-		return outcome && race.sent.size === 0
+		return outcome && isNotRun(result)
 			? jobs.refuse(this.#context, job, `${outcome.refusal ?? ''} ${outcome.message}`)
 			: this.#fail(job, 'no server replied in time');
 	}
@@ -188,7 +227,7 @@
 		});
 	}
 
-	async #attempt(server: member.Member, job: jobs.StatementJob, {minPosition, sent, signal}: Race): Promise<Attempt> {
+	async #attempt(server: member.Member, job: jobs.StatementJob, {minPosition, sent, lagging, signal}: Race): Promise<Attempt> {
 		const {balancer} = job.group;
 		balancer.started(server);
 		const lease = await leases.acquire(server, job.state, this.#context.clock, {...jobs.connectionRequest(job, 'statement'), timeoutMs: jobs.remainingMs(this.#context, job), signal});
@@ -216,6 +255,7 @@
 		await lease.right.release();
 		if (Either.isRight(outcome) && outcome.right.refusal === 'lagging') {
 			server.recordLag();
+			lagging.add(server.id);
 		}
 
 		return {server, reply: Either.isRight(outcome) ? outcome.right : undefined};
@@ -227,3 +267,8 @@
 		return statement.refuse('failed', reason, 'none');
 	}
 }
+
+/** Whether servers refused a read, and none may have run it. */
+function isNotRun({outcome, sent}: Result): boolean {
+	return outcome !== undefined && statement.isNotRun(outcome) && sent.size === 0;
+}
--- a/src/entry/session/tests/fake-services.ts
+++ b/src/entry/session/tests/fake-services.ts
@@ -17,6 +17,9 @@
 /** Longest staleness that the routes tolerate. */
 export const maximumAgeMs = 1500;
 
+/** Time after which servers whose registration is missing have been removed, and the leader has been found. */
+const replacementMs = 4000;
+
 /** The services, each with servers `a` (the first primary), `b` and `c`, and sessions of the database `d`. */
 export class Services {
 	readonly time = new clock.Manual();
@@ -86,6 +89,21 @@
 		}
 	}
 
+	/** Replaces all servers of a service by others with an empty log, as if another service had got its name. */
+	async rebuild(service: Name): Promise<void> {
+		const {cluster: servers, group} = this.all[service];
+		for (const [index, former] of servers.servers.entries()) {
+			const added = servers.replace(former);
+			added.index = 0;
+			added.log = [];
+			added.role = index === 0 ? 'primary' : 'replica';
+			group.markMissing(former.name);
+			group.register(servers.registration(added.name));
+		}
+
+		await this.time.advance(replacementMs);
+	}
+
 	/** The server that ran the last statement of a service, and the end of its log then. */
 	lastExecution(service: Name): cluster.Execution | undefined {
 		return this.all[service].cluster.executions.at(-1);
--- a/src/entry/transaction.ts
+++ b/src/entry/transaction.ts
@@ -18,6 +18,9 @@
 const beginTimeoutMs = 400;
 const retryDelayMs = 10;
 
+/** Why no server opened a read-only transaction, and the servers whose logs lack its minimum position. */
+type Unopened = {readonly reason: string; readonly lagging: ReadonlySet<string>};
+
 /** An open transaction on a connection of this host. */
 export class Transaction extends executor.Transaction {
 	readonly #group: group.Group;
@@ -194,6 +197,19 @@
 			return jobs.refuse(this.#context, job, 'no server confirmed a position within the maximum age of the route');
 		}
 
+		const opened = await this.#openAt(job, minPosition);
+		if (opened instanceof Transaction) {
+			return opened;
+		}
+
+		const presentPosition = await this.#reader.presentPosition(job, minPosition, opened.lagging);
+		const reopened = presentPosition ? await this.#openAt(job, presentPosition) : opened;
+		return reopened instanceof Transaction ? reopened : jobs.refuse(this.#context, job, reopened.reason);
+	}
+
+	/** Opens a read-only transaction at the best server whose log contains a position. */
+	async #openAt(job: jobs.GroupJob, minPosition: statement.Position): Promise<Transaction | Unopened> {
+		const lagging = new Set<string>();
 		let reason = 'no backend server is known';
 		for (const server of this.#reader.candidates(job, minPosition, 'transaction')) {
 			const lease = await leases.acquire(server, job.state, this.#context.clock, {...jobs.connectionRequest(job, 'transaction'), timeoutMs: jobs.connectionWaitMs(this.#context, job)});
@@ -212,12 +228,13 @@
 				server.recordFailure(startedAt);
 			} else if (begun.right.refusal === 'lagging') {
 				server.recordLag();
+				lagging.add(server.id);
 			}
 
 			await lease.right.release();
 			reason = Either.isRight(begun) ? `${begun.right.refusal ?? ''} ${begun.right.message}` : begun.left.message;
 		}
 
-		return jobs.refuse(this.#context, job, reason);
+		return {reason, lagging};
 	}
 }
