Settle a recorded commit whose reply carries no position (src/core)

What callers could see: success for a write that no acknowledgement policy had confirmed, and a session whose later reads don't require it.

Cause: Writer and Transactions skipped the policy where the OK packet of COMMIT has no position. Where a record was written in the same transaction, a commit must have one.

Now such a commit is settled by its record, as after a lost response: the read index that confirms the record is the position of the answer. Commits without a record and without a position, for example of an update that matched no row, are answered as before.

Test: 'a commit whose reply carries no position gets one from its record' fails on the former code (position null); the random check of lost COMMITs draws the case too. src/core, src/standin, src/host and src/caller: 160 tests pass.

--- a/src/core/acknowledgement.ts
+++ b/src/core/acknowledgement.ts
@@ -109,3 +109,15 @@
 export function select(name: types.Acknowledgement, time: clock.Clock): Policy {
 	return name === 'durable' ? new Durable(time) : new Fenced(time);
 }
+
+/**
+Whether an answer says where its commit is in the log. Without that, no policy can confirm the commit.
+
+@example
+```
+const confirmed = acknowledgement.hasPosition(answer) ? await policy.confirm(observer, answer.server, answer.position, 500) : undefined;
+```
+*/
+export function hasPosition(answer: types.Answer): answer is types.Completion & {readonly position: position.Position} {
+	return answer.kind === 'ok' && answer.position !== null;
+}
--- a/src/core/tests/transaction.test.ts
+++ b/src/core/tests/transaction.test.ts
@@ -11,8 +11,8 @@
 import * as statement from '../statement.js';
 import * as fakes from './fake-server.js';
 
-/** When the connection is lost during a commit. */
-type Loss = 'none' | 'record' | 'before-commit' | 'after-commit' | 'late-commit';
+/** When the connection is lost during a commit; with `position`, only the position is missing in the reply. */
+type Loss = 'none' | 'record' | 'before-commit' | 'after-commit' | 'late-commit' | 'position';
 
 /** A fake primary that stores request records and loses the connection at the point that `loss` names. */
 class Ledger {
@@ -74,8 +74,14 @@
 		}
 
 		const isLost = this.#losesConnection('after-commit');
+		const hidesPosition = this.#losesConnection('position');
 		this.#apply(keys);
-		return isLost ? undefined : this.#ok(true);
+		const reply = this.#ok(true);
+		if (isLost) {
+			return undefined;
+		}
+
+		return hidesPosition ? Either.right(fakes.completion('a')) : reply;
 	}
 
 	/** Commits 200 ms later: the server completes a statement whose connection was lost. */
@@ -134,7 +140,7 @@
 }
 
 test.test('guards against a lost COMMIT that is reported as not run although it ran, runs twice, or stays unknown', async () => {
-	const losses = fc.constantFrom<Loss>('none', 'record', 'before-commit', 'after-commit', 'late-commit');
+	const losses = fc.constantFrom<Loss>('none', 'record', 'before-commit', 'after-commit', 'late-commit', 'position');
 	await fc.assert(fc.asyncProperty(losses, fc.boolean(), fc.boolean(), async (loss, hasId, isRepeated) => {
 		const {time, ledger, owned, stop} = await start();
 		const run = async (): Promise<errors.Outcome<types.Answer>> => {
@@ -162,6 +168,28 @@
 	}), {seed: 20_266, numRuns: 40});
 });
 
+// Guards against a commit that no acknowledgement policy has confirmed, and that no later read of the session can require.
+test.test('a commit whose reply carries no position gets one from its record, in a transaction and outside', async () => {
+	const {time, ledger, owned, servers, stop} = await start();
+	const run = async (): Promise<errors.Outcome<types.Answer>> => {
+		await owned.execute(step('begin', 'BEGIN', 'r1'));
+		await owned.execute(step('within', 'INSERT INTO ledger VALUES (1)'));
+		return owned.execute(step('commit', 'COMMIT'));
+	};
+
+	for (const write of [run, async () => owned.execute(step('none', 'INSERT INTO ledger VALUES (1)', 'r2'))]) {
+		ledger.loss = 'position';
+		const outcome = write();
+		await time.advance(1500);
+		const answer = await outcome;
+		assert.ok(Either.isRight(answer) && answer.right.kind === 'ok', JSON.stringify(answer));
+		assert.deepEqual(answer.right.position, servers[0].state.last);
+	}
+
+	assert.equal(ledger.committed, 2);
+	stop.abort();
+});
+
 test.test('guards against an idle transaction that keeps its connection, and against statements after its end', async () => {
 	const {time, owned, stop} = await start();
 	const begun = owned.execute(step('begin', 'BEGIN'));
--- a/src/core/transaction.ts
+++ b/src/core/transaction.ts
@@ -3,7 +3,7 @@
 */
 import * as Either from 'fp-ts/lib/Either.js';
 import type * as types from '../generated/types.js';
-import type * as acknowledgement from './acknowledgement.js';
+import * as acknowledgement from './acknowledgement.js';
 import type * as admission from './admission.js';
 import type * as backend from './backend.js';
 import * as errors from './errors.js';
@@ -161,8 +161,8 @@
 		const outcome = await this.#execute(active, request.sql, deadline);
 		await this.#close(active, Either.isRight(outcome) ? 'clean' : 'dirty');
 		const acknowledged = Either.isRight(outcome) ? await this.#acknowledge(outcome.right, options.policy, deadline) : outcome;
-		const isUnknown = Either.isLeft(acknowledged) && acknowledged.left.kind === 'outcome-unknown';
-		return isUnknown && recordId !== undefined ? this.#settlement.settle(recordId, deadline) : acknowledged;
+		const isUnconfirmed = Either.isLeft(acknowledged) ? acknowledged.left.kind === 'outcome-unknown' : !acknowledgement.hasPosition(acknowledged.right);
+		return isUnconfirmed && recordId !== undefined ? this.#settlement.settle(recordId, deadline) : acknowledged;
 	}
 
 	/** Rolls back the session's transaction, if it has one. */
@@ -225,7 +225,7 @@
 	}
 
 	async #acknowledge(answer: types.Answer, policy: acknowledgement.Policy, deadline: number): Promise<errors.Outcome<types.Answer>> {
-		if (answer.kind === 'rows' || !answer.position) {
+		if (!acknowledgement.hasPosition(answer)) {
 			return Either.right(answer);
 		}
 
--- a/src/core/write.ts
+++ b/src/core/write.ts
@@ -3,7 +3,7 @@
 */
 import * as Either from 'fp-ts/lib/Either.js';
 import type * as types from '../generated/types.js';
-import type * as acknowledgement from './acknowledgement.js';
+import * as acknowledgement from './acknowledgement.js';
 import type * as admission from './admission.js';
 import type * as backend from './backend.js';
 import * as errors from './errors.js';
@@ -101,7 +101,7 @@
 		await this.#group.release(connection, options.isRecordable ? 'clean' : 'dirty');
 		if (Either.isRight(outcome)) {
 			options.permit.release();
-			const acknowledged = outcome.right.kind === 'ok' && outcome.right.position
+			const acknowledged = acknowledgement.hasPosition(outcome.right)
 				? await this.#acknowledge(outcome.right, connection.server, options.policy, deadline)
 				: await this.#confirmPrimary(outcome.right, primary, deadline);
 			return Either.isLeft(acknowledged.outcome) && options.isIdempotent ? {...acknowledged, kind: 'retry'} : acknowledged;
@@ -134,8 +134,8 @@
 		await this.#group.release(connection, Either.isRight(outcome) ? 'clean' : 'dirty');
 		if (Either.isRight(outcome)) {
 			options.permit.release();
-			const acknowledged = await this.#acknowledge(outcome.right, connection.server, options.policy, deadline);
-			return Either.isRight(acknowledged.outcome)
+			const acknowledged = acknowledgement.hasPosition(outcome.right) ? await this.#acknowledge(outcome.right, connection.server, options.policy, deadline) : undefined;
+			return acknowledged && Either.isRight(acknowledged.outcome)
 				? acknowledged
 				: {kind: 'final', outcome: await this.#settlement.settle(record.id(request), deadline)};
 		}
@@ -175,12 +175,11 @@
 	}
 
 	async #acknowledge(answer: types.Answer, server: string, policy: acknowledgement.Policy, deadline: number): Promise<Attempt> {
-		const committed = answer.kind === 'ok' ? answer.position : null;
-		if (!committed) {
+		if (!acknowledgement.hasPosition(answer)) {
 			return {kind: 'final', outcome: Either.right(answer)};
 		}
 
-		const confirmed = await policy.confirm(this.#group.observer, server, committed, this.#remainingMs(deadline));
+		const confirmed = await policy.confirm(this.#group.observer, server, answer.position, this.#remainingMs(deadline));
 		return {kind: 'final', outcome: Either.map(() => answer)(confirmed)};
 	}
 
