--- a/src/bench/hosts.ts
+++ b/src/bench/hosts.ts
@@ -147,9 +147,7 @@
 				maxPauseMs,
 				scopes: [],
 				customer: undefined,
-				route: {
-					database: 'primary', group: service, kind: 'primary', maxAgeMs: 0, timeoutMs,
-				},
+				route: {database: 'primary', guarantee: () => ({maxAgeMs: 0, includesOwn: true}), timeoutMs},
 				hosts: this.hosts.map(({callerAddress}) => callerAddress),
 			});
 			this.#tasks.push(caller.run(this.#callersStopped.signal));
--- a/src/entry/session/tests/commits.test.ts
+++ b/src/entry/session/tests/commits.test.ts
@@ -45,7 +45,7 @@
 test.test('a write whose commit could not be remembered is refused as not run', async () => {
 	const services = new fakes.Services();
 	await services.start();
-	const client = services.open();
+	const client = await services.open();
 	client.maxKeptBytes = 0;
 	assert.equal(await services.refusal(client, 'WRITE 1 a'), 'busy');
 	await services.request(client, 'BEGIN');
--- a/src/entry/session/tests/fake-services.ts
+++ b/src/entry/session/tests/fake-services.ts
@@ -17,6 +17,9 @@
 /** Longest staleness that the routes tolerate. */
 export const maximumAgeMs = 1500;
 
+/** Longer than the statement timeout of the routes. */
+const maxWaitMs = 900;
+const pollMs = 5;
 /** Time after which servers whose registration is missing have been removed, and the leader has been found. */
 const replacementMs = 4000;
 
@@ -48,20 +51,26 @@
 		}, 'test');
 	}
 
-	open(): callers.Caller {
+	/** Opens a session. */
+	async open(): Promise<callers.Caller> {
 		const client = new callers.Caller();
 		const {context} = this.all.ledgers;
 		void new sessions.Session(client, {
 			context, deployment: this.deployment, executor: new local.Local(context, service => this.all[service as Name].group), limiter: new limiters.Unlimited(),
 		}).run();
+		await this.time.advance(1);
 		return client;
 	}
 
-	/** Sends a request and returns its reply, after at most `waitMs`. */
-	async request(client: callers.Caller, text: string, waitMs = 100): Promise<statement.Reply> {
+	/** Sends a request and returns its reply as soon as it is there, within `waitMs`. */
+	async request(client: callers.Caller, text: string, waitMs = maxWaitMs): Promise<statement.Reply> {
 		const answered = client.replies.length;
 		client.submit(parse(text));
-		await this.time.advance(waitMs);
+		const deadline = this.time.now() + waitMs;
+		while (client.replies.length === answered && this.time.now() < deadline) {
+			await this.time.advance(pollMs);
+		}
+
 		const reply = client.replies.at(answered);
 		if (!reply) {
 			throw new Error(`no reply to ${text} after ${waitMs} ms`);
--- a/src/entry/session/tests/moves.test.ts
+++ b/src/entry/session/tests/moves.test.ts
@@ -7,7 +7,7 @@
 /** A session that has written to ledgers, whose replicas receive nothing, and to orders, and whose route leads to ledgers again. */
 async function writeAtBoth(services: fakes.Services): Promise<callers.Caller> {
 	await services.start();
-	const client = services.open();
+	const client = await services.open();
 	await services.request(client, 'READ warm');
 	services.cut('ledgers');
 	await services.request(client, 'WRITE 1 a');
@@ -43,7 +43,7 @@
 test.test('the commit of a transaction that was opened before its route moved is read where it was made', async () => {
 	const services = new fakes.Services();
 	await services.start();
-	const client = services.open();
+	const client = await services.open();
 	await services.request(client, 'READ warm');
 	services.cut('ledgers');
 	await services.request(client, 'BEGIN');
@@ -64,7 +64,7 @@
 	test.test(`a commit on a route of kind ${kind} is read when the route has kind session`, async () => {
 		const services = new fakes.Services();
 		await services.start(kind);
-		const client = services.open();
+		const client = await services.open();
 		await services.request(client, 'READ warm');
 		services.cut('ledgers');
 		await services.request(client, 'WRITE 1 a');
@@ -81,7 +81,7 @@
 test.test('the position of a commit is not required at another service', async () => {
 	const services = new fakes.Services();
 	await services.start();
-	const client = services.open();
+	const client = await services.open();
 	for (let index = 0; index < 3; index++) {
 		await services.request(client, `WRITE ${index} a`);
 	}
--- a/src/entry/session/tests/positions.test.ts
+++ b/src/entry/session/tests/positions.test.ts
@@ -11,7 +11,7 @@
 test.test('a write whose reply carries no position is in doubt', async () => {
 	const services = new fakes.Services();
 	await services.start();
-	const client = services.open();
+	const client = await services.open();
 	await services.request(client, 'WRITE 1 a');
 	services.all.ledgers.cluster.get('a').hidesPosition = true;
 	assert.equal(await services.refusal(client, 'WRITE 2 b'), 'in-doubt');
@@ -22,7 +22,7 @@
 test.test('the COMMIT of a transaction that wrote is in doubt if its reply carries no position', async () => {
 	const services = new fakes.Services();
 	await services.start();
-	const client = services.open();
+	const client = await services.open();
 	await services.request(client, 'BEGIN');
 	await services.request(client, 'WRITE 1 a');
 	services.all.ledgers.cluster.get('a').hidesPosition = true;
@@ -34,7 +34,7 @@
 test.test('a transaction that wrote nothing ends with success although the reply carries no position', async () => {
 	const services = new fakes.Services();
 	await services.start();
-	const client = services.open();
+	const client = await services.open();
 	await services.request(client, 'BEGIN');
 	await services.request(client, 'READ 1');
 	services.all.ledgers.cluster.get('a').hidesPosition = true;
--- a/src/entry/session/tests/replaced.test.ts
+++ b/src/entry/session/tests/replaced.test.ts
@@ -6,7 +6,7 @@
 /** A session that has written three times at a service whose servers are then replaced by ones with an empty log. */
 async function outlive(services: fakes.Services): Promise<callers.Caller> {
 	await services.start();
-	const client = services.open();
+	const client = await services.open();
 	for (let index = 0; index < 3; index++) {
 		assert.equal(await services.refusal(client, `WRITE ${index} a`), null);
 	}
@@ -19,7 +19,7 @@
 test.test('a session whose commit is in no log of the service any more is served what the leader has', async () => {
 	const services = new fakes.Services();
 	const client = await outlive(services);
-	const reply = await services.request(client, 'READ 1', 400);
+	const reply = await services.request(client, 'READ 1');
 	assert.equal(reply.refusal, null, reply.message);
 	await services.stop();
 });
@@ -37,10 +37,10 @@
 test.test('such a session reads its own commits in the present log', async () => {
 	const services = new fakes.Services();
 	const client = await outlive(services);
-	await services.request(client, 'READ warm', 400);
+	await services.request(client, 'READ warm');
 	services.cut('ledgers');
 	assert.equal(await services.refusal(client, 'WRITE 4 a'), null);
-	const reply = await services.request(client, 'READ 4', 400);
+	const reply = await services.request(client, 'READ 4');
 	assert.equal(reply.refusal, null, reply.message);
 	assert.deepEqual([services.lastExecution('ledgers')?.server, services.lastExecution('ledgers')?.index], ['a1', 1]);
 	await services.stop();
@@ -50,7 +50,7 @@
 test.test('a read that requires a commit waits for the new leader if the former one lacks it', async () => {
 	const services = new fakes.Services();
 	await services.start();
-	const client = services.open();
+	const client = await services.open();
 	await services.request(client, 'READ warm');
 	const {cluster, group} = services.all.ledgers;
 	cluster.promote('c');
--- a/src/entry/tests/fake-cluster.ts
+++ b/src/entry/tests/fake-cluster.ts
@@ -13,8 +13,8 @@
 import * as position from '../../core/position.js';
 import type * as statement from '../statement.js';
 
-/** A caller's statement that was executed, with the customer that its connection was opened for. */
-export type Execution = {readonly server: string; readonly customer: string | undefined; readonly id: string; readonly text: string; readonly index: number; readonly values: Record<string, string>};
+/** A caller's statement that was executed, with the customer that its connection was opened for and the log at which it ran. */
+export type Execution = {readonly server: string; readonly customer: string | undefined; readonly id: string; readonly text: string; readonly index: number; readonly log: readonly string[]; readonly values: Record<string, string>};
 
 /** How a server handles a caller's statement: normally, executing it but losing the response, refusing it as busy, or failing it. */
 export type ResponseMode = 'usual' | 'answer-lost' | 'busy' | 'failed';
@@ -363,7 +363,7 @@
 
 		this.#state = isCommit ? 'none' : this.#state;
 		server.cluster.executions.push({
-			server: server.name, customer: this.customer, id: command.id, text, index: server.index, values: Object.fromEntries(this.#sessionValues),
+			server: server.name, customer: this.customer, id: command.id, text, index: server.index, log: server.log, values: Object.fromEntries(this.#sessionValues),
 		});
 		return {...this.#reply(null), rows: ['row'], signature: `${server.name}.${command.id}`};
 	}
--- a/src/soak/caller.ts
+++ b/src/soak/caller.ts
@@ -6,14 +6,13 @@
 import * as line from '../platform/line.js';
 import type * as clock from '../core/clock.js';
 import type * as random from '../core/random.js';
-import type * as types from '../generated/types.js';
-import type * as checkers from './checker.js';
+import * as checkers from './checker.js';
 import type * as contacts from './contact.js';
 import type * as soakCustomers from './customers.js';
 import type * as requests from './unanswered.js';
 
-/** A route, the consistency that it promises, and the least time that any configuration gives its statements. */
-export type Route = {readonly database: string; readonly group: string; readonly kind: types.RouteKind; readonly maxAgeMs: number; readonly timeoutMs: number};
+/** A route, what it promises of reads at a group, and the least time that any configuration gives its statements. */
+export type Route = {readonly database: string; readonly guarantee: checkers.Request['guarantee']; readonly timeoutMs: number};
 
 export type Options = {
 	readonly clock: clock.Clock;
@@ -283,25 +282,25 @@
 			id, operation: this.#transaction?.id ?? id, customer: customer.index, key: this.#key, host: this.#host, sentAt,
 		});
 		checker.recordRequest({
-			id, text, kind: route.kind, maxAgeMs: route.maxAgeMs, sentAt, values: new Map(this.#values), ownWrites: [...this.#ownWrites],
+			id, text, guarantee: route.guarantee, sentAt, values: new Map(this.#values), ownWrites: [...this.#ownWrites],
 		});
 	}
 
 	#recordOutcome(ids: readonly string[], response: Response | undefined): void {
-		const {checker, route} = this.#options;
+		const {checker} = this.#options;
 		if (!response) {
-			checker.recordOutcome(route.group, ids, 'unknown');
+			checker.recordOutcome('', ids, 'unknown');
 		} else if (response.error === undefined) {
 			this.#ownWrites.push(...ids);
-			checker.recordOutcome(route.group, ids, 'acknowledged');
+			checker.recordOutcome(checkers.groupOf(response.signature), ids, 'acknowledged');
 		} else {
-			checker.recordOutcome(route.group, ids, notAppliedCodes.has(response.error) ? 'not-kept' : 'unknown');
+			checker.recordOutcome('', ids, notAppliedCodes.has(response.error) ? 'not-kept' : 'unknown');
 		}
 	}
 
 	/** Ends a transaction whose `COMMIT` was never sent: none of its writes may take effect. */
 	#endTransaction(outcome: checkers.Outcome): void {
-		this.#options.checker.recordOutcome(this.#options.route.group, this.#transaction?.writes ?? [], outcome);
+		this.#options.checker.recordOutcome('', this.#transaction?.writes ?? [], outcome);
 		this.#transaction = undefined;
 	}
 
--- a/src/soak/checker.ts
+++ b/src/soak/checker.ts
@@ -2,15 +2,15 @@
 Checks the consistency guarantees during a soak test, from the reports of callers and backend servers.
 */
 import type * as clock from '../core/clock.js';
-import type * as types from '../generated/types.js';
 import type * as replicated from './replicated.js';
+import type * as routes from './routes.js';
 
 /** A request as its caller sent it, before any entry host handles it. */
 export type Request = {
 	readonly id: string;
 	readonly text: string;
-	readonly kind: types.RouteKind;
-	readonly maxAgeMs: number;
+	/** What its route promises of a read at a group; `undefined` if the route never leads there. */
+	readonly guarantee: (group: string) => routes.Guarantee | undefined;
 	/** Clock time in ms just before the request, or the `BEGIN` of its transaction, was sent. */
 	readonly sentAt: number;
 	/** Session variables whose `SET` was acknowledged. */
@@ -28,6 +28,12 @@
 /** Tolerance of age checks: callers and servers share one clock, but messages between them take time. */
 const ageToleranceMs = 20;
 
+/** Name of the group of a server, from the server's id or a signature of it. */
+export function groupOf(text: string): string {
+	const [server = ''] = text.split('.', 1);
+	return server.slice(0, server.lastIndexOf('-'));
+}
+
 /** Records requests, executions and outcomes, and collects violations. */
 export class Checker {
 	/** Violated guarantees, each with the ids of the requests concerned. */
@@ -101,7 +107,7 @@
 		}
 	}
 
-	/** Records the outcome that the caller of writes received. */
+	/** Records the outcome that the caller of writes received. The group is that of the server that signed the success; empty without one. */
 	recordOutcome(group: string, ids: readonly string[], outcome: Outcome): void {
 		for (const id of ids) {
 			this.#outcomes.set(id, {outcome, group});
@@ -148,18 +154,25 @@
 	}
 
 	/**
-	Checks that the log at which a read runs contains the writes that its route promises: on a primary route all writes that
-	were acknowledged before the read was sent, on other routes those older than the permitted age, and on session routes
-	also the session's own.
+	Checks that the log at which a read runs contains the writes that its route promises: all of its group that were
+	acknowledged before the read was sent, or longer before than the permitted age, and those of the session itself at this
+	group, whichever groups its route has led to since.
 	*/
-	#checkRead({id, kind, maxAgeMs, sentAt, ownWrites}: Request, server: replicated.Server): void {
+	#checkRead({id, guarantee, sentAt, ownWrites}: Request, server: replicated.Server): void {
+		const group = groupOf(server.id);
+		const promised = guarantee(group);
+		if (!promised) {
+			this.violations.push(`misrouted: ${server.id} ran ${id}, whose route never led to ${group}`);
+			return;
+		}
+
+		const {maxAgeMs, includesOwn} = promised;
 		const present = new Set(server.log.flatMap(({writes}) => writes.map(write => write.id)));
-		const group = server.id.slice(0, server.id.lastIndexOf('-'));
-		const before = kind === 'primary' ? sentAt : sentAt - maxAgeMs - ageToleranceMs;
+		const before = maxAgeMs === 0 ? sentAt : sentAt - maxAgeMs - ageToleranceMs;
 		const missing = this.#acknowledged.find(write => write.group === group && write.at < before && !present.has(write.id))?.id
-			?? (kind === 'session' ? ownWrites.find(write => !present.has(write)) : undefined);
+			?? (includesOwn ? ownWrites.find(write => this.#outcomes.get(write)?.group === group && !present.has(write)) : undefined);
 		if (missing !== undefined) {
-			this.violations.push(`stale: ${server.id} ran ${id} (${kind}, ${maxAgeMs} ms) without ${missing}`);
+			this.violations.push(`stale: ${server.id} ran ${id} (${maxAgeMs} ms${includesOwn ? ', with its own' : ''}) without ${missing}`);
 		}
 	}
 }
--- a/src/soak/main.ts
+++ b/src/soak/main.ts
@@ -7,11 +7,12 @@
 import * as helpers from 'yargs/helpers';
 import * as soak from './soak.js';
 
-const kinds = ['mixed', 'restores', 'returns', 'stalls', 'overload', 'promotions', 'customers'] as const;
+const kinds = ['mixed', 'restores', 'returns', 'stalls', 'overload', 'promotions', 'customers', 'routes'] as const;
 const planText = 'Faults to draw: any; series with restores of the store from an older copy; series in which commits stall until a dark replica returns; '
 	+ 'planned work on hosts that stall; planned work on hosts that share their cores with busy processes; '
 	+ 'promotions in a row on saturated servers, with links that are cut and promotions that are late; '
-	+ 'or any faults and replaced keys in a deployment with customers';
+	+ 'any faults and replaced keys in a deployment with customers; '
+	+ 'or routes that move between groups, are removed and change their kind while replicas fall behind';
 
 const {seed, count, seconds, plan, logs} = await yargs(helpers.hideBin(process.argv))
 	.option('seed', {type: 'number', default: Date.now() % 1_000_000, describe: 'First seed; derived from the clock by default'})
--- a/src/soak/plan.ts
+++ b/src/soak/plan.ts
@@ -4,12 +4,13 @@
 import type * as random from '../core/random.js';
 import * as randoms from '../core/random.js';
 import * as faults from './fault.js';
+import * as moves from './moves.js';
 import * as promotions from './promotions.js';
 import type * as loads from './load.js';
 import type * as sites from './site.js';
 
 /** Name of a plan. */
-export type Kind = 'mixed' | 'restores' | 'returns' | 'stalls' | 'overload' | 'promotions' | 'customers';
+export type Kind = 'mixed' | 'restores' | 'returns' | 'stalls' | 'overload' | 'promotions' | 'customers' | 'routes';
 
 /** A fault and its duration. */
 export type Step = {readonly fault: faults.Fault; readonly durationMs: number};
@@ -224,6 +225,24 @@
 	}
 }
 
+/** Routes that move between groups while replicas fall behind. The draws come from a source of their own, like those of `Restores`. */
+class Routes extends Plan {
+	readonly #draw: moves.Draw;
+
+	constructor(source: random.Source, size: sites.Size) {
+		super(source);
+		this.#draw = new moves.Draw(source, size);
+	}
+
+	override drawGapMs(): number {
+		return this.#draw.drawGapMs();
+	}
+
+	protected override draw(): faults.Fault {
+		return this.#draw.draw();
+	}
+}
+
 /**
 Gives plans of planned work quick callers, and more of them where connections allow: a stall meets only the sessions that a
 host is about to close. The plan of promotions saturates the servers.
@@ -241,6 +260,12 @@
 		};
 	}
 
+	if (kind === 'routes') {
+		return {
+			...size, groups: 2, callers: 24, hasQuickCallers: true, movingRoutes: 4,
+		};
+	}
+
 	const factor = size.connections > size.hosts ? 2 : 1;
 	return kind === 'stalls' || kind === 'overload' ? {...size, callers: size.callers * factor, hasQuickCallers: true} : size;
 }
@@ -283,6 +308,10 @@
 			return new Customers(new randoms.Seeded(seed), size);
 		}
 
+		case 'routes': {
+			return new Routes(new randoms.Seeded(seed), size);
+		}
+
 		case 'promotions': {
 			return new Promotions(new randoms.Seeded(seed), size, seed);
 		}
--- a/src/soak/site.ts
+++ b/src/soak/site.ts
@@ -26,6 +26,7 @@
 import * as probes from './probe.js';
 import * as replicated from './replicated.js';
 import * as servers from './server.js';
+import * as routes from './routes.js';
 import * as requests from './unanswered.js';
 
 /** Numbers of entry hosts, groups and callers, the pace of the callers, and the connection limit of each backend server. */
@@ -42,6 +43,8 @@
 	readonly maxWorkMs: number;
 	/** Number of customers; 0 for a deployment without customers. */
 	readonly customers: number;
+	/** Number of routes that configurations move between groups; 0 for none. */
+	readonly movingRoutes: number;
 };
 
 /** An entry host: its settings file, its addresses and its current process. */
@@ -76,7 +79,9 @@
 	bundled: path.join(root, '..', 'target', 'cli', 'daemon.js'),
 };
 const graceS = 3;
-const serversPerGroup = 3;
+export const serversPerGroup = 3;
+/** Number of fixed routes to each group. */
+const kindCount = 3;
 const maxLogLines = 10_000;
 const maxPauseMs = 120;
 const maxQuickPauseMs = 10;
@@ -86,11 +91,6 @@
 const minTimeoutMs = 1500;
 const rolePollMs = 20;
 const failoverCheckIntervalMs = 50;
-const routeKinds = [
-	{kind: 'primary', type: 'primary', maxAgeMs: 0},
-	{kind: 'aged', type: 'bounded_staleness', maxAgeMs: 1500},
-	{kind: 'session', type: 'read_your_writes', maxAgeMs: 2500},
-] as const;
 
 /** A running deployment. */
 export class Site {
@@ -108,6 +108,8 @@
 	readonly backends: Backend[] = [];
 	readonly callers: callers.Caller[] = [];
 	readonly platform: platforms.Platform;
+	/** Routes that configurations move; empty but in the plan for them. */
+	readonly movingRoutes: readonly routes.Route[];
 	/** The last log lines of each host. */
 	readonly logs = new Map<string, string[]>();
 	/** Unexpected exits of host processes: without a signal and with an exit code other than 0. */
@@ -118,6 +120,7 @@
 	readonly #callersStopped = new AbortController();
 	readonly #tasks: Array<Promise<void>> = [];
 	readonly #options: Options;
+	readonly #fixedRoutes: readonly routes.Route[];
 	#folder = '';
 	#preparedAt = 0;
 	#version = 1;
@@ -127,6 +130,9 @@
 		this.#size = size;
 		this.#random = source;
 		this.groups = Array.from({length: size.groups}, (_, index) => new replicated.Group(`ledgers${index}`, places, this.time, this.checker));
+		const names = this.groups.map(({name}) => name);
+		this.#fixedRoutes = routes.createFixed(names);
+		this.movingRoutes = routes.createMoving(names).slice(0, size.movingRoutes);
 		this.platform = new platforms.Platform(this.time, source, (service, server, order) => this.groups.find(({name}) => name === service)?.promote(server, order) ?? false);
 		this.customers = size.customers > 0 ? new soakCustomers.Customers(this.time, this.contact, size.customers) : undefined;
 		this.failovers = new failovers.Failovers({clock: this.time, contact: this.contact, lastAcknowledgedAt: group => this.checker.lastAcknowledgedAt(group)});
@@ -193,20 +199,20 @@
 	/** Starts the callers. */
 	startCallers(): void {
 		for (let index = 0; index < this.#size.callers; index++) {
-			const group = this.groups[index % this.groups.length];
+			const group = index % this.groups.length;
 			const row = Math.floor(index / this.groups.length);
-			const {kind, maxAgeMs} = routeKinds[row % routeKinds.length];
-			const isQuick = this.#size.hasQuickCallers && Math.floor(row / routeKinds.length) % 2 === 0;
+			const isQuick = this.#size.hasQuickCallers && Math.floor(row / kindCount) % 2 === 0;
+			const fixed = this.#fixedRoutes[(group * kindCount) + (row % kindCount)];
+			const moving = row % 2 === 0 ? undefined : this.movingRoutes[Math.floor(row / 2) % Math.max(1, this.movingRoutes.length)];
+			const route = moving ?? fixed;
 			const caller = new callers.Caller(`c${index}`, {
 				clock: this.time,
 				random: this.#random,
 				checker: this.checker,
 				unanswered: this.unanswered,
 				maxPauseMs: isQuick ? maxQuickPauseMs : maxPauseMs,
-				scopes: ['store', 'hosts', ...serverScopes(index % this.groups.length)],
-				route: {
-					database: `${group.name}-${kind}`, group: group.name, kind, maxAgeMs, timeoutMs: minTimeoutMs,
-				},
+				scopes: ['store', 'hosts', ...(moving ? this.groups.flatMap((_, other) => serverScopes(other)) : serverScopes(group))],
+				route: {database: route.database, guarantee: name => route.guarantee(name), timeoutMs: minTimeoutMs},
 				customer: this.customers && {all: this.customers, index: index % this.customers.count},
 				hosts: this.hosts.map(({callerAddress}) => callerAddress),
 			});
@@ -235,9 +241,7 @@
 		this.platform.put('config', 'main', objects.formatConfiguration({
 			version: this.#version,
 			routes: [
-				...this.groups.flatMap(({name}) => routeKinds.map(({kind, type, maxAgeMs}) => ({
-					database: `${name}-${kind}`, service: name, type, maxAgeMs, timeoutMs: minTimeoutMs + this.#random.integer(0, 100),
-				}))),
+				...[...this.#fixedRoutes, ...this.movingRoutes].flatMap(route => route.format(minTimeoutMs + this.#random.integer(0, 100)) ?? []),
 				{
 					database, service: this.groups[0].name, type: 'primary', maxAgeMs: 0, timeoutMs: minTimeoutMs, isPublic: this.customers !== undefined,
 				},
--- a/src/soak/soak.ts
+++ b/src/soak/soak.ts
@@ -122,6 +122,6 @@
 function drawSize(source: random.Source): sites.Size {
 	const hosts = source.integer(3, 6);
 	return {
-		hosts, groups: source.integer(1, 2), connections: source.integer(0, 1) === 0 ? hosts : 24, callers: 18, hasQuickCallers: false, slots: 4, maxWorkMs: 8, customers: 0,
+		hosts, groups: source.integer(1, 2), connections: source.integer(0, 1) === 0 ? hosts : 24, callers: 18, hasQuickCallers: false, slots: 4, maxWorkMs: 8, customers: 0, movingRoutes: 0,
 	};
 }
--- a/src/soak/tests/checker.test.ts
+++ b/src/soak/tests/checker.test.ts
@@ -17,7 +17,7 @@
 
 	send(id: string, text: string, change: Partial<checkers.Request> = {}): void {
 		this.checker.recordRequest({
-			id, text, kind: 'session', maxAgeMs: 100, sentAt: this.time.now(), values: new Map(), ownWrites: [], ...change,
+			id, text, guarantee: () => ({maxAgeMs: 100, includesOwn: true}), sentAt: this.time.now(), values: new Map(), ownWrites: [], ...change,
 		});
 	}
 
@@ -37,7 +37,7 @@
 test.test('a run without violations reports none', () => {
 	const fixture = new Fixture();
 	fixture.write('w1');
-	fixture.send('r1', 'READ 1', {kind: 'primary'});
+	fixture.send('r1', 'READ 1', {guarantee: () => ({maxAgeMs: 0, includesOwn: true})});
 	const signature = fixture.run('r1', 'READ 1');
 	fixture.checker.checkResponse('r1', signature, [signature]);
 	fixture.checker.checkFinalLog('g', fixture.primary.log);
