--- a/src/entry/session.ts
+++ b/src/entry/session.ts
@@ -5,29 +5,16 @@
 import * as position from '../core/position.js';
 import * as keeping from '../intake/keeping.js';
 import type * as caller from './caller.js';
-import type * as activities from './customers/activity.js';
-import * as authorization from './customers/authorization.js';
-import * as directories from './customers/directory.js';
-import type * as limiters from './customers/limiter.js';
-import type * as deployment from './deployment.js';
 import * as executor from './executor.js';
 import * as jobs from './job.js';
 import type * as leases from './lease.js';
+import * as admissions from './session/admission.js';
 import * as commits from './session/commits.js';
 import * as states from './state.js';
 import * as statement from './statement.js';
 
 /** Options shared by all sessions. */
-export type Options = {
-	readonly context: jobs.Context;
-	readonly deployment: deployment.Deployment;
-	readonly executor: executor.Executor;
-	readonly limiter: limiters.Limiter;
-	/** Counts by customer. */
-	readonly activity?: activities.Activity;
-	/** Whether the configuration is recent enough to serve customers. Always, if absent. */
-	readonly isCurrent?: () => boolean;
-};
+export type Options = admissions.Options & {readonly executor: executor.Executor};
 
 /** What ended a session: its caller or a refusal, or this host, after a reply or while no request was in progress. */
 export type Ending = 'caller' | 'reply' | 'idle';
@@ -38,26 +25,16 @@
 */
 const maxCloseDelayMs = 5;
 
-/** Why customers aren't served by a host that can reach neither the store nor another host. */
-const outdatedReason = 'the configuration of this host is too old';
-
 /** Why a write is refused whose commit the session couldn't remember. */
 const memoryReason = 'this host has no memory for the position of the commit';
 
-/** Callers time out when a session takes 2 s to open. */
-const openTimeoutMs = 1700;
-
 /** One session. */
 export class Session {
 	readonly #caller: caller.Caller;
 	readonly #options: Options;
 	readonly #state = new states.State();
 	#database = '';
-	#keyDigest = '';
-	/** How the session was admitted; `undefined` before. */
-	#grant: authorization.Grant | undefined;
-	/** Whether a version of the configuration has ended the session's admission. */
-	#isRevoked = false;
+	readonly #admission: admissions.Admission;
 	#transaction: executor.Transaction | undefined;
 	readonly #commits = new commits.Commits();
 	/** Service of the last operation; empty before the first. */
@@ -70,12 +47,11 @@
 	/** Time of the last reply, of the acceptance, or of the connection. */
 	#idleSince: number;
 	#ending: Ending | undefined;
-	/** Admission of the operation in progress, or of the last one; `undefined` without a customer. */
-	#admission: limiters.Admission | undefined;
 
 	constructor(accepted: caller.Caller, options: Options) {
 		this.#caller = accepted;
 		this.#options = options;
+		this.#admission = new admissions.Admission(options, this);
 		this.#idleSince = options.context.clock.now();
 	}
 
@@ -89,15 +65,19 @@
 		return this.isIdle ? this.#options.context.clock.now() - this.#idleSince : 0;
 	}
 
+	get isInTransaction(): boolean {
+		return this.#transaction !== undefined;
+	}
+
 	/** Whether no request or transaction is in progress. */
 	get isIdle(): boolean {
-		return !this.#isOpening && this.#transaction === undefined && !this.#caller.hasPendingRequest;
+		return !this.#isOpening && !this.isInTransaction && !this.#caller.hasPendingRequest;
 	}
 
 	/** Serves the caller until the connection ends. */
 	async run(): Promise<void> {
 		const opening = await this.#caller.open();
-		if (!opening || !await this.#admit(opening)) {
+		if (!opening || !await this.#open(opening)) {
 			this.#ending = 'caller';
 			return;
 		}
@@ -116,7 +96,7 @@
 
 		this.#ending ??= 'caller';
 		this.#caller.close();
-		this.#admitAs(undefined);
+		this.#admission.end();
 		await this.#transaction?.rollback();
 	}
 
@@ -143,23 +123,7 @@
 	this call.
 	*/
 	review(): string | undefined {
-		const route = this.#options.deployment.route(this.#database);
-		if (!this.#grant || this.#isRevoked || (this.#grant.kind === 'public' && !route)) {
-			return undefined;
-		}
-
-		const current = this.#authorize(route);
-		if (authorization.mayContinue(this.#grant, current, this.#transaction !== undefined)) {
-			if (this.#grant.kind === 'unrestricted') {
-				this.#admitAs(current);
-			}
-
-			return undefined;
-		}
-
-		this.#isRevoked = true;
-		this.close();
-		return authorization.customerName(this.#grant) ?? '';
+		return this.#admission.review();
 	}
 
 	/** Aborts the open transaction. The reply to the caller's next statement reports the abort. */
@@ -167,53 +131,23 @@
 		await this.#transaction?.abort('the host is shutting down');
 	}
 
-	async #admit({database, key}: caller.Opening): Promise<boolean> {
-		this.#database = database;
-		this.#keyDigest = directories.digest(key);
+	async #open(opening: caller.Opening): Promise<boolean> {
+		this.#database = opening.database;
 		this.#isOpening = true;
-		const isAdmitted = await this.#accept(database);
+		const opened = await this.#admission.open(opening);
+		const isAdmitted = !('refusal' in opened);
+		if (isAdmitted) {
+			this.#options.executor.prepare(opened.service, this.#admission.customerName(opened));
+			this.#caller.accept();
+		} else {
+			this.#caller.reject(opened.refusal, opened.message);
+		}
+
 		this.#isOpening = false;
 		this.#idleSince = this.#options.context.clock.now();
 		return isAdmitted;
 	}
 
-	async #accept(database: string): Promise<boolean> {
-		if (!await this.#options.deployment.awaitFirst(openTimeoutMs)) {
-			this.#caller.reject('busy', 'not run: this host has no configuration yet');
-			return false;
-		}
-
-		const route = this.#options.deployment.route(database);
-		if (!route) {
-			this.#caller.reject('no-database', database);
-			return false;
-		}
-
-		const grant = this.#authorize(route);
-		if (!grant) {
-			this.#options.activity?.refused(undefined, 'unauthorized');
-			this.#recordRefusedOpening(route, 'the key is unknown');
-			this.#caller.reject('unauthorized', 'the key is unknown');
-			return false;
-		}
-
-		if (grant.kind === 'customer' && !this.#isCurrent) {
-			this.#options.activity?.refused(grant.customer.name, 'busy');
-			this.#recordRefusedOpening(route, outdatedReason);
-			this.#caller.reject('busy', `not run: ${outdatedReason}`);
-			return false;
-		}
-
-		this.#admitAs(grant);
-		this.#options.executor.prepare(route.service, authorization.customerName(grant));
-		this.#caller.accept();
-		return true;
-	}
-
-	#recordRefusedOpening({service, name}: types.Route, reason: string): void {
-		this.#options.context.decisions.request('session-refused', '', {service, route: name, reason});
-	}
-
 	/** Waits for the next request and aborts an open transaction that stays idle for too long. */
 	async #next(): Promise<statement.Request | undefined> {
 		const next = this.#caller.next();
@@ -231,8 +165,8 @@
 	async #execute(request: statement.Request): Promise<statement.Reply> {
 		const received = request.statement;
 		this.review();
-		if (this.#isRevoked) {
-			return this.#refuseRevoked();
+		if (this.#admission.isRevoked) {
+			return this.#admission.refuseRevoked();
 		}
 
 		if (this.#transaction?.isFailed && received.kind !== 'commit' && received.kind !== 'rollback') {
@@ -294,14 +228,14 @@
 			return this.#refuse('no-database', this.#database);
 		}
 
-		const refusal = await this.#limit(job);
+		const refusal = await this.#admission.limit(job);
 		if (refusal) {
 			return refusal;
 		}
 
 		const opened = await this.#options.executor.begin(job, mode);
 		if (!(opened instanceof executor.Transaction)) {
-			this.#countRefused(job, opened);
+			this.#admission.countRefused(job, opened);
 			return opened;
 		}
 
@@ -340,13 +274,13 @@
 			return jobs.refuse(this.#options.context, job, memoryReason);
 		}
 
-		const refusal = await this.#limit(job);
+		const refusal = await this.#admission.limit(job);
 		if (refusal) {
 			return refusal;
 		}
 
 		const reply = await this.#options.executor.run({...job, state: this.#state.copy()}, work);
-		this.#countRefused(job, reply);
+		this.#admission.countRefused(job, reply);
 		return work.mode === 'write' ? this.#recordCommit(id, reply, job.route) : reply;
 	}
 
@@ -360,74 +294,6 @@
 		return transaction.run(work, statementTimeoutMs);
 	}
 
-	/** How the session is admitted to a route under the configuration in force; `undefined` if it isn't. */
-	#authorize(route: types.Route | undefined): authorization.Grant | undefined {
-		return authorization.authorize(this.#options.deployment.customers, route, this.#keyDigest);
-	}
-
-	/** Whether the configuration is recent enough to serve customers. */
-	get #isCurrent(): boolean {
-		return this.#options.isCurrent?.() ?? true;
-	}
-
-	#admitAs(grant: authorization.Grant | undefined): void {
-		const [before, after] = [authorization.customerName(this.#grant), authorization.customerName(grant)];
-		this.#grant = grant;
-		if (before !== undefined) {
-			this.#options.activity?.closed(before);
-		}
-
-		if (after !== undefined) {
-			this.#options.activity?.opened(after);
-		}
-	}
-
-	/** Counts an operation against the customer's quota, and returns a refusal if it may not run. */
-	async #limit(job: jobs.Job): Promise<statement.Reply | undefined> {
-		const customer = job.customer === undefined ? undefined : this.#options.deployment.customers?.get(job.customer);
-		if (!customer) {
-			return undefined;
-		}
-
-		if (!this.#isCurrent) {
-			this.#options.activity?.refused(customer.name, 'busy');
-			return jobs.refuse(this.#options.context, job, outdatedReason);
-		}
-
-		const admission = await this.#options.limiter.admit(customer);
-		this.#admission = admission;
-		if (admission.kind !== 'admitted') {
-			this.#options.activity?.refused(customer.name, admission.kind === 'limited' ? 'over-quota' : 'busy');
-			const reason = admission.kind === 'limited' ? 'the customer is over its quota' : 'the quota can\'t be checked';
-			return jobs.refuse(this.#options.context, job, reason, admission.retryAfterMs);
-		}
-
-		// A version that removes the key may have arrived while the quota was checked.
-		this.review();
-		if (this.#isRevoked) {
-			this.#options.limiter.release(customer, admission);
-			return this.#refuseRevoked();
-		}
-
-		this.#options.activity?.admitted(customer.name);
-		return undefined;
-	}
-
-	/** Returns an operation that did not run to the customer's quota, and counts it as refused. */
-	#countRefused({customer: name}: jobs.Job, reply: statement.Reply): void {
-		const customer = name === undefined ? undefined : this.#options.deployment.customers?.get(name);
-		if (customer && this.#admission && statement.isNotRun(reply)) {
-			this.#options.limiter.release(customer, this.#admission);
-			this.#options.activity?.refused(customer.name, 'busy');
-		}
-	}
-
-	/** Refuses a request after the session's admission has ended. The session closes after the reply. */
-	#refuseRevoked(): statement.Reply {
-		this.#options.activity?.refused(authorization.customerName(this.#grant), 'unauthorized');
-		return statement.refuse('unauthorized', 'the key is no longer valid', 'none');
-	}
-
 	/**
 	Records the log position of a commit, which later reads of the session have to include, and returns the reply to its
 	caller. A success without a position, which hosts of earlier builds pass on, is a promise that can't be kept.
@@ -460,8 +326,8 @@
 		return {
 			id,
 			route,
-			customer: authorization.customerName(this.#authorize(route)),
-			isRevoked: () => this.#isRevoked,
+			customer: this.#admission.customerName(route),
+			isRevoked: () => this.#admission.isRevoked,
 			state: this.#state,
 			sessionPosition,
 			arrivedAt,
--- a/src/soak/moves.ts
+++ b/src/soak/moves.ts
@@ -11,7 +11,7 @@
 const maxStepMs = 250;
 /** Longest time for which a replica stays behind by its whole lag. */
 const maxLagDurationMs = 2500;
-const minLagMs = 600;
+const minLagMs = 1200;
 const maxLagMs = 2400;
 /** Mean number of moves for one change to the third target of a route. */
 const meanMovesPerChange = 4;
--- a/src/soak/plan.ts
+++ b/src/soak/plan.ts
@@ -262,7 +262,7 @@
 
 	if (kind === 'routes') {
 		return {
-			...size, groups: 2, callers: 24, hasQuickCallers: true, movingRoutes: 4,
+			...size, groups: 2, callers: 32, hasQuickCallers: true, movingRoutes: 4,
 		};
 	}
 
--- a/src/soak/site.ts
+++ b/src/soak/site.ts
@@ -201,10 +201,10 @@
 		for (let index = 0; index < this.#size.callers; index++) {
 			const group = index % this.groups.length;
 			const row = Math.floor(index / this.groups.length);
-			const isQuick = this.#size.hasQuickCallers && Math.floor(row / kindCount) % 2 === 0;
 			const fixed = this.#fixedRoutes[(group * kindCount) + (row % kindCount)];
 			const moving = row % 2 === 0 ? undefined : this.movingRoutes[Math.floor(row / 2) % Math.max(1, this.movingRoutes.length)];
 			const route = moving ?? fixed;
+			const isQuick = this.#size.hasQuickCallers && (moving !== undefined || Math.floor(row / kindCount) % 2 === 0);
 			const caller = new callers.Caller(`c${index}`, {
 				clock: this.time,
 				random: this.#random,
