--- a/src/caller/session.ts
+++ b/src/caller/session.ts
@@ -126,7 +126,8 @@
 	}
 
 	/**
-	Discards the position after `position-lost`. Later reads see all acknowledged writes except those lost in the failover.
+	Discards the position after `position-lost`. Later reads see all acknowledged writes except those lost in the failover;
+	reads within a maximum age may lack the session's own writes from before.
 
 	@example
 	```
