Draw the ports of tests' processes in one place, below the ephemeral range

Ports were drawn in four places, in three ways: standin/ports.ts takes their place, with the rule of the soak: below the ephemeral range, free at the moment, and not drawn before by this process. The test of peers stops its deployment also when it fails.

--- a/src/bench/hosts.ts
+++ b/src/bench/hosts.ts
@@ -4,7 +4,6 @@
 */
 import * as childProcess from 'node:child_process';
 import * as fs from 'node:fs/promises';
-import * as net from 'node:net';
 import * as os from 'node:os';
 import * as path from 'node:path';
 import process from 'node:process';
@@ -19,6 +18,7 @@
 import * as servers from '../soak/server.js';
 import * as requests from '../soak/unanswered.js';
 import * as contacts from '../soak/contact.js';
+import * as ports from '../standin/ports.js';
 import * as relay from '../standin/relay.js';
 
 export type Options = {
@@ -61,8 +61,6 @@
 const slots = 4;
 const maxWorkMs = 8;
 const exitTimeoutMs = 6000;
-/** Bounds below the ephemeral port range, so that no outgoing connection takes a port before its host listens on it. */
-const [lowestPort, highestPort] = [15_000, 31_000] as const;
 /** Hosts of each region with the most processor time, among which the observer is. */
 const largeHostsPerRegion = 2;
 const smallShare = 0.3;
@@ -222,7 +220,7 @@
 	async #prepare(index: number): Promise<Host> {
 		const {regions, configurationMs} = this.#options;
 		const name = `entry-${index}`;
-		const [caller, peer, readiness, metrics] = await Promise.all(Array.from({length: 4}, async () => this.#findPort()));
+		const [caller, peer, readiness, metrics] = await Promise.all(Array.from({length: 4}, async () => ports.findFree(address)));
 		const store = await this.platform.listen(name);
 		const peerRelay = await relay.Relay.start({host: address, port: peer}, 1);
 		const peerAddress = `${address}:${this.#options.hasRelays ? peerRelay.port : peer}`;
@@ -244,23 +242,4 @@
 			index, name, settingsFile, callerAddress: `${address}:${caller}`, peerRelay, log: [], child: undefined, peerAddress,
 		};
 	}
-
-	async #findPort(): Promise<number> {
-		for (;;) {
-			const port = this.#random.integer(lowestPort, highestPort);
-			const listener = net.createServer();
-			const isFree = await new Promise<boolean>(resolve => {
-				listener.once('error', () => {
-					resolve(false);
-				});
-				listener.listen(port, address, () => {
-					resolve(true);
-				});
-			});
-			listener.close();
-			if (isFree) {
-				return port;
-			}
-		}
-	}
 }
--- a/src/bench/processes.ts
+++ b/src/bench/processes.ts
@@ -13,10 +13,10 @@
 import * as Either from 'fp-ts/lib/Either.js';
 import * as clock from '../core/clock.js';
 import * as errors from '../core/errors.js';
-import * as random from '../core/random.js';
 import type * as types from '../generated/types.js';
 import * as declaration from '../operator/declaration.js';
 import * as print from '../operator/print.js';
+import * as freePorts from '../standin/ports.js';
 
 export type Options = {
 	readonly classes: Readonly<Record<string, declaration.Class>>;
@@ -34,7 +34,6 @@
 const pollIntervalMs = 50;
 const exitTimeoutMs = 5000;
 const settleTimeoutMs = 10_000;
-const [lowestPort, highestPort] = [20_000, 32_000] as const;
 /** Unit of the processor times in `/proc` on Linux, in ms. */
 const processorTickMs = 10;
 
@@ -46,7 +45,7 @@
 export class Deployment {
 	static async start(options: Options): Promise<Deployment> {
 		const directory = await fs.mkdtemp(path.join(os.tmpdir(), 'sycamorering-'));
-		const [platform = 0, caller = 0, http = 0, peer = 0, ...servers] = await Promise.all(Array.from({length: 7}, async () => findPort()));
+		const [platform = 0, caller = 0, http = 0, peer = 0, ...servers] = await Promise.all(Array.from({length: 7}, async () => freePorts.findFree(address)));
 		const deployment = new Deployment(directory, caller, servers);
 		try {
 			await deployment.#start(options, {platform, http, peer});
@@ -214,33 +213,3 @@
 	socket.destroy();
 	return isOpen;
 }
-
-/** Finds a free port below the ephemeral range, so that no outgoing connection takes it before its process listens. */
-async function findPort(): Promise<number> {
-	const source = new random.System();
-	for (;;) {
-		const port = source.integer(lowestPort, highestPort);
-		if (await isFree(port)) {
-			return port;
-		}
-	}
-}
-
-async function isFree(port: number): Promise<boolean> {
-	const listener = net.createServer();
-	const isBound = await new Promise<boolean>(resolve => {
-		listener.once('error', () => {
-			resolve(false);
-		});
-		listener.listen(port, address, () => {
-			resolve(true);
-		});
-	});
-	if (isBound) {
-		await new Promise(resolve => {
-			listener.close(resolve);
-		});
-	}
-
-	return isBound;
-}
--- a/src/host/tests/peers.test.ts
+++ b/src/host/tests/peers.test.ts
@@ -167,10 +167,11 @@
 	await site.stop();
 });
 
-test.test('a host that starts in a store outage waits for a majority of its seeds (guards against adopting the outdated configuration of one peer)', async () => {
+test.test('a host that starts in a store outage waits for a majority of its seeds (guards against adopting the outdated configuration of one peer)', async context => {
 	const site = await deployment.Deployment.start({
 		...options, hosts: places.slice(0, 2), seeds: 3, isListed: false,
 	});
+	context.after(async () => site.stop());
 	const [old, second] = site.entries;
 	await second.host.stop();
 	old.store.disconnect();
@@ -181,5 +182,4 @@
 	assert.deepEqual([isReady, configurationVersion], [false, 0], 'one of two seeds is not a majority');
 	await site.startHost('entry-2', 'willamette-a');
 	await site.waitUntil(statuses => statuses.every(status => status.isReady && status.configurationVersion === 2), [0, 1, 2]);
-	await site.stop();
 });
--- a/src/intake/tests/system.ts
+++ b/src/intake/tests/system.ts
@@ -22,6 +22,7 @@
 import * as replicated from '../../soak/replicated.js';
 import * as servers from '../../soak/server.js';
 import * as site from '../../soak/site.js';
+import * as freePorts from '../../standin/ports.js';
 import * as unanswered from '../../soak/unanswered.js';
 
 /** Limits of the process. The heap is far smaller than in operation, so that small crowds exhaust it. */
@@ -84,8 +85,9 @@
 				database, service, type: 'primary', maxAgeMs: 0, timeoutMs: 3000,
 			}],
 		}));
+		const [caller, peer, readiness, metrics] = await Promise.all(Array.from({length: 4}, async () => freePorts.findFree(site.hostAddress)));
 		const ports = {
-			caller: await site.findFreePort(), peer: await site.findFreePort(), readiness: await site.findFreePort(), metrics: await site.findFreePort(),
+			caller, peer, readiness, metrics,
 		};
 		const folder = await fs.mkdtemp(path.join(os.tmpdir(), 'sycamorering-intake-'));
 		const settingsFile = path.join(folder, 'entry.ini');
--- a/src/soak/site.ts
+++ b/src/soak/site.ts
@@ -4,14 +4,13 @@
 */
 import * as childProcess from 'node:child_process';
 import * as fs from 'node:fs/promises';
-import * as net from 'node:net';
 import * as os from 'node:os';
 import * as path from 'node:path';
 import process from 'node:process';
 import * as url from 'node:url';
 import * as clock from '../core/clock.js';
 import type * as random from '../core/random.js';
-import * as randoms from '../core/random.js';
+import * as ports from '../standin/ports.js';
 import * as relay from '../standin/relay.js';
 import * as callers from './caller.js';
 import * as checkers from './checker.js';
@@ -394,7 +393,7 @@
 
 	async #prepareHost(index: number): Promise<Host> {
 		const name = `entry-${index}`;
-		const [caller, peer, readiness, metrics] = await Promise.all([findFreePort(), findFreePort(), findFreePort(), findFreePort()]);
+		const [caller, peer, readiness, metrics] = await Promise.all([ports.findFree(hostAddress), ports.findFree(hostAddress), ports.findFree(hostAddress), ports.findFree(hostAddress)]);
 		const address = await this.platform.listen(name);
 		const [storeHost, storePort] = address.split(':');
 		const storeRelay = await relay.Relay.start({host: storeHost, port: Number(storePort)});
@@ -442,36 +441,3 @@
 const addressBase = 250;
 /** Address of the hosts' listeners, which differs between soak tests at the same time: a host that restarts needs its ports again. */
 export const hostAddress = `127.${[addressBase ** 2, addressBase, 1].map(unit => 1 + (Math.floor(process.pid / unit) % addressBase)).join('.')}`;
-/** Bounds below the ephemeral port range, so that no outgoing connection takes a port before its host listens on it. */
-const lowestPort = 15_000;
-const highestPort = 31_000;
-const ports = new randoms.System();
-/** A host needs its ports again after a restart, and a host that is prepared doesn't listen yet. */
-const drawnPorts = new Set<number>();
-/** Number of ports after which earlier ones are drawn again: those of sites that have ended. */
-const maxDrawnPorts = 8000;
-
-/** Finds a port of `hostAddress` on which no process listens at the moment, and that was not found before. */
-export async function findFreePort(): Promise<number> {
-	for (;;) {
-		const port = ports.integer(lowestPort, highestPort);
-		const server = net.createServer();
-		const isFree = await new Promise<boolean>(resolve => {
-			server.once('error', () => {
-				resolve(false);
-			});
-			server.listen(port, hostAddress, () => {
-				resolve(true);
-			});
-		});
-		server.close();
-		if (isFree && !drawnPorts.has(port)) {
-			if (drawnPorts.size >= maxDrawnPorts) {
-				drawnPorts.clear();
-			}
-
-			drawnPorts.add(port);
-			return port;
-		}
-	}
-}
--- a/src/standin/deployment.ts
+++ b/src/standin/deployment.ts
@@ -2,7 +2,6 @@
 A complete deployment in one process, for tests and benchmarks: stand-ins for the platform and a database group, and
 entry hosts.
 */
-import * as net from 'node:net';
 import * as Either from 'fp-ts/lib/Either.js';
 import * as mysql from 'mysql2/promise';
 import * as claim from '../core/claim.js';
@@ -19,6 +18,7 @@
 import * as hub from './hub.js';
 import type * as network from './network.js';
 import * as platform from './platform.js';
+import * as ports from './ports.js';
 import * as relay from './relay.js';
 
 /** Configuration of a deployment. */
@@ -143,7 +143,7 @@
 		const databaseGroup = await group.Group.start(options);
 		const store = new platform.Platform();
 		const url = await store.start(loopback, 0);
-		const seeds = await Promise.all(Array.from({length: options.seeds ?? 0}, async () => findFreeAddress()));
+		const seeds = await Promise.all(Array.from({length: options.seeds ?? 0}, async () => `${loopback}:${await ports.findFree(loopback)}`));
 		const deployment = new Deployment(databaseGroup, {store, url}, options, seeds);
 		store.put('configuration', deployment.configuration());
 		try {
@@ -325,19 +325,6 @@
 	}
 }
 
-/** Finds a loopback address that no process listens on. */
-async function findFreeAddress(): Promise<string> {
-	const listener = net.createServer();
-	await new Promise<void>(resolve => {
-		listener.listen(0, loopback, resolve);
-	});
-	const {port} = listener.address() as net.AddressInfo;
-	await new Promise(resolve => {
-		listener.close(resolve);
-	});
-	return `${loopback}:${port}`;
-}
-
 async function waitUntilReady(port: number): Promise<void> {
 	const time = new clock.System();
 	const end = time.now() + readyTimeoutMs;
